--- /dev/null
+++ b/agent/doc.go
@@ -0,0 +1,2 @@
+// Package agent is under construction.
+package agent
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench is under construction.
+package bench
--- /dev/null
+++ b/core/wire/check.go
@@ -0,0 +1,227 @@
+package wire
+
+import (
+	"fmt"
+	"strings"
+)
+
+// FieldError names a field whose value is out of its range.
+type FieldError struct {
+	Field string
+	Value any
+	Want  string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %s: got %v, want %s", e.Field, e.Value, e.Want)
+}
+
+func checkText(field, s string, maxBytes int, required bool) error {
+	if required && s == "" {
+		return &FieldError{field, `""`, "a value"}
+	}
+	if len(s) > maxBytes {
+		return &FieldError{field, fmt.Sprintf("%d bytes", len(s)), fmt.Sprintf("at most %d bytes", maxBytes)}
+	}
+	return nil
+}
+
+func checkRange(field string, n, low, high int) error {
+	if n < low || n > high {
+		return &FieldError{field, n, fmt.Sprintf("%d to %d", low, high)}
+	}
+	return nil
+}
+
+func checkOneOf[T ~string](field string, v T, allowed ...T) error {
+	for _, a := range allowed {
+		if v == a {
+			return nil
+		}
+	}
+	names := make([]string, len(allowed))
+	for i, a := range allowed {
+		names[i] = string(a)
+	}
+	return &FieldError{field, string(v), "one of " + strings.Join(names, ", ")}
+}
+
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	maxName    = 64
+	maxUUID    = 36
+	maxToken   = 160
+	maxMillis  = 600_000
+	maxAttempt = 64
+	maxSlots   = 65_536
+	maxMarks   = 256
+)
+
+// Check reports the first field of r that is out of range.
+func (r Ref) Check() error {
+	return first(
+		checkText("ref.request", string(r.Request), maxUUID, true),
+		checkText("ref.stage", string(r.Stage), maxName, true),
+		checkRange("ref.attempt", int(r.Attempt), 1, maxAttempt),
+	)
+}
+
+// Check reports the first field of c that is out of range.
+func (c *Call) Check() error {
+	err := first(
+		c.Ref.Check(),
+		checkText("call.team", string(c.Team), maxName, true),
+		checkText("call.pipeline", string(c.Pipeline), maxName, true),
+		checkText("call.model", string(c.Model), maxName, false),
+		checkText("call.adapter", string(c.Adapter), maxName, false),
+		checkText("call.token", string(c.Token), maxToken, c.Once),
+		checkText("call.print", string(c.Print), 32, true),
+		checkOneOf("call.kind", c.Kind, KindEncode, KindRetrieve, KindRerank, KindGenerate, KindPlain),
+		checkOneOf("call.rank", c.Rank, RankInteractive, RankBatch),
+		checkRange("call.left", int(c.Left), 1, maxMillis),
+	)
+	return err
+}
+
+// Check reports the first field of r that is out of range.
+func (r *Report) Check() error {
+	return first(
+		checkText("report.upstream", string(r.Upstream), maxName, true),
+		checkText("report.incarnation", string(r.Incarnation), maxUUID, true),
+		checkText("report.boot", string(r.Boot), maxName, false),
+		checkOneOf("report.warmth", r.Warmth, WarmthCold, WarmthWarming, WarmthWarm),
+		checkRange("report.limit", int(r.Limit), 0, maxSlots),
+		checkRange("report.flight", int(r.Flight), 0, maxSlots),
+		checkRange("report.queued", int(r.Queued), 0, maxSlots),
+		checkRange("report.prefixes", len(r.Prefixes), 0, maxName),
+	)
+}
+
+// Check reports the first field of r that is out of range.
+func (r *Refuse) Check() error {
+	err := first(
+		r.Ref.Check(),
+		checkText("refuse.reason", string(r.Reason), maxName, true),
+		checkOneOf("refuse.executed", r.Executed, ExecutedNone, ExecutedSome, ExecutedUnknown),
+		checkRange("refuse.retry", int(r.Retry), 0, maxMillis),
+	)
+	if err == nil && r.Report != nil {
+		err = r.Report.Check()
+	}
+	return err
+}
+
+// Check reports the first field of r that is out of range.
+func (r *Result) Check() error {
+	err := first(
+		r.Ref.Check(),
+		checkOneOf("result.outcome", r.Outcome, OutcomeDone, OutcomeFailed),
+		checkRange("result.chunks", r.Chunks, 0, 1<<20),
+		r.Cost.Check(),
+	)
+	if err == nil && r.Report != nil {
+		err = r.Report.Check()
+	}
+	return err
+}
+
+// Check reports the first field of c that is out of range.
+func (c Cost) Check() error {
+	const most = 1 << 40
+	return first(
+		checkRange("cost.input", int(c.Input), 0, most),
+		checkRange("cost.cached", int(c.Cached), 0, int(c.Input)),
+		checkRange("cost.output", int(c.Output), 0, most),
+		checkRange("cost.calls", c.Calls, 0, maxSlots),
+		checkRange("cost.busy", int(c.Busy), 0, most),
+	)
+}
+
+// Check reports the first field of h that is out of range.
+func (h *Hello) Check() error {
+	return first(
+		checkOneOf("hello.role", h.Role, RoleRouter, RoleAgent),
+		checkText("hello.name", string(h.Name), maxName, true),
+		checkText("hello.centre", string(h.Centre), maxName, true),
+		checkText("hello.incarnation", string(h.Incarnation), maxUUID, true),
+		checkRange("hello.version", int(h.Version), 1, maxSlots),
+	)
+}
+
+// Check reports the first field of s that is out of range.
+func (s *Sync) Check() error {
+	err := first(
+		checkRange("sync.head.buckets", len(s.Head.Buckets), 0, 64),
+		checkRange("sync.want", len(s.Want), 0, 64),
+		checkRange("sync.objects", len(s.Objects), 0, 4096),
+		checkRange("sync.marks", len(s.Marks), 0, maxMarks),
+	)
+	if err != nil {
+		return err
+	}
+	for _, w := range s.Want {
+		if err = checkRange("sync.want", w, 0, 63); err != nil {
+			return err
+		}
+	}
+	for i := range s.Marks {
+		if err = s.Marks[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Check reports the first field of m that is out of range.
+func (m *Mark) Check() error {
+	return first(
+		checkText("mark.print", string(m.Print), 32, true),
+		checkText("mark.team", string(m.Team), maxName, true),
+		checkText("mark.pipeline", string(m.Pipeline), maxName, true),
+		checkOneOf("mark.state", m.State, MarkStateSuspect, MarkStateQuarantined, MarkStateCleared),
+		checkRange("mark.left", int(m.Left), 0, 3_600_000),
+	)
+}
+
+// Check reports an error unless exactly one message is set and valid.
+func (f *Frame) Check() (err error) {
+	set := 0
+	check := func(present bool, c func() error) {
+		if !present {
+			return
+		}
+		set++
+		if err == nil {
+			err = c()
+		}
+	}
+	check(f.Call != nil, func() error { return f.Call.Check() })
+	check(f.Query != nil, func() error {
+		return first(f.Query.Ref.Check(), checkRange("query.next", f.Query.Next, 0, 1<<20))
+	})
+	check(f.Ack != nil, func() error { return f.Ack.Ref.Check() })
+	check(f.Reserve != nil, func() error { return checkText("reserve.team", string(f.Reserve.Team), maxName, true) })
+	check(f.Reserved != nil, func() error { return checkText("reserved.token", string(f.Reserved.Token), maxToken, true) })
+	check(f.Accept != nil, func() error { return f.Accept.Ref.Check() })
+	check(f.Refuse != nil, func() error { return f.Refuse.Check() })
+	check(f.Chunk != nil, func() error {
+		return first(f.Chunk.Ref.Check(), checkRange("chunk.number", f.Chunk.Number, 0, 1<<20))
+	})
+	check(f.Result != nil, func() error { return f.Result.Check() })
+	check(f.Hello != nil, func() error { return f.Hello.Check() })
+	check(f.Report != nil, func() error { return f.Report.Check() })
+	check(f.Sync != nil, func() error { return f.Sync.Check() })
+	if set != 1 {
+		return &FieldError{"frame", fmt.Sprintf("%d messages", set), "exactly one"}
+	}
+	return err
+}
--- /dev/null
+++ b/core/wire/doc.go
@@ -0,0 +1,7 @@
+// Package wire holds the messages that processes exchange and the objects of
+// change tickets. Types are generated from ../schema/wire.json; the methods that
+// check decoded values stand beside them in this package.
+package wire
+
+//go:generate sh ../schema/generate.sh wire wire_gen.go
+//go:generate msgp -file wire_gen.go -o msgp_gen.go -tests=false -io=false
--- /dev/null
+++ b/cove/doc.go
@@ -0,0 +1,2 @@
+// Package cove is under construction.
+package cove
--- /dev/null
+++ b/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo is under construction.
+package demo
--- /dev/null
+++ b/fakes/doc.go
@@ -0,0 +1,2 @@
+// Package fakes is under construction.
+package fakes
--- /dev/null
+++ b/load/doc.go
@@ -0,0 +1,2 @@
+// Package load is under construction.
+package load
--- /dev/null
+++ b/router/doc.go
@@ -0,0 +1,2 @@
+// Package router is under construction.
+package router
