fakes: add engine and service stand-ins

Cause: router, agent and the fault tests need upstreams that follow the published protocols, fail on demand and keep a record that is independent of our own code.

Change: Engine simulates continuous batching with a bounded queue, priorities, a bounded prefix cache with late and gappy events, stream resume and cancel, orders with or without fencing, a lagged load report, cold starts that crash when overfilled, and a poison text. Service covers encode, retrieve, rerank and plain and counts effects by Call-Key. Both share one run of a listener that can be crashed, restarted on the same address, dropped or silenced, and take faults in-process or by POST /fault. Hold and Step replace wall-clock speed in tests.

--- /dev/null
+++ b/fakes/engine_http.go
@@ -0,0 +1,288 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// weightsTimeout bounds an engine's read from the weight store.
+const weightsTimeout = 10 * time.Second
+
+type completionRequest struct {
+	Model    wire.ModelID   `json:"model"`
+	Adapter  wire.AdapterID `json:"adapter"`
+	Prompt   string         `json:"prompt"`
+	Tokens   int            `json:"max_tokens"`
+	Stream   bool           `json:"stream"`
+	Priority int            `json:"priority"`
+}
+
+type choice struct {
+	Index  int    `json:"index"`
+	Text   string `json:"text"`
+	Finish string `json:"finish_reason,omitempty"`
+}
+
+type completionAnswer struct {
+	ID      string   `json:"id"`
+	Choices []choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+	Error   string   `json:"error,omitempty"`
+}
+
+func (e *Engine) route(ctx context.Context, rc *fasthttp.RequestCtx) {
+	path, method := string(rc.Path()), string(rc.Method())
+	id, one := strings.CutPrefix(path, "/v1/completions/")
+	switch {
+	case path == "/v1/completions" && method == "POST":
+		e.complete(ctx, rc)
+	case one && method == "GET":
+		e.resume(ctx, rc, id)
+	case one && method == "DELETE":
+		e.cancel(rc, id)
+	case path == "/cache/events" && method == "GET":
+		e.events(rc)
+	case path == "/orders" && method == "POST":
+		e.orders(rc)
+	default:
+		fail(rc, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+func (e *Engine) complete(ctx context.Context, rc *fasthttp.RequestCtx) {
+	req := completionRequest{Tokens: defaultTokens}
+	if err := json.Unmarshal(rc.PostBody(), &req); err != nil {
+		fail(rc, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if req.Tokens < 1 || req.Tokens > maxTokens {
+		fail(rc, fasthttp.StatusBadRequest, fmt.Sprintf("max_tokens must be 1 to %d", maxTokens))
+		return
+	}
+	e.mu.Lock()
+	if !e.loaded(req.Model, req.Adapter) {
+		e.mu.Unlock()
+		fail(rc, fasthttp.StatusNotFound, "model or adapter is not loaded")
+		return
+	}
+	delay := e.faults.delay
+	e.mu.Unlock()
+	if !pause(ctx, delay) {
+		hangUp(rc)
+		return
+	}
+	e.mu.Lock()
+	fate := e.draw()
+	if fate == failing {
+		e.rec.Failed++
+		e.mu.Unlock()
+		fail(rc, fasthttp.StatusInternalServerError, "injected failure")
+		return
+	}
+	c, got := e.submit(ctx, string(rc.Request.Header.Peek("Call-Key")), req.Prompt, req.Tokens, req.Priority)
+	e.mu.Unlock()
+	switch got {
+	case crashed:
+		hangUp(rc)
+		return
+	case refused:
+		fail(rc, fasthttp.StatusServiceUnavailable, "over capacity")
+		return
+	}
+	rc.Response.Header.Set("Completion-Id", c.id)
+	if fate == answered && req.Stream {
+		e.stream(ctx, rc, c, 0)
+		return
+	}
+	_, state, usage, ok := e.next(ctx, c, c.want)
+	if !ok {
+		hangUp(rc)
+		return
+	}
+	e.finish(ctx, rc, fate, func() { reply(rc, fasthttp.StatusOK, c.answer(state, usage)) })
+}
+
+// loaded reports whether the engine can run a model; the caller holds e.mu.
+func (e *Engine) loaded(m wire.ModelID, a wire.AdapterID) bool {
+	if m != "" && e.load.Model != "" && m != e.load.Model {
+		return false
+	}
+	if a == "" {
+		return true
+	}
+	for _, have := range e.load.Adapters {
+		if have == a {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *completion) answer(state completionState, usage Usage) completionAnswer {
+	a := completionAnswer{
+		ID:      c.id,
+		Choices: []choice{{Text: Text(c.prompt, int(usage.Completion)), Finish: "length"}},
+		Usage:   &usage,
+	}
+	if state == cancelled {
+		a.Error, a.Choices[0].Finish = "cancelled", "cancelled"
+	}
+	return a
+}
+
+// stream sends the tokens of c from number n on, then the usage and the end mark. A
+// cancelled completion has an error in the event with its usage.
+func (e *Engine) stream(ctx context.Context, rc *fasthttp.RequestCtx, c *completion, n int) {
+	stream(ctx, rc, func(send func([]byte) error) {
+		for {
+			made, state, usage, ok := e.next(ctx, c, n)
+			if !ok {
+				return
+			}
+			for ; n < made; n++ {
+				if sendJSON(send, completionAnswer{ID: c.id, Choices: []choice{{Text: Token(c.prompt, n)}}}) != nil {
+					return // the reader is gone; it may resume
+				}
+			}
+			if state != finished && state != cancelled {
+				continue
+			}
+			last := completionAnswer{ID: c.id, Choices: []choice{}, Usage: &usage}
+			if state == cancelled {
+				last.Error = "cancelled"
+			}
+			if sendJSON(send, last) == nil {
+				send([]byte("[DONE]")) //nolint:errcheck // nothing is left to send
+			}
+			return
+		}
+	})
+}
+
+func sendJSON(send func([]byte) error, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return send(data)
+}
+
+func (e *Engine) find(id string) *completion {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.byID[id]
+}
+
+func (e *Engine) resume(ctx context.Context, rc *fasthttp.RequestCtx, id string) {
+	c := e.find(id)
+	if c == nil {
+		fail(rc, fasthttp.StatusNotFound, "no such completion")
+		return
+	}
+	n, err := number(rc, "after")
+	if err != nil {
+		fail(rc, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	e.rec.Resumed++
+	e.mu.Unlock()
+	rc.Response.Header.Set("Completion-Id", c.id)
+	e.stream(ctx, rc, c, n)
+}
+
+// cancel ends a completion. It answers with what the completion used, and does the same
+// for one that has ended already.
+func (e *Engine) cancel(rc *fasthttp.RequestCtx, id string) {
+	c := e.find(id)
+	if c == nil {
+		fail(rc, fasthttp.StatusNotFound, "no such completion")
+		return
+	}
+	e.mu.Lock()
+	if c.state == waiting || c.state == running {
+		e.end(c, cancelled)
+	}
+	answer := completionAnswer{ID: c.id, Choices: []choice{}}
+	usage := c.usage
+	answer.Usage = &usage
+	if c.state == cancelled {
+		answer.Error = "cancelled"
+	}
+	e.mu.Unlock()
+	reply(rc, fasthttp.StatusOK, answer)
+}
+
+func (e *Engine) events(rc *fasthttp.RequestCtx) {
+	n, err := number(rc, "after")
+	if err != nil {
+		fail(rc, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	events := e.cache.after(n)
+	e.mu.Unlock()
+	reply(rc, fasthttp.StatusOK, map[string]any{"events": events})
+}
+
+func (e *Engine) orders(rc *fasthttp.RequestCtx) {
+	var o Order
+	if err := json.Unmarshal(rc.PostBody(), &o); err != nil {
+		fail(rc, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	o.Status = e.fetch(rc, o)
+	if o.Status == fasthttp.StatusOK {
+		o.Status = e.order(o)
+	}
+	e.mu.Lock()
+	e.rec.order(o)
+	load := e.load
+	fence := e.fence
+	e.mu.Unlock()
+	reply(rc, o.Status, map[string]any{
+		"model": load.Model, "version": load.Version, "adapters": load.Adapters, "fence": fence,
+	})
+}
+
+// fetch reads the weights for an order and returns 200 or the status to answer with.
+func (e *Engine) fetch(rc *fasthttp.RequestCtx, o Order) int {
+	if e.set.weights == "" {
+		return fasthttp.StatusOK
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(fmt.Sprintf("http://%s/v1/weights/%s/%d", e.set.weights, o.Model, o.Version))
+	if err := fasthttp.DoTimeout(req, resp, weightsTimeout); err != nil {
+		return fasthttp.StatusBadGateway
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusTooManyRequests:
+		rc.Response.Header.SetBytesV("Retry-After", resp.Header.Peek("Retry-After"))
+	default:
+		return fasthttp.StatusBadGateway
+	}
+	return resp.StatusCode()
+}
+
+// number returns a query argument that is a number of at least zero; it is zero when
+// absent.
+func number(rc *fasthttp.RequestCtx, name string) (int, error) {
+	if !rc.QueryArgs().Has(name) {
+		return 0, nil
+	}
+	n, err := rc.QueryArgs().GetUint(name)
+	if err != nil {
+		return 0, fmt.Errorf("argument %s: %w", name, err)
+	}
+	return n, nil
+}
