--- a/fakes/fault.go
+++ b/fakes/fault.go
@@ -8,7 +8,8 @@
 // Fault changes how a stand-in behaves; fields that are not set leave things as they
 // are. Times are in milliseconds and rates are shares of calls from 0 to 1.
 type Fault struct {
-	// Crash ends the run; Restart begins a new one after the given time.
+	// Crash ends the run, which resets the connection that asked for it; Restart begins a
+	// new run after the given time.
 	Crash   bool `json:"crash,omitempty"`
 	Restart *int `json:"restart,omitempty"`
 	// Silence makes established connections silent for good.
@@ -37,8 +38,10 @@
 
 	// Lag is the age of a load report or host list.
 	Lag *int `json:"lag,omitempty"`
-	// Stale freezes a load report, host list or configuration service.
+	// Stale freezes a load report, host list or configuration service; Index makes the
+	// latter serve its state as of an index.
 	Stale *bool `json:"stale,omitempty"`
+	Index *int  `json:"index,omitempty"`
 	// Down makes a platform stand-in close connections without an answer.
 	Down *bool `json:"down,omitempty"`
 	// Rate limits calls a second of a platform stand-in; zero means no limit.
--- a/fakes/listener.go
+++ b/fakes/listener.go
@@ -38,14 +38,17 @@
 	l.closed = true
 	l.mu.Unlock()
 	l.Listener.Close()
-	l.reset()
+	l.reset(true)
 }
 
-// reset closes the open connections.
-func (l *listener) reset() {
+// reset closes the open connections, those used for /fault only if all is set.
+func (l *listener) reset(all bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
+		if c.control.Load() && !all {
+			continue
+		}
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
 			tcp.SetLinger(0) //nolint:errcheck // the connection may be closed already
 		}
@@ -53,20 +56,24 @@
 	}
 }
 
-// silence makes the open connections drop everything they receive and send.
+// silence makes the open connections, except those used for /fault, drop everything
+// that they receive and send.
 func (l *listener) silence() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.silent.Store(true)
+		if !c.control.Load() {
+			c.silent.Store(true)
+		}
 	}
 }
 
 type conn struct {
 	net.Conn
-	ln     *listener
-	silent atomic.Bool
-	once   sync.Once
+	ln      *listener
+	silent  atomic.Bool
+	control atomic.Bool // used for /fault, so that the answer to a fault arrives
+	once    sync.Once
 }
 
 func (c *conn) Read(p []byte) (int, error) {
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -201,17 +201,19 @@
 	}
 }
 
-// Silence makes all established connections go silent for good; new ones work.
+// Silence makes all established connections go silent for good, except those that were
+// used for /fault; new ones work.
 func (s *server) Silence() {
 	if r, _ := s.current(); r != nil {
 		r.ln.silence()
 	}
 }
 
-// Drop resets all established connections; new ones work.
+// Drop resets all established connections, except those that were used for /fault; new
+// ones work.
 func (s *server) Drop() {
 	if r, _ := s.current(); r != nil {
-		r.ln.reset()
+		r.ln.reset(false)
 	}
 }
 
@@ -222,6 +224,9 @@
 	case path == "/record" && rc.IsGet():
 		reply(rc, fasthttp.StatusOK, s.record())
 	case path == "/fault" && rc.IsPost():
+		if c, ok := rc.Conn().(*conn); ok {
+			c.control.Store(true)
+		}
 		var f Fault
 		if err := json.Unmarshal(rc.PostBody(), &f); err != nil {
 			fail(rc, fasthttp.StatusBadRequest, err.Error())
