ticket: add the store of configuration objects

Cause: routers and agents need one view of the objects that tickets set, equal on every process whatever the order of arrival.

The store is immutable, with 64 copy-on-write buckets and a list a kind. The digest covers content as well as number, so that two tickets with one number are noticed.

Tombstones count towards the 20,000 objects and are never removed.

--- /dev/null
+++ b/core/schema/ranges.go
@@ -0,0 +1,47 @@
+package schema
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Keys returns the keys of m in order.
+func Keys(m map[string]any) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// Range describes the values that a schema node allows.
+func Range(node map[string]any) string {
+	low, high := node["minimum"], node["maximum"]
+	switch {
+	case node["enum"] != nil:
+		return "one of " + join(node["enum"].([]any))
+	case low != nil && high != nil:
+		return fmt.Sprintf("%v to %v", low, high)
+	case low != nil:
+		return fmt.Sprintf("at least %v", low)
+	case node["pattern"] != nil:
+		return fmt.Sprintf("text matching %v", node["pattern"])
+	case node["maxLength"] != nil:
+		return fmt.Sprintf("text of at most %v characters", node["maxLength"])
+	case node["maxItems"] != nil:
+		least := node["minItems"]
+		if least == nil {
+			least = 0
+		}
+		return fmt.Sprintf("%v to %v entries", least, node["maxItems"])
+	case node["type"] != nil:
+		return fmt.Sprintf("a value of type %v", node["type"])
+	}
+	return "a value that the schema allows"
+}
+
+func join(values []any) string {
+	names := make([]string, len(values))
+	for i, v := range values {
+		names[i] = fmt.Sprint(v)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/core/ticket/store.go
@@ -0,0 +1,281 @@
+package ticket
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// Buckets is the number of buckets in a digest.
+	Buckets = 64
+	// MaxObjects bounds the objects of a store, tombstones included.
+	MaxObjects = 20_000
+)
+
+type id struct {
+	kind wire.ObjectKind
+	name string
+}
+
+// entry is one object with the hash of its content.
+type entry struct {
+	obj *wire.Object
+	sum uint64
+}
+
+// bucket is immutable once its store is published. The sum is the wrapping sum
+// of the entries' hashes, so one change updates it without reading the others.
+type bucket struct {
+	entries map[id]entry
+	sum     uint64
+}
+
+// Store is an immutable set of configuration objects. The zero value is empty.
+// Objects that it returns are shared and must not be changed.
+type Store struct {
+	buckets [Buckets]*bucket
+	live    map[wire.ObjectKind][]*wire.Object
+	hashes  map[wire.KeyHash]*wire.Object
+	size    int
+	head    wire.TicketNumber
+}
+
+// Change is one object that a ticket or a merge replaced. Old is nil for a new
+// object; New is a tombstone for a deleted one.
+type Change struct {
+	Kind     wire.ObjectKind
+	Name     string
+	Old, New *wire.Object
+}
+
+func bucketOf(k id) int {
+	return int(xxhash.Sum64String(string(k.kind)+"\x00"+k.name) % Buckets)
+}
+
+func newEntry(o *wire.Object) entry {
+	text, err := json.Marshal(o)
+	if err != nil { // objects consist of strings, numbers and maps by string
+		panic(err)
+	}
+	return entry{o, xxhash.Sum64(text)}
+}
+
+// newer reports whether e replaces old. Two tickets with the same number are an
+// operator's mistake; a fixed order between them keeps merge commutative.
+func (e entry) newer(old entry) bool {
+	switch {
+	case old.obj == nil:
+		return true
+	case e.obj.Number != old.obj.Number:
+		return e.obj.Number > old.obj.Number
+	case e.obj.Deleted != old.obj.Deleted:
+		return e.obj.Deleted
+	}
+	return e.sum > old.sum
+}
+
+func (s *Store) get(k id) entry {
+	b := s.buckets[bucketOf(k)]
+	if b == nil {
+		return entry{}
+	}
+	return b.entries[k]
+}
+
+// with returns a store that holds the entries too; each must be newer than the
+// object that it replaces and appear once.
+func (s *Store) with(entries []entry) (*Store, []Change) {
+	if len(entries) == 0 {
+		return s, nil
+	}
+	next := *s
+	changes := make([]Change, 0, len(entries))
+	var own [Buckets]bool
+	for _, e := range entries {
+		k := id{e.obj.Kind, e.obj.Name}
+		i := bucketOf(k)
+		if !own[i] {
+			next.buckets[i], own[i] = next.buckets[i].clone(), true
+		}
+		old := next.buckets[i].put(k, e)
+		if old.obj == nil {
+			next.size++
+		}
+		next.head = max(next.head, e.obj.Number)
+		changes = append(changes, Change{k.kind, k.name, old.obj, e.obj})
+	}
+	next.index(changes)
+	return &next, changes
+}
+
+func (b *bucket) clone() *bucket {
+	if b == nil {
+		return &bucket{entries: map[id]entry{}}
+	}
+	entries := make(map[id]entry, len(b.entries)+1)
+	for k, e := range b.entries {
+		entries[k] = e
+	}
+	return &bucket{entries, b.sum}
+}
+
+func (b *bucket) put(k id, e entry) (old entry) {
+	old = b.entries[k]
+	b.entries[k] = e
+	b.sum += e.sum - old.sum
+	return old
+}
+
+// index renews the lists of live objects of the kinds that changed.
+func (s *Store) index(changes []Change) {
+	byKind := map[wire.ObjectKind][]*wire.Object{}
+	for _, c := range changes {
+		byKind[c.Kind] = append(byKind[c.Kind], c.New)
+	}
+	live := make(map[wire.ObjectKind][]*wire.Object, len(s.live)+len(byKind))
+	for k, objs := range s.live {
+		live[k] = objs
+	}
+	for k, objs := range byKind {
+		slices.SortFunc(objs, byName)
+		live[k] = splice(live[k], objs)
+	}
+	s.live = live
+	if byKind[wire.ObjectKindKey] != nil {
+		s.hashes = hashIndex(live[wire.ObjectKindKey])
+	}
+}
+
+func byName(a, b *wire.Object) int { return strings.Compare(a.Name, b.Name) }
+
+// splice merges two lists in name order; changed objects replace old ones, and
+// tombstones are left out.
+func splice(old, changed []*wire.Object) []*wire.Object {
+	out := make([]*wire.Object, 0, len(old)+len(changed))
+	for _, c := range changed {
+		i, found := slices.BinarySearchFunc(old, c, byName)
+		out = append(out, old[:i]...)
+		if !c.Deleted {
+			out = append(out, c)
+		}
+		if found {
+			i++
+		}
+		old = old[i:]
+	}
+	return append(out, old...)
+}
+
+// hashIndex maps hashes to keys. Merge can bring two keys with one hash from
+// both sides of a partition; the one with the higher number, then the first
+// name, is used everywhere.
+func hashIndex(keys []*wire.Object) map[wire.KeyHash]*wire.Object {
+	m := make(map[wire.KeyHash]*wire.Object, len(keys))
+	for _, k := range keys {
+		if old := m[k.Key.Hash]; old == nil || k.Number > old.Number {
+			m[k.Key.Hash] = k
+		}
+	}
+	return m
+}
+
+// Digest returns the highest ticket number, a hash a bucket and the hash over
+// all buckets. Hashes cover the content of objects too, so that two stores that
+// took different tickets of one number notice it.
+func (s *Store) Digest() wire.Digest {
+	d := wire.Digest{Head: s.head, Buckets: make([]uint64, Buckets)}
+	buf := make([]byte, 0, 8*Buckets)
+	for i, b := range s.buckets {
+		if b != nil {
+			d.Buckets[i] = b.sum
+		}
+		buf = binary.BigEndian.AppendUint64(buf, d.Buckets[i])
+	}
+	d.Root = xxhash.Sum64(buf)
+	return d
+}
+
+// Bucket returns the objects of bucket i, tombstones included, by kind and
+// name. It returns nil when i is out of range.
+func (s *Store) Bucket(i int) []wire.Object {
+	if i < 0 || i >= Buckets || s.buckets[i] == nil {
+		return nil
+	}
+	objs := make([]wire.Object, 0, len(s.buckets[i].entries))
+	for _, e := range s.buckets[i].entries {
+		objs = append(objs, *e.obj)
+	}
+	slices.SortFunc(objs, func(a, b wire.Object) int {
+		if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return objs
+}
+
+// Len returns the number of objects, tombstones included.
+func (s *Store) Len() int { return s.size }
+
+// Head returns the highest ticket number of any object.
+func (s *Store) Head() wire.TicketNumber { return s.head }
+
+// Object returns the object, or its tombstone.
+func (s *Store) Object(kind wire.ObjectKind, name string) (*wire.Object, bool) {
+	e := s.get(id{kind, name})
+	return e.obj, e.obj != nil
+}
+
+// List returns the live objects of a kind in name order.
+func (s *Store) List(kind wire.ObjectKind) []*wire.Object { return slices.Clip(s.live[kind]) }
+
+// Upstreams returns the roster: the live upstream objects in name order.
+func (s *Store) Upstreams() []*wire.Object { return s.List(wire.ObjectKindUpstream) }
+
+func part[T any](s *Store, kind wire.ObjectKind, name string, get func(*wire.Object) *T) (v T, ok bool) {
+	o := s.get(id{kind, name}).obj
+	if o == nil || o.Deleted {
+		return v, false
+	}
+	return *get(o), true
+}
+
+// Team returns the team in force.
+func (s *Store) Team(name wire.TeamID) (wire.Team, bool) {
+	return part(s, wire.ObjectKindTeam, string(name), func(o *wire.Object) *wire.Team { return o.Team })
+}
+
+// Pipeline returns the pipeline in force.
+func (s *Store) Pipeline(name wire.PipelineID) (wire.Pipeline, bool) {
+	return part(s, wire.ObjectKindPipeline, string(name), func(o *wire.Object) *wire.Pipeline { return o.Pipeline })
+}
+
+// Upstream returns the upstream in force.
+func (s *Store) Upstream(name wire.UpstreamID) (wire.Upstream, bool) {
+	return part(s, wire.ObjectKindUpstream, string(name), func(o *wire.Object) *wire.Upstream { return o.Upstream })
+}
+
+// Centre returns the data centre in force.
+func (s *Store) Centre(name wire.DataCentreID) (wire.Centre, bool) {
+	return part(s, wire.ObjectKindCentre, string(name), func(o *wire.Object) *wire.Centre { return o.Centre })
+}
+
+// Model returns the model in force.
+func (s *Store) Model(name wire.ModelID) (wire.Model, bool) {
+	return part(s, wire.ObjectKindModel, string(name), func(o *wire.Object) *wire.Model { return o.Model })
+}
+
+// Key returns the key in force that has the hash.
+func (s *Store) Key(hash wire.KeyHash) (wire.Key, bool) {
+	o := s.hashes[hash]
+	if o == nil {
+		return wire.Key{}, false
+	}
+	return *o.Key, true
+}
