--- a/core/schema/ranges.go
+++ b/core/schema/ranges.go
@@ -45,3 +45,32 @@
 	}
 	return strings.Join(names, ", ")
 }
+
+// Leaf is one value in an object schema; Path joins the names of the objects
+// around it with dots.
+type Leaf struct {
+	Path     string
+	Node     map[string]any
+	Required bool
+}
+
+// Leaves returns the values of the definition def, those of nested objects
+// included, in order of their paths.
+func (v *Validator) Leaves(def string) []Leaf {
+	node, _ := lookup(v.doc, []string{"$defs", def}).(map[string]any)
+	return v.leaves(nil, "", node)
+}
+
+func (v *Validator) leaves(out []Leaf, prefix string, node map[string]any) []Leaf {
+	props, _ := node["properties"].(map[string]any)
+	required, _ := node["required"].([]any)
+	for _, name := range Keys(props) {
+		p := v.resolve(props[name].(map[string]any))
+		if p["type"] == "object" {
+			out = v.leaves(out, prefix+name+".", p)
+			continue
+		}
+		out = append(out, Leaf{prefix + name, p, slices.Contains(required, any(name))})
+	}
+	return out
+}
--- a/core/schema/schema.go
+++ b/core/schema/schema.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 
@@ -22,6 +23,11 @@
 //go:embed wire.json
 var Wire []byte
 
+// Conf is the schema of settings.
+//
+//go:embed conf.json
+var Conf []byte
+
 // Validator checks values against one definition of a schema.
 type Validator struct {
 	schema *jsonschema.Schema
@@ -86,9 +92,10 @@
 		return &wire.FieldError{Field: field, Value: "an unknown field", Want: "one of " + v.properties(ve.SchemaURL)}
 	case *kind.Required:
 		field := strings.Join(append(at[:len(at):len(at)], k.Missing[0]), ".")
-		return &wire.FieldError{Field: field, Value: "no value", Want: "a value"}
+		return &wire.FieldError{Field: field, Value: "no value", Want: Range(v.property(ve.SchemaURL, k.Missing[0]))}
 	}
-	return &wire.FieldError{Field: strings.Join(at, "."), Value: show(lookup(value, at)), Want: Range(v.node(ve.SchemaURL))}
+	node := v.node(ve.SchemaURL)
+	return &wire.FieldError{Field: strings.Join(at, "."), Value: Show(node, lookup(value, at)), Want: Range(node)}
 }
 
 // node returns the part of the schema that a URL with a JSON pointer names.
@@ -98,6 +105,27 @@
 	return node
 }
 
+// property returns the schema of one property of the object schema at url, with
+// a reference replaced by what it names.
+func (v *Validator) property(url, name string) map[string]any {
+	props, _ := v.node(url)["properties"].(map[string]any)
+	node, _ := props[name].(map[string]any)
+	return v.resolve(node)
+}
+
+// resolve returns the definition that node refers to, with the keywords of node
+// in front, or node itself.
+func (v *Validator) resolve(node map[string]any) map[string]any {
+	ref, ok := node["$ref"].(string)
+	if !ok {
+		return node
+	}
+	merged := maps.Clone(v.node(ref))
+	maps.Copy(merged, node)
+	delete(merged, "$ref")
+	return merged
+}
+
 func (v *Validator) properties(url string) string {
 	props, _ := v.node(url)["properties"].(map[string]any)
 	return strings.Join(Keys(props), ", ")
@@ -124,6 +152,15 @@
 // maxShown bounds a value quoted in an error, in bytes.
 const maxShown = 80
 
+// Show returns the value in a form for errors, cut to a bounded length. A value
+// that its schema marks as writeOnly is a secret; only its length is shown.
+func Show(node map[string]any, value any) string {
+	if node["writeOnly"] == true {
+		return fmt.Sprintf("a hidden value of %d bytes", len(fmt.Sprint(value)))
+	}
+	return show(value)
+}
+
 func show(value any) string {
 	switch x := value.(type) {
 	case map[string]any:
