--- /dev/null
+++ b/core/plat/client.go
@@ -0,0 +1,152 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// Rate and burst keep 370 routers under 1,500 of the 2,000 reads a second
+	// that the service allows.
+	readRate  = 4 // reads a second
+	readBurst = 4
+
+	// The deadline of a read is its wait and this margin.
+	readMargin = 2 * time.Second
+
+	maxAnswer    = 4 << 20 // bytes; a list of 11,500 hosts takes about 1.5 MB
+	maxRetryTime = time.Minute
+)
+
+// Page is one answer of the configuration service.
+type Page struct {
+	// Index is the newest index of the service.
+	Index uint64 `json:"index"`
+	// Tickets are those after the index asked for, in order of their indexes.
+	Tickets []RawTicket `json:"tickets"`
+}
+
+// RawTicket is a ticket as the service holds it.
+type RawTicket struct {
+	Index  uint64          `json:"index"`
+	Ticket json.RawMessage `json:"ticket"`
+}
+
+// HostState is the state of an entry of the host list.
+type HostState string
+
+// The states of the host list.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one entry of the host list.
+type Host struct {
+	Name    wire.HostID       `json:"name"`
+	Role    wire.Role         `json:"role"`
+	Address wire.Address      `json:"address"`
+	Region  wire.RegionID     `json:"region"`
+	Centre  wire.DataCentreID `json:"centre"`
+	State   HostState         `json:"state"`
+}
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	Code int
+	// Retry is the time that the service asked to wait, or 0.
+	Retry time.Duration
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("platform answered %d", e.Code) }
+
+// Limited reports whether the service refused the read because of its rate.
+func (e *StatusError) Limited() bool { return e.Code == fasthttp.StatusTooManyRequests }
+
+// Client reads from the platform. It is safe for concurrent use. A read waits
+// for the rate limit, has a deadline and is not repeated.
+type Client struct {
+	base           string
+	limit          *rate.Limiter
+	tickets, hosts *reader
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(base string) *Client {
+	return &Client{
+		base:    base,
+		limit:   rate.NewLimiter(readRate, readBurst),
+		tickets: newReader(),
+		hosts:   newReader(),
+	}
+}
+
+// Tickets returns the tickets after an index. The service answers at once when
+// there are any and else waits for up to wait.
+func (c *Client) Tickets(ctx context.Context, after uint64, wait time.Duration) (p Page, err error) {
+	url := fmt.Sprintf("%s/v1/tickets?after=%d&wait=%d", c.base, after, wait.Milliseconds())
+	if err = c.get(ctx, c.tickets, url, wait+readMargin, &p); err != nil {
+		return Page{}, fmt.Errorf("read tickets: %w", err)
+	}
+	return p, nil
+}
+
+// Hosts returns the host list and the number of entries left out because they
+// have no name or an unknown state.
+func (c *Client) Hosts(ctx context.Context) (hosts []Host, dropped int, err error) {
+	var list struct {
+		Hosts []Host `json:"hosts"`
+	}
+	if err = c.get(ctx, c.hosts, c.base+"/v1/hosts", readMargin, &list); err != nil {
+		return nil, 0, fmt.Errorf("read hosts: %w", err)
+	}
+	hosts = list.Hosts[:0]
+	for _, h := range list.Hosts {
+		if h.Name == "" || h.State != HostLive && h.State != HostLeaving {
+			dropped++
+			continue
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts, dropped, nil
+}
+
+// Close closes all connections; reads in progress fail.
+func (c *Client) Close() {
+	c.tickets.close()
+	c.hosts.close()
+}
+
+func (c *Client) get(ctx context.Context, r *reader, url string, limit time.Duration, into any) error {
+	if err := c.limit.Wait(ctx); err != nil {
+		return err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url)
+	if err := r.do(ctx, req, resp, time.Now().Add(limit)); err != nil {
+		return err
+	}
+	if code := resp.StatusCode(); code != fasthttp.StatusOK {
+		return &StatusError{code, retryAfter(resp)}
+	}
+	return json.Unmarshal(resp.Body(), into)
+}
+
+func retryAfter(resp *fasthttp.Response) time.Duration {
+	seconds, err := strconv.Atoi(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds), maxRetryTime/time.Second) * time.Second
+}
