--- /dev/null
+++ b/core/clock/clock_test.go
@@ -0,0 +1,72 @@
+package clock
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// start runs a service whose time is ahead of the bubble's by skip.
+func start(t *testing.T) (s *Service, skip *atomic.Int64) {
+	skip = new(atomic.Int64)
+	s = New(WithNow(func() time.Time { return time.Now().Add(time.Duration(skip.Load())) }))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+	return s, skip
+}
+
+// TestTicks guards against ticks that drift, come early or stop at Close.
+func TestTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := start(t)
+		began := time.Now()
+		slow, fast := s.Subscribe(3*time.Second, "slow"), s.Subscribe(time.Second, "fast")
+		for i := range 6 {
+			tick := <-fast.C
+			assert.Equal(t, tick.Now.Sub(began), time.Duration(i+1)*time.Second)
+			assert.Equal(t, tick.Late, time.Duration(0))
+		}
+		assert.Equal(t, (<-slow.C).Now.Sub(began), 6*time.Second)
+		fast.Close()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(fast.C), 0)
+		assert.Equal(t, len(s.Views()), 1)
+	})
+}
+
+// TestPause guards against a pause that goes unnoticed, also by a subscriber that
+// was slow to receive, and against a burst of ticks after it.
+func TestPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		skip   time.Duration
+		after  time.Duration
+		paused bool
+		missed uint64
+	}{
+		"short":         {900 * time.Millisecond, 0, false, 0},
+		"long":          {5500 * time.Millisecond, 0, true, 5},
+		"long and slow": {5500 * time.Millisecond, 3 * time.Second, true, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, skip := start(t)
+				sub := s.Subscribe(time.Second, "control")
+				synctest.Wait()
+				skip.Store(int64(c.skip))
+				time.Sleep(time.Second + c.after)
+				synctest.Wait()
+				assert.Equal(t, (<-sub.C).Paused(), c.paused)
+				assert.Equal(t, s.Views()[0].Missed, c.missed)
+			})
+		})
+	}
+}
