--- /dev/null
+++ b/core/link/net.go
@@ -0,0 +1,359 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// Net is a network in memory with faults, for tests in virtual time. Processes
+// are known by the names in their hellos. It is safe for concurrent use.
+type Net struct {
+	mu        sync.Mutex
+	listeners map[wire.Address]*netListener
+	sessions  map[*netSession]struct{}
+	cut       map[route]bool
+	delay     map[route]time.Duration
+	tamper    func(from, to wire.HostID, f *wire.Frame) []*wire.Frame
+}
+
+type route struct{ from, to wire.HostID }
+
+// queueFrames bounds the frames that wait on one stream; Send blocks beyond it.
+const queueFrames = 4096
+
+var errUnreachable = errors.New("no route to peer")
+
+// NewNet returns a network without faults.
+func NewNet() *Net {
+	return &Net{
+		listeners: map[wire.Address]*netListener{},
+		sessions:  map[*netSession]struct{}{},
+		cut:       map[route]bool{},
+		delay:     map[route]time.Duration{},
+	}
+}
+
+// Cut loses every frame from one process to another, on open and on new
+// sessions, until Heal.
+func (n *Net) Cut(from, to wire.HostID) { n.setCut(from, to, true) }
+
+// Heal ends a Cut; frames lost meanwhile stay lost.
+func (n *Net) Heal(from, to wire.HostID) { n.setCut(from, to, false) }
+
+func (n *Net) setCut(from, to wire.HostID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[route{from, to}] = cut
+}
+
+// Delay sets the one-way delay from one process to another.
+func (n *Net) Delay(from, to wire.HostID, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay[route{from, to}] = d
+}
+
+// Silence loses every later frame on the sessions that are open now between the
+// two processes; new sessions work.
+func (n *Net) Silence(a, b wire.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for s := range n.sessions {
+		if s.local == a && s.peer.Name == b || s.local == b && s.peer.Name == a {
+			s.silent = true
+		}
+	}
+}
+
+// Tamper passes each frame through f, which returns the frames to deliver.
+func (n *Net) Tamper(f func(from, to wire.HostID, f *wire.Frame) []*wire.Frame) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tamper = f
+}
+
+// Kill ends the sessions of a process and its listener, as a crash does.
+func (n *Net) Kill(name wire.HostID) {
+	n.mu.Lock()
+	var doomed []*netSession
+	for s := range n.sessions {
+		if s.local == name {
+			doomed = append(doomed, s)
+		}
+	}
+	for addr, l := range n.listeners {
+		if l.hello.Name == name {
+			delete(n.listeners, addr)
+		}
+	}
+	n.mu.Unlock()
+	for _, s := range doomed {
+		s.end()
+		s.other.end()
+	}
+}
+
+// filter returns the frames to deliver for f and their delay, or lost.
+func (n *Net) filter(s *netSession, f *wire.Frame) (out []*wire.Frame, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := route{s.local, s.peer.Name}
+	if s.silent || n.cut[r] {
+		return nil, 0
+	}
+	out = []*wire.Frame{f}
+	if n.tamper != nil {
+		out = n.tamper(r.from, r.to, f)
+	}
+	return out, n.delay[r]
+}
+
+func (n *Net) reaches(s *netSession) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !s.silent && !n.cut[route{s.local, s.peer.Name}]
+}
+
+// Listen accepts sessions at addr for the process that hello names.
+func (n *Net) Listen(addr wire.Address, hello wire.Hello) Listener {
+	l := &netListener{net: n, addr: addr, hello: hello, ready: make(chan *netSession, queueFrames), done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l
+}
+
+// Dial implements Dialer.
+func (n *Net) Dial(ctx context.Context, addr wire.Address, hello wire.Hello) (Session, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	blocked := l == nil || n.cut[route{hello.Name, l.hello.Name}] || n.cut[route{l.hello.Name, hello.Name}]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, fmt.Errorf("dial %s: %w", addr, errUnreachable)
+	}
+	if blocked {
+		ctx, cancel := context.WithTimeout(ctx, handshakeLimit)
+		defer cancel()
+		<-ctx.Done()
+		return nil, fmt.Errorf("dial %s: %w", addr, ctx.Err())
+	}
+	near := newNetSession(n, hello.Name, l.hello)
+	far := newNetSession(n, l.hello.Name, hello)
+	near.other, far.other = far, near
+	near.ctrl, far.ctrl = newNetStreams(near, far)
+	n.mu.Lock()
+	n.sessions[near], n.sessions[far] = struct{}{}, struct{}{}
+	n.mu.Unlock()
+	select {
+	case l.ready <- far:
+		return near, nil
+	case <-l.done:
+		return nil, fmt.Errorf("dial %s: %w", addr, errUnreachable)
+	}
+}
+
+type netListener struct {
+	net   *Net
+	addr  wire.Address
+	hello wire.Hello
+	ready chan *netSession
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *netListener) Addr() wire.Address { return l.addr }
+
+func (l *netListener) Accept(ctx context.Context) (Session, error) {
+	select {
+	case s := <-l.ready:
+		return s, nil
+	case <-l.done:
+		return nil, ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *netListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	if l.net.listeners[l.addr] == l {
+		delete(l.net.listeners, l.addr)
+	}
+	return nil
+}
+
+type netSession struct {
+	net    *Net
+	local  wire.HostID
+	peer   wire.Hello
+	other  *netSession
+	ctrl   *netStream
+	in     chan *netStream
+	silent bool // guarded by net.mu
+	once   sync.Once
+	done   chan struct{}
+}
+
+func newNetSession(n *Net, local wire.HostID, peer wire.Hello) *netSession {
+	return &netSession{net: n, local: local, peer: peer, in: make(chan *netStream, queueFrames), done: make(chan struct{})}
+}
+
+func (s *netSession) Peer() wire.Hello      { return s.peer }
+func (s *netSession) Control() Stream       { return s.ctrl }
+func (s *netSession) Done() <-chan struct{} { return s.done }
+
+func (s *netSession) end() {
+	s.once.Do(func() { close(s.done) })
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	delete(s.net.sessions, s)
+}
+
+func (s *netSession) Close(string) {
+	reached := s.net.reaches(s)
+	s.end()
+	if reached {
+		s.other.end()
+	}
+}
+
+func (s *netSession) Open(ctx context.Context) (Stream, error) {
+	select {
+	case <-s.done:
+		return nil, ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	default:
+	}
+	near, far := newNetStreams(s, s.other)
+	near.pending = far
+	return near, nil
+}
+
+func (s *netSession) Accept(ctx context.Context) (Stream, error) {
+	select {
+	case st := <-s.in:
+		return st, nil
+	case <-s.done:
+		return nil, ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type netFrame struct {
+	data []byte // nil for the end of the stream
+	at   time.Time
+}
+
+// netStream is one end of a stream. The far end learns of a stream with the
+// first frame that reaches it, as with QUIC.
+type netStream struct {
+	session *netSession
+	out     chan netFrame
+	in      chan netFrame
+	reset   chan struct{} // closed when the far end has reset
+	peer    *netStream
+	once    sync.Once
+	pending *netStream
+	ended   bool
+}
+
+func newNetStreams(near, far *netSession) (a, b *netStream) {
+	ab, ba := make(chan netFrame, queueFrames), make(chan netFrame, queueFrames)
+	a = &netStream{session: near, out: ab, in: ba, reset: make(chan struct{})}
+	b = &netStream{session: far, out: ba, in: ab, reset: make(chan struct{})}
+	a.peer, b.peer = b, a
+	return a, b
+}
+
+func (s *netStream) Send(f *wire.Frame) error {
+	select {
+	case <-s.session.done:
+		return ErrClosed
+	case <-s.reset:
+		return ErrReset
+	default:
+	}
+	frames, d := s.session.net.filter(s.session, f)
+	at := time.Now().Add(d)
+	for _, f := range frames {
+		data, err := f.MarshalMsg(nil)
+		if err != nil {
+			return err
+		}
+		if err = s.deliver(netFrame{data, at}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *netStream) deliver(nf netFrame) error {
+	if p := s.pending; p != nil {
+		s.pending = nil
+		s.session.other.in <- p
+	}
+	select {
+	case s.out <- nf:
+		return nil
+	case <-s.session.done:
+		return ErrClosed
+	}
+}
+
+func (s *netStream) Recv(ctx context.Context) (*wire.Frame, error) {
+	if s.ended {
+		return nil, io.EOF
+	}
+	var nf netFrame
+	select {
+	case nf = <-s.in:
+	default:
+		select {
+		case nf = <-s.in:
+		case <-s.reset:
+			return nil, ErrReset
+		case <-s.session.done:
+			return nil, ErrClosed
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if wait := time.Until(nf.at); wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if nf.data == nil {
+		s.ended = true
+		return nil, io.EOF
+	}
+	return wire.DecodeFrame(nf.data)
+}
+
+func (s *netStream) Close() error {
+	if !s.session.net.reaches(s.session) || s.pending != nil {
+		return nil
+	}
+	return s.deliver(netFrame{at: time.Now()})
+}
+
+func (s *netStream) Reset() {
+	if s.session.net.reaches(s.session) {
+		s.peer.once.Do(func() { close(s.peer.reset) })
+	}
+}
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -87,6 +87,7 @@
 		checkText("call.print", string(c.Print), 32, true),
 		checkOneOf("call.kind", c.Kind, KindEncode, KindRetrieve, KindRerank, KindGenerate, KindPlain),
 		checkOneOf("call.rank", c.Rank, RankInteractive, RankBatch),
+		checkRange("call.weight", c.Weight, 1, 1000),
 		checkRange("call.left", int(c.Left), 1, maxMillis),
 	)
 	return err
@@ -125,6 +126,7 @@
 	err := first(
 		r.Ref.Check(),
 		checkOneOf("result.outcome", r.Outcome, OutcomeDone, OutcomeFailed),
+		checkOneOf("result.executed", r.Executed, ExecutedNone, ExecutedSome, ExecutedUnknown),
 		checkRange("result.chunks", r.Chunks, 0, 1<<20),
 		r.Cost.Check(),
 	)
--- a/core/wire/frame_test.go
+++ b/core/wire/frame_test.go
@@ -13,7 +13,7 @@
 	for name, f := range map[string]*Frame{
 		"accept": {Accept: &Accept{Ref: ref()}},
 		"chunk":  {Chunk: &Chunk{Ref: ref(), Number: 3, Data: []byte("fold")}},
-		"result": {Result: &Result{Ref: ref(), Outcome: OutcomeDone, Output: []byte("{}"), Cost: Cost{Input: 9, Cached: 4}}},
+		"result": {Result: &Result{Ref: ref(), Outcome: OutcomeDone, Executed: ExecutedSome, Output: []byte("{}"), Cost: Cost{Input: 9, Cached: 4}}},
 		"sync":   {Sync: &Sync{Head: Digest{Head: 7, Root: 1 << 63}, Objects: []Object{{Kind: ObjectKindTeam, Name: "a", Number: 7, Team: &Team{Weight: 2}}}}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -35,7 +35,7 @@
 		"empty":        {&Frame{}, "exactly one"},
 		"two messages": {&Frame{Ack: &Ack{ref()}, Accept: &Accept{ref()}}, "exactly one"},
 		"no attempt":   {&Frame{Ack: &Ack{Ref{Request: "r", Stage: "s"}}}, "ref.attempt"},
-		"more cached":  {&Frame{Result: &Result{Ref: ref(), Outcome: OutcomeDone, Cost: Cost{Cached: 1}}}, "cost.cached"},
+		"more cached":  {&Frame{Result: &Result{Ref: ref(), Outcome: OutcomeDone, Executed: ExecutedSome, Cost: Cost{Cached: 1}}}, "cost.cached"},
 		"bad bucket":   {&Frame{Sync: &Sync{Want: []int{64}}}, "sync.want"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/wire/msgp_gen.go
+++ b/core/wire/msgp_gen.go
@@ -359,9 +359,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Call) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "adapter"
-	o = append(o, 0x8e, 0xa7, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
+	o = append(o, 0x8f, 0xa7, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72)
 	o = msgp.AppendString(o, string(z.Adapter))
 	// string "input"
 	o = append(o, 0xa5, 0x69, 0x6e, 0x70, 0x75, 0x74)
@@ -406,6 +406,9 @@
 	// string "token"
 	o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
 	o = msgp.AppendString(o, string(z.Token))
+	// string "weight"
+	o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.Weight)
 	return
 }
 
@@ -567,6 +570,12 @@
 				}
 				z.Token = Token(zb0011)
 			}
+		case "weight":
+			z.Weight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -581,7 +590,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Call) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(string(z.Adapter)) + 6 + msgp.BytesPrefixSize + len(z.Input) + 5 + msgp.StringPrefixSize + len(string(z.Kind)) + 5 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.Model)) + 5 + msgp.BoolSize + 9 + msgp.StringPrefixSize + len(string(z.Pipeline)) + 6 + msgp.StringPrefixSize + len(string(z.Print)) + 5 + msgp.StringPrefixSize + len(string(z.Rank)) + 4 + z.Ref.Msgsize() + 5 + msgp.BoolSize + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(string(z.Team)) + 6 + msgp.StringPrefixSize + len(string(z.Token))
+	s = 1 + 8 + msgp.StringPrefixSize + len(string(z.Adapter)) + 6 + msgp.BytesPrefixSize + len(z.Input) + 5 + msgp.StringPrefixSize + len(string(z.Kind)) + 5 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.Model)) + 5 + msgp.BoolSize + 9 + msgp.StringPrefixSize + len(string(z.Pipeline)) + 6 + msgp.StringPrefixSize + len(string(z.Print)) + 5 + msgp.StringPrefixSize + len(string(z.Rank)) + 4 + z.Ref.Msgsize() + 5 + msgp.BoolSize + 7 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(string(z.Team)) + 6 + msgp.StringPrefixSize + len(string(z.Token)) + 7 + msgp.IntSize
 	return
 }
 
@@ -4000,16 +4009,16 @@
 func (z *Result) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Reason == "" {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x20
 	}
 	if z.Report == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -4026,13 +4035,16 @@
 			err = msgp.WrapError(err, "Cost")
 			return
 		}
+		// string "executed"
+		o = append(o, 0xa8, 0x65, 0x78, 0x65, 0x63, 0x75, 0x74, 0x65, 0x64)
+		o = msgp.AppendString(o, string(z.Executed))
 		// string "outcome"
 		o = append(o, 0xa7, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65)
 		o = msgp.AppendString(o, string(z.Outcome))
 		// string "output"
 		o = append(o, 0xa6, 0x6f, 0x75, 0x74, 0x70, 0x75, 0x74)
 		o = msgp.AppendBytes(o, z.Output)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "reason"
 			o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
 			o = msgp.AppendString(o, string(z.Reason))
@@ -4044,7 +4056,7 @@
 			err = msgp.WrapError(err, "Ref")
 			return
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "report"
 			o = append(o, 0xa6, 0x72, 0x65, 0x70, 0x6f, 0x72, 0x74)
 			if z.Report == nil {
@@ -4098,47 +4110,57 @@
 				err = msgp.WrapError(err, "Cost")
 				return
 			}
-		case "outcome":
+		case "executed":
 			{
 				var zb0002 string
 				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Executed")
+					return
+				}
+				z.Executed = Executed(zb0002)
+			}
+		case "outcome":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Outcome")
 					return
 				}
-				z.Outcome = Outcome(zb0002)
+				z.Outcome = Outcome(zb0003)
 			}
 		case "output":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Output")
 				return
 			}
-			if zb0003 > zf6ce1d47limitArrays {
+			if zb0004 > zf6ce1d47limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if z.Output == nil || uint32(cap(z.Output)) < zb0003 {
-				z.Output = make([]byte, zb0003)
+			if z.Output == nil || uint32(cap(z.Output)) < zb0004 {
+				z.Output = make([]byte, zb0004)
 			} else {
-				z.Output = z.Output[:zb0003]
+				z.Output = z.Output[:zb0004]
 			}
-			if uint32(len(bts)) < zb0003 {
+			if uint32(len(bts)) < zb0004 {
 				err = msgp.ErrShortBytes
 				return
 			}
-			copy(z.Output, bts[:zb0003])
-			bts = bts[zb0003:]
+			copy(z.Output, bts[:zb0004])
+			bts = bts[zb0004:]
 		case "reason":
 			{
-				var zb0004 string
-				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				var zb0005 string
+				zb0005, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Reason")
 					return
 				}
-				z.Reason = Reason(zb0004)
+				z.Reason = Reason(zb0005)
 			}
 		case "ref":
 			bts, err = z.Ref.UnmarshalMsg(bts)
@@ -4183,7 +4205,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + 7 + msgp.IntSize + 5 + z.Cost.Msgsize() + 8 + msgp.StringPrefixSize + len(string(z.Outcome)) + 7 + msgp.BytesPrefixSize + len(z.Output) + 7 + msgp.StringPrefixSize + len(string(z.Reason)) + 4 + z.Ref.Msgsize() + 7
+	s = 1 + 7 + msgp.IntSize + 5 + z.Cost.Msgsize() + 9 + msgp.StringPrefixSize + len(string(z.Executed)) + 8 + msgp.StringPrefixSize + len(string(z.Outcome)) + 7 + msgp.BytesPrefixSize + len(z.Output) + 7 + msgp.StringPrefixSize + len(string(z.Reason)) + 4 + z.Ref.Msgsize() + 7
 	if z.Report == nil {
 		s += msgp.NilSize
 	} else {
--- a/core/wire/wire_gen.go
+++ b/core/wire/wire_gen.go
@@ -72,6 +72,9 @@
 
 	// Token is the reservation of a call that may not be repeated; else empty.
 	Token Token `json:"token" msg:"token"`
+
+	// Weight is the team's share.
+	Weight int `json:"weight" msg:"weight"`
 }
 
 // Centre is a data centre.
@@ -500,6 +503,9 @@
 	// Cost corresponds to the JSON schema field "cost".
 	Cost Cost `json:"cost" msg:"cost"`
 
+	// Executed says how much of the call the upstream ran.
+	Executed Executed `json:"executed" msg:"executed"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome Outcome `json:"outcome" msg:"outcome"`
 
