proc: add the process skeleton

Cause: router and agent need the same log, metrics, state dump, signals, administration listener and planned stop.

SIGTERM drains once, step by step, within a bound; SIGUSR1 logs the state as one line.

Conclusion: usable; a drain step that ignores its context is left behind 2 s after the bound and Run returns an error.

--- /dev/null
+++ b/core/proc/process.go
@@ -0,0 +1,219 @@
+package proc
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/uber-go/tally/v4"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// Config holds what a process needs to start.
+type Config struct {
+	Name wire.HostID
+	Role wire.Role
+	// Level is the lowest level logged: debug, info, warn or error.
+	Level string
+	// Admin is the address of the administration listener.
+	Admin wire.Address
+	// Secret is the hexadecimal SHA-256 hash of the operator's credential.
+	Secret string
+	// Drain bounds the drain steps together.
+	Drain time.Duration
+	// TLS is set to serve administration over TLS.
+	TLS *tls.Config
+	// Out receives log lines; nil means standard error.
+	Out io.Writer
+	// Signals replaces the signals of the operating system when it is not nil.
+	Signals <-chan os.Signal
+}
+
+const (
+	// stopTime bounds each wait after the drain's bound: for steps that must end,
+	// for goroutines and for the administration listener.
+	stopTime = 2 * time.Second
+
+	maxSignals = 8
+)
+
+// Process is a running process. Checks, dumpers, steps and routes are added
+// before Run.
+type Process struct {
+	cfg     Config
+	log     *log.Logger
+	ln      net.Listener
+	app     *fiber.App
+	metrics *metrics
+	grace   time.Duration // stopTime
+
+	ctx    context.Context // ends when the drain is over
+	cancel context.CancelFunc
+	quit   chan struct{} // closed by Stop
+	once   sync.Once
+	wg     conc.WaitGroup
+
+	failure  atomic.Pointer[error] // first cause of an unplanned stop
+	draining atomic.Bool
+	ready    checks
+	health   checks
+	dumpers  dumpers
+	steps    []step
+}
+
+type step struct {
+	name string
+	run  func(context.Context) error
+}
+
+// New returns a process whose administration listener is bound and not yet
+// served. The caller must call Run or Close.
+func New(cfg Config) (p *Process, err error) {
+	defer func() {
+		if err != nil {
+			p, err = nil, fmt.Errorf("start process %s: %w", cfg.Name, err)
+		}
+	}()
+	logger, err := NewLogger(cfg.Out, cfg.Level, "name", string(cfg.Name), "role", string(cfg.Role))
+	if err != nil {
+		return nil, err
+	}
+	auth, err := newCredential(cfg.Secret)
+	if err != nil {
+		return nil, err
+	}
+	p = &Process{cfg: cfg, log: logger, quit: make(chan struct{}), grace: stopTime}
+	p.metrics = newMetrics(logger)
+	p.ln, err = net.Listen("tcp", string(cfg.Admin))
+	if err != nil {
+		return nil, errors.Join(err, p.metrics.close())
+	}
+	if cfg.TLS != nil {
+		p.ln = tls.NewListener(p.ln, cfg.TLS)
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.app = p.newApp(auth)
+	return p, nil
+}
+
+// Log returns the process's logger.
+func (p *Process) Log() *log.Logger { return p.log }
+
+// Scope returns the root scope of the process's metrics.
+func (p *Process) Scope() tally.Scope { return p.metrics.scope }
+
+// Addr returns the address of the administration listener.
+func (p *Process) Addr() net.Addr { return p.ln.Addr() }
+
+// Admin returns the router of the administration listener. Routes added to it
+// need the operator's credential.
+func (p *Process) Admin() fiber.Router { return p.app }
+
+// Draining reports whether the drain has begun.
+func (p *Process) Draining() bool { return p.draining.Load() }
+
+// AddReady adds a check that must return nil for the process to be ready.
+func (p *Process) AddReady(name string, check func() error) { p.ready.add(name, check) }
+
+// AddHealth adds a check that must return nil for the process to be healthy.
+func (p *Process) AddHealth(name string, check func() error) { p.health.add(name, check) }
+
+// OnDrain adds a step of the drain sequence. Steps run one after another, in the
+// order in which they were added, and share the bound of the drain; the context
+// of a step ends at that bound.
+func (p *Process) OnDrain(name string, run func(context.Context) error) {
+	p.steps = append(p.steps, step{name, run})
+}
+
+// Go runs f in a goroutine that Run waits for. The context ends after the drain.
+// When f returns an error before that, or panics, the process drains and Run
+// returns the error.
+func (p *Process) Go(name string, f func(context.Context) error) {
+	p.wg.Go(func() {
+		var err error
+		if r := panics.Try(func() { err = f(p.ctx) }); r != nil {
+			err = r.AsError()
+		}
+		switch {
+		case err == nil || p.ctx.Err() != nil && errors.Is(err, context.Canceled):
+		case p.ctx.Err() != nil:
+			p.log.Error("goroutine failed at the stop", "goroutine", name, "error", err)
+		default:
+			p.log.Error("goroutine failed", "goroutine", name, "error", err)
+			p.metrics.scope.Counter("goroutine_failures").Inc(1)
+			p.fail(fmt.Errorf("goroutine %s: %w", name, err))
+		}
+	})
+}
+
+// Stop starts the drain, like SIGTERM.
+func (p *Process) Stop() { p.once.Do(func() { close(p.quit) }) }
+
+// Run serves the administration listener and handles signals until SIGTERM,
+// SIGINT, Stop or the end of ctx; then it drains and stops. It returns nil after
+// a complete drain.
+func (p *Process) Run(ctx context.Context) (err error) {
+	signals, stop := p.signals()
+	defer stop()
+	served := make(chan error, 1)
+	var serving conc.WaitGroup
+	serving.Go(func() {
+		served <- p.app.Listener(p.ln, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	p.log.Info("process started", "admin", p.ln.Addr().String(), "pid", os.Getpid())
+
+	p.wait(ctx, signals, served)
+	err = p.drain(signals)
+	return errors.Join(p.cause(), err, p.finish(serving.Wait))
+}
+
+// wait returns when the drain has to begin.
+func (p *Process) wait(ctx context.Context, signals <-chan os.Signal, served <-chan error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.quit:
+			return
+		case err := <-served:
+			p.fail(fmt.Errorf("administration listener ended early: %w", errors.Join(err, net.ErrClosed)))
+			return
+		case s := <-signals:
+			if s != syscall.SIGUSR1 {
+				p.log.Info("signal received", "signal", s.String())
+				return
+			}
+			p.logDump()
+		}
+	}
+}
+
+func (p *Process) signals() (c <-chan os.Signal, stop func()) {
+	if p.cfg.Signals != nil {
+		return p.cfg.Signals, func() {}
+	}
+	own := make(chan os.Signal, maxSignals)
+	signal.Notify(own, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	return own, func() { signal.Stop(own) }
+}
+
+// Close releases a process that was not run.
+func (p *Process) Close() error {
+	p.cancel()
+	p.wg.Wait()
+	return errors.Join(p.ln.Close(), p.metrics.close())
+}
