plat: give up a silent connection within 3 s

Cause: with a wait of 5 s and a margin of 2 s a watch on a silent connection held up changes for 7 s; an accepted configuration has to be in force within 4 s.

Change: the usual wait is 2 s and the margin 1 s. A test covers a read that is never answered.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -19,8 +19,13 @@
 	readRate  = 4 // reads a second
 	readBurst = 4
 
-	// The deadline of a read is its wait and this margin.
-	readMargin = 2 * time.Second
+	// The deadline of a read of tickets is its wait and this margin. With the
+	// usual wait of 2 s a silent connection is given up after 3 s, so that a change
+	// can still be in force within 4 s.
+	readMargin = time.Second
+
+	hostsDeadline = 2 * time.Second
+	dialDeadline  = time.Second
 
 	maxAnswer    = 4 << 20 // bytes; a list of 11,500 hosts takes about 1.5 MB
 	maxRetryTime = time.Minute
@@ -106,7 +111,7 @@
 	var list struct {
 		Hosts []Host `json:"hosts"`
 	}
-	if err = c.get(ctx, c.hosts, c.base+"/v1/hosts", readMargin, &list); err != nil {
+	if err = c.get(ctx, c.hosts, c.base+"/v1/hosts", hostsDeadline, &list); err != nil {
 		return nil, 0, fmt.Errorf("read hosts: %w", err)
 	}
 	hosts = list.Hosts[:0]
--- a/core/plat/plat_test.go
+++ b/core/plat/plat_test.go
@@ -169,3 +169,21 @@
 	close(release)
 	assert.ErrorIs(t, err, context.Canceled)
 }
+
+// TestSilent guards against a connection that went silent holding up later reads.
+func TestSilent(t *testing.T) {
+	release := make(chan struct{})
+	c := serve(t, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/silent" {
+			<-release
+		}
+		ctx.SetBodyString(`{"index": 9}`)
+	})
+	var p Page
+	err := c.get(t.Context(), c.tickets, c.base+"/silent", 20*time.Millisecond, &p)
+	assert.ErrorIs(t, err, fasthttp.ErrTimeout)
+	p, err = c.Tickets(t.Context(), 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Index, uint64(9))
+	close(release)
+}
--- a/core/plat/reader.go
+++ b/core/plat/reader.go
@@ -57,7 +57,7 @@
 
 // dial opens a connection that close can find.
 func (r *reader) dial(addr string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(addr, readMargin)
+	conn, err := fasthttp.DialTimeout(addr, dialDeadline)
 	if err != nil {
 		return nil, err
 	}
--- a/core/plat/watcher.go
+++ b/core/plat/watcher.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	defaultWait = 5 * time.Second
+	defaultWait = 2 * time.Second
 	spread      = 100 * time.Millisecond // keeps routers that one change woke from reading at once
 	backoffBase = 100 * time.Millisecond
 	backoffMost = 5 * time.Second
