--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,234 @@
+// Package agent runs beside one upstream. All work for that upstream passes
+// through it, so it alone keeps the upstream's concurrency limit, its cold
+// state, its drain and its record of non-repeatable calls.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"hornbeamcove.example/core/clock"
+	"hornbeamcove.example/core/hold"
+	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/meter"
+	"hornbeamcove.example/core/once"
+	"hornbeamcove.example/core/wire"
+)
+
+// Config is what an agent must know of itself.
+type Config struct {
+	Name     wire.HostID
+	Upstream wire.UpstreamID
+	Centre   wire.DataCentreID
+	Kind     wire.Kind
+	// Bounds hold until a router sends the upstream's object.
+	Bounds limit.Bounds
+}
+
+const (
+	heldEntries = 1024
+	heldBytes   = 16 << 20
+	// pollPeriod keeps the upstream's report younger than the 500 ms that the
+	// limiter needs above the cold bound.
+	pollPeriod   = 200 * time.Millisecond
+	pollLimit    = 400 * time.Millisecond
+	reportPeriod = 15 * time.Second
+	drainPoll    = 20 * time.Millisecond
+)
+
+// Agent serves one upstream to routers.
+type Agent struct {
+	cfg  Config
+	inc  wire.Incarnation
+	up   Upstream
+	ln   link.Listener
+	log  *log.Logger
+	tick *clock.Service
+
+	gate  *gate
+	held  *hold.Table
+	spent *once.Book
+	boot  atomic.Pointer[wire.BootID]
+	state atomic.Pointer[state]
+
+	work     context.Context // ends after the drain
+	stopWork context.CancelFunc
+	wg       conc.WaitGroup // runs
+
+	mu       sync.Mutex
+	runs     map[wire.Ref]*run
+	sessions map[wire.Incarnation]*session
+	stopped  bool
+	merges   chan merge
+	meter.Counters
+	onResult func(*wire.Call, *wire.Result)
+}
+
+// Option changes an Agent before it runs.
+type Option func(*Agent)
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(l *log.Logger) Option { return func(a *Agent) { a.log = l } }
+
+// WithResults calls f for each call that the upstream was given, after it ended.
+func WithResults(f func(*wire.Call, *wire.Result)) Option { return func(a *Agent) { a.onResult = f } }
+
+// WithIncarnation sets the identity of this run, which the hello of the agent's
+// listener carries too.
+func WithIncarnation(i wire.Incarnation) Option { return func(a *Agent) { a.inc = i } }
+
+// New returns an Agent for up that accepts sessions from ln.
+func New(cfg Config, up Upstream, ln link.Listener, opts ...Option) *Agent {
+	a := &Agent{
+		cfg:      cfg,
+		inc:      NewIncarnation(),
+		up:       up,
+		ln:       ln,
+		log:      log.New(io.Discard),
+		tick:     clock.New(),
+		gate:     newGate(cfg.Bounds),
+		held:     hold.NewTable(heldEntries, heldBytes),
+		runs:     map[wire.Ref]*run{},
+		sessions: map[wire.Incarnation]*session{},
+		merges:   make(chan merge),
+	}
+	a.work, a.stopWork = context.WithCancel(context.Background())
+	a.state.Store(&state{})
+	for _, o := range opts {
+		o(a)
+	}
+	a.spent = once.NewBook(cfg.Upstream, a.inc)
+	return a
+}
+
+// NewIncarnation returns a random identity for one run of a process.
+func NewIncarnation() wire.Incarnation { return wire.Incarnation(uuid.NewString()) }
+
+// Run serves until ctx is done, then drains: it says goodbye to routers, refuses
+// new work, and returns when the work under way has ended or drain has passed.
+func (a *Agent) Run(ctx context.Context, drain time.Duration) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("agent %s: %w", a.cfg.Name, err)
+		}
+	}()
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = a.tick.Run(live) })
+	wg.Go(func() { a.poll(live) })
+	wg.Go(func() { a.control(live) })
+	wg.Go(func() { a.acceptLoop(live) })
+	<-ctx.Done()
+	err = a.drain(drain)
+	stop()
+	a.stopWork()
+	_ = a.ln.Close()
+	a.closeSessions("agent stopped")
+	wg.Wait()
+	return err
+}
+
+// drain refuses new work, tells routers, and waits until the work under way has
+// ended and its results were taken over.
+func (a *Agent) drain(limit time.Duration) error {
+	a.update(func(s *state) { s.leaving = true })
+	a.broadcast()
+	a.mu.Lock()
+	a.stopped = true
+	a.mu.Unlock()
+	a.log.Info("drain started")
+	end := time.After(limit)
+	sub := a.tick.Subscribe(drainPoll, "drain")
+	defer sub.Close()
+	for !a.drained() {
+		select {
+		case <-sub.C:
+		case <-end:
+			return fmt.Errorf("drain exceeded %s", limit)
+		}
+	}
+	a.log.Info("drain complete")
+	return nil
+}
+
+func (a *Agent) drained() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	entries, _ := a.held.Size()
+	return len(a.runs) == 0 && entries == 0
+}
+
+// poll asks the upstream for its report on each tick.
+func (a *Agent) poll(ctx context.Context) {
+	sub := a.tick.Subscribe(pollPeriod, "poll")
+	defer sub.Close()
+	for {
+		select {
+		case t := <-sub.C:
+			if t.Paused() {
+				a.resumed(t.Late)
+			}
+			a.pollOnce(ctx)
+			if n := a.held.Expire(time.Now()); n > 0 {
+				a.log.Debug("results expired", "count", n)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) pollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	ev, loaded, err := a.up.Load(ctx)
+	if err != nil {
+		return
+	}
+	a.observe(ev)
+	a.reconcile(ctx, loaded)
+}
+
+// observe takes in the upstream's report and logs a restart.
+func (a *Agent) observe(ev limit.Evidence) {
+	before := a.boot.Swap(&ev.Boot)
+	if before != nil && *before != ev.Boot {
+		a.log.Warn("upstream restarted", "upstream", a.cfg.Upstream, "boot", ev.Boot)
+		a.Inc("restarted", "")
+	}
+	a.gate.observe(ev)
+}
+
+// resumed handles the end of a pause: what was known of the upstream and of the
+// configuration may be out of date.
+func (a *Agent) resumed(late time.Duration) {
+	a.log.Warn("process was paused", "late", late)
+	a.Inc("paused", "")
+	a.gate.chill()
+	a.update(func(s *state) { s.confirmed = time.Time{} })
+}
+
+func (a *Agent) account(c *wire.Call, res *wire.Result) {
+	if a.onResult != nil {
+		a.onResult(c, res)
+	}
+}
+
+// retryAfter is the time in milliseconds after which a router may try here again.
+func (a *Agent) retryAfter(reason wire.Reason) wire.Millis {
+	switch reason {
+	case wire.ReasonBusy, wire.ReasonSolo, wire.ReasonCold:
+		return 50
+	default:
+		return 1000
+	}
+}
--- /dev/null
+++ b/agent/cmd/hbagent/main.go
@@ -0,0 +1,98 @@
+// Command hbagent runs an agent beside one upstream.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"hornbeamcove.example/agent"
+	"hornbeamcove.example/core/certs"
+	"hornbeamcove.example/core/conf"
+	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/proc"
+	"hornbeamcove.example/core/wire"
+)
+
+// firstBounds hold until a router has sent the upstream's object.
+var firstBounds = limit.Bounds{Warm: 1, Cold: 1}
+
+func main() {
+	err := run(os.Args[1:])
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "hbagent:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) (err error) {
+	cfg, err := conf.LoadAgent(args, os.Stderr)
+	if err != nil {
+		return err
+	}
+	p, err := proc.New(proc.Config{
+		Name: cfg.Name, Role: wire.RoleAgent, Level: string(cfg.Level), Admin: cfg.Admin, Secret: cfg.Secret,
+		Drain: time.Duration(cfg.Drain) * time.Millisecond, Out: os.Stdout,
+	})
+	if err != nil {
+		return err
+	}
+	if err = start(p, &cfg); err != nil {
+		return errors.Join(err, p.Close())
+	}
+	return p.Run(context.Background())
+}
+
+func start(p *proc.Process, cfg *conf.Agent) (err error) {
+	files := certs.Files{Cert: cfg.TLS.Cert, Key: cfg.TLS.Key, Authority: cfg.TLS.Authority}
+	src, err := certs.Open(files, certs.Identity{Role: wire.RoleAgent, Centre: cfg.Centre, Name: cfg.Name})
+	if err != nil {
+		return err
+	}
+	src.OnRefuse(func(err error) { p.Log().Warn("peer refused", "err", err) })
+	up, err := agent.NewHTTP(cfg.Kind, cfg.URL)
+	if err != nil {
+		return err
+	}
+	inc := agent.NewIncarnation()
+	hello := wire.Hello{Role: wire.RoleAgent, Name: cfg.Name, Centre: cfg.Centre, Incarnation: inc, Version: link.Version}
+	ln, err := link.Listen(cfg.Listen, src, hello, wire.RoleRouter)
+	if err != nil {
+		return err
+	}
+	a := agent.New(agent.Config{
+		Name: cfg.Name, Upstream: cfg.Upstream, Centre: cfg.Centre, Kind: cfg.Kind, Bounds: firstBounds,
+	}, up, ln, agent.WithLogger(p.Log()), agent.WithIncarnation(inc))
+	a.Export(p.Scope())
+	p.AddReady("agent", a.Ready)
+	p.AddDumper("agent", a)
+	p.Go("certificates", func(ctx context.Context) error { return src.Watch(ctx, files, p.Rotated) })
+	serve(p, a, time.Duration(cfg.Drain)*time.Millisecond)
+	return nil
+}
+
+// serve runs the agent; the drain's step ends when its work under way has.
+func serve(p *proc.Process, a *agent.Agent, drain time.Duration) {
+	live, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	p.Go("agent", func(context.Context) error {
+		defer close(ended)
+		return a.Run(live, drain)
+	})
+	p.OnDrain("calls", func(ctx context.Context) error {
+		stop()
+		select {
+		case <-ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+}
--- a/agent/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package agent is under construction.
-package agent
--- /dev/null
+++ b/agent/dump.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamcove.example/core/meter"
+	"hornbeamcove.example/core/wire"
+)
+
+// maxDumped bounds the calls in a dump.
+const maxDumped = 256
+
+// Dump is the state of an agent, without callers' content.
+type Dump struct {
+	Upstream    wire.UpstreamID  `json:"upstream"`
+	Incarnation wire.Incarnation `json:"incarnation"`
+	Report      *wire.Report     `json:"report"`
+	Objects     []wire.Object    `json:"objects"`
+	Confirmed   time.Time        `json:"confirmed"`
+	Ordered     Order            `json:"ordered"`
+	Sessions    []DumpSession    `json:"sessions"`
+	Calls       []DumpCall       `json:"calls"`
+	More        int              `json:"more"` // calls beyond those listed
+	Held        int              `json:"held"`
+	Tokens      DumpTokens       `json:"tokens"`
+	Counts      []meter.Total    `json:"counts"`
+}
+
+// DumpSession is a router's session.
+type DumpSession struct {
+	Router wire.HostID `json:"router"`
+	Epoch  wire.Epoch  `json:"epoch"`
+}
+
+// DumpCall is a call under way.
+type DumpCall struct {
+	wire.Ref
+	Team     wire.TeamID     `json:"team"`
+	Pipeline wire.PipelineID `json:"pipeline"`
+	Left     wire.Millis     `json:"left"`
+}
+
+// DumpTokens counts reservations by state.
+type DumpTokens struct {
+	Unused  int `json:"unused"`
+	Running int `json:"running"`
+	Results int `json:"results"`
+}
+
+// Dump implements proc.Dumper.
+func (a *Agent) Dump() any {
+	s := a.state.Load()
+	d := Dump{
+		Upstream: a.cfg.Upstream, Incarnation: a.inc, Report: a.report(), Confirmed: s.confirmed, Ordered: s.ordered,
+		Counts: a.Totals(),
+	}
+	for _, o := range []*wire.Object{s.upstream, s.centre, s.model} {
+		if o != nil {
+			d.Objects = append(d.Objects, *o)
+		}
+	}
+	d.Held, _ = a.held.Size()
+	d.Tokens.Unused, d.Tokens.Running, d.Tokens.Results = a.spent.Len()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, ss := range a.sessions {
+		d.Sessions = append(d.Sessions, DumpSession{ss.Peer().Name, ss.Peer().Epoch})
+	}
+	for _, r := range a.runs {
+		d.Calls = append(d.Calls, DumpCall{r.call.Ref, r.call.Team, r.call.Pipeline, wire.Millis(time.Until(r.deadline) / time.Millisecond)})
+	}
+	slices.SortFunc(d.Sessions, func(x, y DumpSession) int { return strings.Compare(string(x.Router), string(y.Router)) })
+	slices.SortFunc(d.Calls, func(x, y DumpCall) int { return strings.Compare(string(x.Request), string(y.Request)) })
+	if n := len(d.Calls) - maxDumped; n > 0 {
+		d.Calls, d.More = d.Calls[:maxDumped], n
+	}
+	return d
+}
+
+// Ready returns an error while routers should not send work here.
+func (a *Agent) Ready() error {
+	s := a.state.Load()
+	if reason := shutReason(s); reason != "" {
+		return errors.New(string(reason))
+	}
+	if s.upstream == nil {
+		return errors.New("no configuration from a router yet")
+	}
+	if a.boot.Load() == nil {
+		return errors.New("no report from the upstream yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/engine.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// silence is the time without an event after which a stream is resumed over
+	// a new connection.
+	silence     = time.Second
+	cancelLimit = time.Second
+	maxEvent    = 64 << 10
+	headerID    = "Completion-Id"
+)
+
+// stageInput is the JSON that the router sends for a stage.
+type stageInput struct {
+	Body  json.RawMessage `json:"body"`
+	Prior json.RawMessage `json:"prior"`
+}
+
+// promptBody is what an engine call takes from the caller's body.
+type promptBody struct {
+	Prompt string `json:"prompt"`
+	Most   int    `json:"max_tokens"`
+}
+
+// completion is the body of POST /v1/completions.
+type completion struct {
+	Model    wire.ModelID   `json:"model"`
+	Adapter  wire.AdapterID `json:"adapter,omitempty"`
+	Prompt   string         `json:"prompt"`
+	Most     int            `json:"max_tokens"`
+	Stream   bool           `json:"stream"`
+	Priority int            `json:"priority"`
+}
+
+const defaultTokens = 64
+
+func newCompletion(c *wire.Call) (body []byte, err error) {
+	var in stageInput
+	if err = json.Unmarshal(c.Input, &in); err != nil {
+		return nil, fmt.Errorf("stage input: %w", err)
+	}
+	var p promptBody
+	if err = json.Unmarshal(in.Body, &p); err != nil {
+		return nil, fmt.Errorf("request body: %w", err)
+	}
+	if p.Most <= 0 {
+		p.Most = defaultTokens
+	}
+	prompt := p.Prompt
+	if len(in.Prior) > 0 && string(in.Prior) != "null" {
+		prompt += "\n" + string(in.Prior)
+	}
+	priority := 0 // engines serve lower numbers first
+	if c.Rank == wire.RankBatch {
+		priority = 1
+	}
+	return json.Marshal(completion{c.Model, c.Adapter, prompt, p.Most, true, priority})
+}
+
+// event is one server-sent event of a completion, or the answer to its cancel.
+type event struct {
+	Error   string `json:"error"`
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage *struct {
+		Prompt wire.Tokens `json:"prompt_tokens"`
+		Cached wire.Tokens `json:"cached_tokens"`
+		Output wire.Tokens `json:"completion_tokens"`
+		Busy   wire.Micros `json:"busy_micros"`
+	} `json:"usage"`
+}
+
+// stream is one completion under way, over one or more connections.
+type stream struct {
+	h     *HTTP
+	id    string
+	after int // tokens received
+	cost  wire.Cost
+	usage bool
+	emit  func([]byte) error
+}
+
+// complete runs a completion and passes its tokens to emit. When the connection
+// breaks or goes silent it resumes after the last token. Unless the completion
+// ended, the engine is told to cancel it.
+func (h *HTTP) complete(ctx context.Context, c *wire.Call, emit func([]byte) error) (ans Answer, err error) {
+	body, err := newCompletion(c)
+	if err != nil {
+		return ans, &UpstreamError{Err: err}
+	}
+	req := h.request(fasthttp.MethodPost, "/v1/completions", body)
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.Set(headerKey, callKey(c))
+	s := &stream{h: h, emit: emit, cost: wire.Cost{Calls: 1}}
+	err = s.follow(ctx, req)
+	for err != nil && s.resumable(ctx, err) {
+		again := h.request(fasthttp.MethodGet, fmt.Sprintf("/v1/completions/%s?after=%d", s.id, s.after), nil)
+		err = s.follow(ctx, again)
+		fasthttp.ReleaseRequest(again)
+	}
+	if err != nil && !s.usage && s.id != "" {
+		s.cancel()
+	}
+	return Answer{Cost: s.cost}, err
+}
+
+var errSilent = errors.New("stream went silent")
+
+// resumable reports whether the engine may still be running the completion. A
+// refused connection or an error status means that it is not.
+func (s *stream) resumable(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && s.id != "" && errors.Is(err, errSilent)
+}
+
+// follow reads one connection's events until the completion ends.
+func (s *stream) follow(ctx context.Context, req *fasthttp.Request) (err error) {
+	c, err := s.h.calls.get(ctx, true)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	stop := c.bind(ctx)
+	defer stop()
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = true
+	defer fasthttp.ReleaseResponse(resp)
+	if err = c.do(ctx, req, resp); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return statusError(resp)
+	}
+	s.id = string(resp.Header.Peek(headerID))
+	err = s.read(ctx, c, resp.BodyStream())
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (s *stream) read(ctx context.Context, c *conn, body io.Reader) error {
+	in := bufio.NewReaderSize(body, maxEvent)
+	for {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		_ = c.SetReadDeadline(time.Now().Add(silence))
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			if !broken(err) {
+				return errSilent
+			}
+			return &UpstreamError{Sent: true, Reset: true, Err: err}
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return nil
+		}
+		if err = s.take(data); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *stream) take(data []byte) error {
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return &UpstreamError{Sent: true, Err: fmt.Errorf("event: %w", err)}
+	}
+	if u := e.Usage; u != nil {
+		s.usage = true
+		s.cost.Input, s.cost.Cached, s.cost.Output, s.cost.Busy = u.Prompt, min(u.Cached, u.Prompt), u.Output, u.Busy
+	}
+	if e.Error != "" {
+		return &UpstreamError{Sent: true, Err: errors.New(e.Error)}
+	}
+	for _, ch := range e.Choices {
+		if ch.Text == "" {
+			continue
+		}
+		s.after++
+		s.cost.Output = wire.Tokens(s.after)
+		if err := s.emit([]byte(ch.Text)); err != nil {
+			return &UpstreamError{Sent: true, Err: err}
+		}
+	}
+	return nil
+}
+
+// cancel tells the engine to stop, since a closed connection alone does not. It
+// reads the cost of the work that was done from the answer.
+func (s *stream) cancel() {
+	ctx, stop := context.WithTimeout(context.Background(), cancelLimit)
+	defer stop()
+	req := s.h.request(fasthttp.MethodDelete, "/v1/completions/"+s.id, nil)
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if s.h.ctl.roundTrip(ctx, req, resp, false) != nil || resp.StatusCode() != fasthttp.StatusOK {
+		return
+	}
+	_ = s.take(resp.Body())
+}
--- /dev/null
+++ b/agent/http.go
@@ -0,0 +1,243 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/route"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	headerKey  = "Call-Key"
+	headerBusy = "Busy-Micros"
+	// maxAnswer bounds the body of an upstream's answer in bytes.
+	maxAnswer = 2 << 20
+)
+
+// HTTP speaks an upstream's own protocol: JSON over HTTP, and for engines
+// completions in the OpenAI style with server-sent events.
+type HTTP struct {
+	kind  wire.Kind
+	base  *url.URL
+	calls conns
+	ctl   conns // load reports and cancels, apart from the calls
+
+	mu       sync.Mutex
+	prefixes []wire.Fingerprint
+	cursor   int64
+	boot     wire.BootID
+}
+
+// NewHTTP returns the client of the upstream at base, for instance
+// http://127.0.0.1:8000.
+func NewHTTP(kind wire.Kind, base string) (h *HTTP, err error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fmt.Errorf("upstream address: %w", err)
+	}
+	if u.Scheme != "http" || u.Port() == "" {
+		return nil, fmt.Errorf("upstream address %q: want http://IP:PORT", base)
+	}
+	return &HTTP{kind: kind, base: u, calls: conns{addr: u.Host}, ctl: conns{addr: u.Host}}, nil
+}
+
+// callKey identifies one effect at the upstream: a token where there is one,
+// so that a call sent twice under one token would show as doubled.
+func callKey(c *wire.Call) string {
+	if c.Once {
+		return string(c.Token)
+	}
+	return fmt.Sprintf("%s.%s.%d", c.Ref.Request, c.Ref.Stage, c.Ref.Attempt)
+}
+
+func (h *HTTP) request(method, path string, body []byte) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(method)
+	req.SetRequestURI(h.base.String() + path)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	return req
+}
+
+// Run implements Upstream.
+func (h *HTTP) Run(ctx context.Context, c *wire.Call, emit func([]byte) error) (Answer, error) {
+	if h.kind == wire.KindGenerate {
+		return h.complete(ctx, c, emit)
+	}
+	return h.call(ctx, c)
+}
+
+func (h *HTTP) call(ctx context.Context, c *wire.Call) (ans Answer, err error) {
+	req := h.request(fasthttp.MethodPost, "/call", c.Input)
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.Set(headerKey, callKey(c))
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	ans.Cost.Calls = 1
+	if err = h.calls.roundTrip(ctx, req, resp, c.Once); err != nil {
+		return ans, err
+	}
+	busy, _ := strconv.ParseInt(string(resp.Header.Peek(headerBusy)), 10, 64)
+	ans.Cost.Busy = wire.Micros(max(busy, 0))
+	if err = statusError(resp); err != nil {
+		return ans, err
+	}
+	if !json.Valid(resp.Body()) || len(resp.Body()) > maxAnswer {
+		return ans, &UpstreamError{Sent: true, Err: errors.New("answer is not JSON of at most 2 MiB")}
+	}
+	ans.Output = bytes.Clone(resp.Body())
+	return ans, nil
+}
+
+// loadReport is the answer of GET /load.
+type loadReport struct {
+	Boot     wire.BootID      `json:"boot"`
+	Cold     bool             `json:"cold"`
+	Flight   wire.Slots       `json:"flight"`
+	Queued   wire.Slots       `json:"queued"`
+	Model    wire.ModelID     `json:"model"`
+	Version  wire.Version     `json:"version"`
+	Adapters []wire.AdapterID `json:"adapters"`
+}
+
+// Load implements Upstream. For an engine it also reads new cache events.
+func (h *HTTP) Load(ctx context.Context) (ev limit.Evidence, l Loaded, err error) {
+	var lr loadReport
+	if err = h.get(ctx, "/load", &lr); err != nil {
+		return ev, l, err
+	}
+	if h.kind == wire.KindGenerate {
+		h.restarted(lr.Boot)
+		h.readEvents(ctx)
+	}
+	ev = limit.Evidence{Boot: lr.Boot, Cold: lr.Cold, Flight: lr.Flight, Queued: lr.Queued}
+	return ev, Loaded{lr.Model, lr.Version, lr.Adapters}, nil
+}
+
+func (h *HTTP) get(ctx context.Context, path string, v any) error {
+	req := h.request(fasthttp.MethodGet, path, nil)
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := h.ctl.roundTrip(ctx, req, resp, false); err != nil {
+		return err
+	}
+	if err := statusError(resp); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(resp.Body(), v); err != nil {
+		return &UpstreamError{Sent: true, Err: err}
+	}
+	return nil
+}
+
+// cacheEvents is the answer of GET /cache/events. A block is a run of tokens;
+// the first block of a prompt has no parent.
+type cacheEvents struct {
+	Events []struct {
+		Number int64  `json:"number"`
+		Kind   string `json:"kind"`
+		Parent string `json:"parent"`
+		Text   string `json:"text"`
+	} `json:"events"`
+}
+
+const maxPrefixes = 64
+
+// readEvents follows the engine's cache. Events may be missing or late: a lost
+// one costs a cache hit, never an answer.
+func (h *HTTP) readEvents(ctx context.Context) {
+	h.mu.Lock()
+	after := h.cursor
+	h.mu.Unlock()
+	var ce cacheEvents
+	if h.get(ctx, "/cache/events?after="+strconv.FormatInt(after, 10), &ce) != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range ce.Events {
+		h.cursor = max(h.cursor, e.Number)
+		if e.Kind == "cleared" {
+			h.prefixes = nil
+			continue
+		}
+		p := route.Prefix(e.Text)
+		if e.Parent != "" || p == "" {
+			continue
+		}
+		h.prefixes = slices.DeleteFunc(h.prefixes, func(x wire.Fingerprint) bool { return x == p })
+		if e.Kind == "stored" {
+			h.prefixes = append(h.prefixes, p)
+		}
+	}
+	if n := len(h.prefixes) - maxPrefixes; n > 0 {
+		h.prefixes = slices.Clone(h.prefixes[n:])
+	}
+}
+
+// restarted forgets the cache of the run before; event numbers start again.
+func (h *HTTP) restarted(b wire.BootID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.boot != b {
+		h.boot, h.prefixes, h.cursor = b, nil, 0
+	}
+}
+
+// Prefixes implements Upstream.
+func (h *HTTP) Prefixes() []wire.Fingerprint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]wire.Fingerprint{}, h.prefixes...)
+}
+
+// orderError carries the time that a rate-limited weight store asked for.
+type orderError struct {
+	error
+	after time.Duration
+}
+
+// RetryAfter returns the time after which the order may be repeated.
+func (e *orderError) RetryAfter() time.Duration { return e.after }
+
+// Order implements Upstream.
+func (h *HTTP) Order(ctx context.Context, o Order) (err error) {
+	body, err := json.Marshal(struct {
+		Model    wire.ModelID      `json:"model"`
+		Version  wire.Version      `json:"version"`
+		Adapters []wire.AdapterID  `json:"adapters"`
+		Fence    wire.TicketNumber `json:"fence"`
+	}{o.Model, o.Version, o.Adapters, o.Fence})
+	if err != nil {
+		return err
+	}
+	req := h.request(fasthttp.MethodPost, "/orders", body)
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err = h.ctl.roundTrip(ctx, req, resp, true); err != nil {
+		return err
+	}
+	if err = statusError(resp); err == nil {
+		return nil
+	}
+	if s, e := strconv.Atoi(string(resp.Header.Peek("Retry-After"))); e == nil {
+		return &orderError{err, time.Duration(s) * time.Second}
+	}
+	return err
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,246 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"hornbeamcove.example/core/hold"
+	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/once"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// orphanLimit is the time for which a repeatable call runs on without a
+	// router that listens; a router that lost its session asks within it.
+	orphanLimit = 2 * time.Second
+	// keepResult is the time after a call's deadline for which its entry stays,
+	// so that "absent" is never said of a call that a router may still ask for.
+	keepResult = 5 * time.Second
+	probeLimit = 200 * time.Millisecond
+)
+
+// run is one call from its arrival until its result is held.
+type run struct {
+	call     *wire.Call
+	entry    *hold.Entry
+	deadline time.Time
+	cancel   context.CancelFunc
+	decided  chan struct{} // closed when the call was accepted or refused
+	refuse   *wire.Refuse  // set before decided is closed, for a refused call
+
+	mu        sync.Mutex
+	listeners int
+}
+
+func (r *run) accept() { close(r.decided) }
+
+// attach counts a stream that delivers the run's result.
+func (r *run) attach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listeners++
+}
+
+// detach ends the count of attach. A repeatable call that nobody listens to is
+// cancelled after orphanLimit; a non-repeatable one runs to its end, since its
+// result may be asked for with its token.
+func (r *run) detach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listeners--
+	if r.listeners > 0 || r.call.Once {
+		return
+	}
+	time.AfterFunc(orphanLimit, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.listeners == 0 {
+			r.cancel()
+		}
+	})
+}
+
+// start registers a call and begins to execute it. A call that is already known
+// by its reference is joined, so that a doubled message runs once.
+func (a *Agent) start(c *wire.Call) (r *run, reason wire.Reason) {
+	now := time.Now()
+	deadline := now.Add(time.Duration(c.Left) * time.Millisecond)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r = a.runs[c.Ref]; r != nil {
+		return r, ""
+	}
+	if a.stopped {
+		return nil, wire.ReasonLeaving
+	}
+	e, reason, ok := a.held.Begin(now, c.Ref, deadline.Add(keepResult))
+	if !ok {
+		return nil, reason
+	}
+	ctx, cancel := context.WithDeadline(a.work, deadline)
+	r = &run{call: c, entry: e, deadline: deadline, cancel: cancel, decided: make(chan struct{})}
+	a.runs[c.Ref] = r
+	a.wg.Go(func() {
+		defer cancel()
+		a.execute(ctx, r)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.runs, c.Ref)
+	})
+	return r, ""
+}
+
+func (a *Agent) execute(ctx context.Context, r *run) {
+	if !r.call.Once {
+		a.admit(ctx, r)
+		return
+	}
+	for {
+		u := a.spent.Consume(r.call.Token, r.call.Print)
+		switch u.State {
+		case once.Fresh:
+			a.admit(ctx, r)
+		case once.Running:
+			select {
+			case <-u.Wait:
+				continue
+			case <-ctx.Done():
+				a.refuse(r, wire.ReasonUnknown, wire.ExecutedUnknown)
+			}
+		case once.Finished:
+			a.replay(r, u.Result)
+		case once.Mismatch:
+			a.refuse(r, wire.ReasonMismatch, wire.ExecutedNone)
+		default:
+			// The token is of another run of the agent, or its record was
+			// dropped: whether the call ran cannot be told.
+			a.refuse(r, wire.ReasonSpent, wire.ExecutedUnknown)
+		}
+		return
+	}
+}
+
+// replay answers with the result of an earlier call under the same token. Its
+// cost was reported with the first answer.
+func (a *Agent) replay(r *run, first *wire.Result) {
+	res := *first
+	res.Ref = r.call.Ref
+	res.Cost = wire.Cost{}
+	r.accept()
+	r.entry.Finish(&res)
+}
+
+func (a *Agent) admit(ctx context.Context, r *run) {
+	reason := a.gate.enter(ctx, r.call, r.deadline)
+	if reason == "" && !time.Now().Before(r.deadline) {
+		a.gate.leave(limit.Sample{Failed: true})
+		reason = wire.ReasonDeadline
+	}
+	if reason != "" {
+		if r.call.Once {
+			a.spent.Return(r.call.Token)
+		}
+		a.refuse(r, reason, wire.ExecutedNone)
+		return
+	}
+	r.accept()
+	a.deliver(ctx, r)
+}
+
+func (a *Agent) refuse(r *run, reason wire.Reason, ex wire.Executed) {
+	r.refuse = a.refusal(r.call.Ref, reason, ex)
+	a.held.Ack(r.call.Ref)
+	close(r.decided)
+	a.Inc("refused", reason)
+}
+
+func (a *Agent) refusal(ref wire.Ref, reason wire.Reason, ex wire.Executed) *wire.Refuse {
+	return &wire.Refuse{Ref: ref, Reason: reason, Executed: ex, Retry: a.retryAfter(reason), Report: a.report()}
+}
+
+// deliver gives an admitted call to the upstream and holds what comes back.
+func (a *Agent) deliver(ctx context.Context, r *run) {
+	begun := time.Now()
+	n := 0
+	emit := func(text []byte) error {
+		err := r.entry.Append(&wire.Chunk{Ref: r.call.Ref, Number: n, Data: append([]byte(nil), text...)})
+		n++
+		return err
+	}
+	ans, err := a.up.Run(ctx, r.call, emit)
+	res := &wire.Result{
+		Ref: r.call.Ref, Outcome: wire.OutcomeDone, Executed: wire.ExecutedSome, Reason: wire.ReasonUpstream,
+		Chunks: n, Output: ans.Output, Cost: ans.Cost,
+	}
+	sample := limit.Sample{Latency: time.Since(begun)}
+	if err != nil {
+		a.failed(r.call, res, err)
+		sample.Failed = true
+		sample.Reset = res.Reason == wire.ReasonCrashed
+	}
+	a.gate.leave(sample)
+	if r.call.Once {
+		a.settle(r.call.Token, res)
+	}
+	res.Report = a.report()
+	r.entry.Finish(res)
+	a.account(r.call, res)
+}
+
+// settle records the end of a non-repeatable call under its token.
+func (a *Agent) settle(t wire.Token, res *wire.Result) {
+	switch {
+	case res.Outcome == wire.OutcomeDone:
+		a.spent.Finish(t, res)
+	case res.Executed == wire.ExecutedNone:
+		a.spent.Return(t)
+	default:
+		a.spent.Finish(t, nil)
+	}
+}
+
+// failed fills in the result of a call that the upstream did not complete.
+func (a *Agent) failed(c *wire.Call, res *wire.Result, err error) {
+	res.Outcome = wire.OutcomeFailed
+	res.Output = nil
+	res.Wasted = true
+	if c.Once {
+		// The upstream may have taken effect before it failed.
+		res.Executed = wire.ExecutedUnknown
+	}
+	var ue *UpstreamError
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		res.Reason = wire.ReasonDeadline
+	case errors.Is(err, context.Canceled):
+		res.Reason = wire.ReasonCancelled
+	case !errors.As(err, &ue):
+		res.Reason = wire.ReasonUpstream
+	case !ue.Sent:
+		res.Reason = wire.ReasonUnavailable
+		res.Executed = wire.ExecutedNone
+	case ue.Reset && a.crashed():
+		res.Reason = wire.ReasonCrashed
+	}
+	a.log.Warn("stage failed", "request", c.Ref.Request, "stage", c.Ref.Stage, "attempt", c.Ref.Attempt,
+		"team", c.Team, "pipeline", c.Pipeline, "reason", res.Reason, "executed", res.Executed, "err", err)
+	a.Inc("failed", res.Reason)
+}
+
+// crashed tells a crash of the upstream from one broken connection: after a
+// crash the upstream does not answer, or answers with another boot id.
+func (a *Agent) crashed() bool {
+	ctx, cancel := context.WithTimeout(a.work, probeLimit)
+	defer cancel()
+	before := a.boot.Load()
+	ev, _, err := a.up.Load(ctx)
+	if err != nil {
+		a.gate.chill()
+		return true
+	}
+	a.observe(ev)
+	return before != nil && *before != ev.Boot
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,325 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// beatPeriod is the longest time without a frame on the stream of an open
+	// call; a router treats 1,500 ms of silence as a lost session.
+	beatPeriod = 500 * time.Millisecond
+	firstFrame = 2 * time.Second
+	ackLimit   = 5 * time.Second
+)
+
+// session is one router's connection.
+type session struct {
+	link.Session
+	send sync.Mutex // guards the sending side of the control stream
+	// closed is set under admit's read lock before the session is replaced, so
+	// that no call of a replaced session starts afterwards.
+	gate   sync.RWMutex
+	closed bool
+}
+
+func (a *Agent) acceptLoop(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		ls, err := a.ln.Accept(ctx)
+		if err != nil {
+			return
+		}
+		s := &session{Session: ls}
+		if !a.replace(s) {
+			s.Close("a newer session is open")
+			continue
+		}
+		wg.Go(func() { a.serveSession(ctx, s) })
+	}
+}
+
+// replace makes s the session of its router's incarnation. Older ones are
+// closed first: from then on none of their calls can start, so that "absent" is
+// final for a call that was sent over one of them.
+func (a *Agent) replace(s *session) bool {
+	a.mu.Lock()
+	old := a.sessions[s.Peer().Incarnation]
+	if old != nil && old.Peer().Epoch >= s.Peer().Epoch {
+		a.mu.Unlock()
+		return false
+	}
+	a.sessions[s.Peer().Incarnation] = s
+	a.mu.Unlock()
+	if old != nil {
+		old.shut()
+	}
+	return true
+}
+
+func (s *session) shut() {
+	s.gate.Lock()
+	s.closed = true
+	s.gate.Unlock()
+	s.Close("replaced by a newer session")
+}
+
+func (a *Agent) serveSession(ctx context.Context, s *session) {
+	ctx, stop := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer func() {
+		stop()
+		a.mu.Lock()
+		if a.sessions[s.Peer().Incarnation] == s {
+			delete(a.sessions, s.Peer().Incarnation)
+		}
+		a.mu.Unlock()
+		wg.Wait()
+	}()
+	a.sendControl(s, &wire.Frame{Report: a.report()})
+	wg.Go(func() {
+		a.readControl(ctx, s)
+		s.Close("control stream ended")
+	})
+	for {
+		st, err := s.Accept(ctx)
+		if err != nil {
+			return
+		}
+		wg.Go(func() { a.serveStream(ctx, s, st) })
+	}
+}
+
+// readControl merges the configuration that the router sends.
+func (a *Agent) readControl(ctx context.Context, s *session) {
+	for {
+		f, err := s.Control().Recv(ctx)
+		if err != nil {
+			return
+		}
+		if f.Sync == nil || len(f.Sync.Objects) > maxObjects {
+			a.Inc("discarded", wire.ReasonMalformed)
+			continue
+		}
+		a.submit(merge{objects: f.Sync.Objects, change: func(st *state) { st.confirmed = time.Now() }})
+	}
+}
+
+func (a *Agent) sendControl(s *session, f *wire.Frame) {
+	s.send.Lock()
+	defer s.send.Unlock()
+	if err := s.Control().Send(f); err != nil {
+		s.Close("control stream broken")
+	}
+}
+
+func (a *Agent) openSessions() (out []*session) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		out = append(out, s)
+	}
+	return out
+}
+
+// broadcast sends the report to all routers.
+func (a *Agent) broadcast() {
+	f := &wire.Frame{Report: a.report()}
+	for _, s := range a.openSessions() {
+		a.sendControl(s, f)
+	}
+}
+
+// confirm asks one router for the slice of the configuration.
+func (a *Agent) confirm(context.Context) {
+	for _, s := range a.openSessions() {
+		a.sendControl(s, &wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
+		return
+	}
+}
+
+func (a *Agent) closeSessions(reason string) {
+	for _, s := range a.openSessions() {
+		s.Close(reason)
+	}
+}
+
+func (a *Agent) serveStream(ctx context.Context, s *session, st link.Stream) {
+	first, cancel := context.WithTimeout(ctx, firstFrame)
+	f, err := st.Recv(first)
+	cancel()
+	if err != nil {
+		st.Reset()
+		return
+	}
+	switch {
+	case f.Call != nil:
+		a.serveCall(ctx, s, st, f.Call)
+	case f.Query != nil:
+		a.serveQuery(ctx, st, f.Query)
+	case f.Reserve != nil:
+		a.serveReserve(st)
+	default:
+		a.Inc("discarded", wire.ReasonMalformed)
+		st.Reset()
+	}
+}
+
+func (a *Agent) serveReserve(st link.Stream) {
+	defer func() { _ = st.Close() }()
+	if reason := shutReason(a.state.Load()); reason != "" {
+		ref := wire.Ref{Request: "reservation", Stage: "reservation", Attempt: 1}
+		_ = st.Send(&wire.Frame{Refuse: a.refusal(ref, reason, wire.ExecutedNone)})
+		return
+	}
+	_ = st.Send(&wire.Frame{Reserved: &wire.Reserved{Token: a.spent.Reserve()}})
+}
+
+func (a *Agent) serveCall(ctx context.Context, s *session, st link.Stream, c *wire.Call) {
+	s.gate.RLock()
+	if s.closed {
+		s.gate.RUnlock()
+		st.Reset()
+		return
+	}
+	r, reason := a.start(c)
+	s.gate.RUnlock()
+	if r == nil {
+		a.Inc("refused", reason)
+		_ = st.Send(&wire.Frame{Refuse: a.refusal(c.Ref, reason, wire.ExecutedNone)})
+		_ = st.Close()
+		return
+	}
+	a.stream(ctx, st, r, 0)
+}
+
+// serveQuery answers what became of a call. Older sessions of the same router
+// are closed by now, so a call that is unknown here was never accepted.
+func (a *Agent) serveQuery(ctx context.Context, st link.Stream, q *wire.Query) {
+	a.mu.Lock()
+	r := a.runs[q.Ref]
+	a.mu.Unlock()
+	if r != nil {
+		a.stream(ctx, st, r, q.Next)
+		return
+	}
+	e := a.held.Find(q.Ref)
+	if e == nil {
+		_ = st.Send(&wire.Frame{Refuse: a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone)})
+		_ = st.Close()
+		return
+	}
+	done := make(chan struct{})
+	close(done)
+	ended := &run{call: &wire.Call{Ref: q.Ref, Once: true}, entry: e, decided: done, cancel: func() {}}
+	a.stream(ctx, st, ended, q.Next)
+}
+
+// stream delivers a run to a router from chunk next on, until the router has
+// acknowledged the result.
+func (a *Agent) stream(ctx context.Context, st link.Stream, r *run, next int) {
+	r.attach()
+	defer r.detach()
+	ctx, stop := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() {
+		defer stop()
+		a.readCall(ctx, st, r)
+	})
+	if !a.awaitDecision(ctx, st, r) {
+		return
+	}
+	if r.refuse != nil {
+		_ = st.Send(&wire.Frame{Refuse: r.refuse})
+		_ = st.Close()
+		return
+	}
+	if st.Send(&wire.Frame{Accept: &wire.Accept{Ref: r.call.Ref}}) != nil {
+		return
+	}
+	if a.forward(ctx, st, r, next) {
+		awaitAck(ctx, st)
+	}
+}
+
+// readCall reads what the router sends on a call's stream: its acknowledgement,
+// or a reset when the caller gave up.
+func (a *Agent) readCall(ctx context.Context, st link.Stream, r *run) {
+	for {
+		f, err := st.Recv(ctx)
+		if errors.Is(err, link.ErrReset) {
+			r.cancel()
+		}
+		if err != nil {
+			return
+		}
+		if f.Ack != nil && f.Ack.Ref == r.call.Ref {
+			a.held.Ack(f.Ack.Ref)
+			return
+		}
+		a.Inc("discarded", wire.ReasonMalformed)
+	}
+}
+
+// awaitDecision sends reports while the call waits for admission.
+func (a *Agent) awaitDecision(ctx context.Context, st link.Stream, r *run) bool {
+	beat := time.NewTicker(beatPeriod)
+	defer beat.Stop()
+	for {
+		select {
+		case <-r.decided:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-beat.C:
+			if st.Send(&wire.Frame{Report: a.report()}) != nil {
+				return false
+			}
+		}
+	}
+}
+
+func (a *Agent) forward(ctx context.Context, st link.Stream, r *run, next int) bool {
+	for {
+		wait, cancel := context.WithTimeout(ctx, beatPeriod)
+		c, res, err := r.entry.Next(wait, next)
+		cancel()
+		var f *wire.Frame
+		switch {
+		case ctx.Err() != nil:
+			return false
+		case err != nil:
+			f = &wire.Frame{Report: a.report()}
+		case c != nil:
+			f = &wire.Frame{Chunk: c}
+			next++
+		default:
+			f = &wire.Frame{Result: res}
+		}
+		if st.Send(f) != nil {
+			return false
+		}
+		if f.Result != nil {
+			return true
+		}
+	}
+}
+
+// awaitAck waits until the reading side has ended.
+func awaitAck(ctx context.Context, st link.Stream) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(ackLimit):
+	}
+	_ = st.Close()
+}
--- a/core/proc/process.go
+++ b/core/proc/process.go
@@ -217,3 +217,12 @@
 	p.wg.Wait()
 	return errors.Join(p.ln.Close(), p.metrics.close())
 }
+
+// Rotated logs the result of a reload of TLS material.
+func (p *Process) Rotated(err error) {
+	if err != nil {
+		p.log.Error("TLS material not reloaded", "err", err)
+		return
+	}
+	p.log.Info("TLS material reloaded")
+}
--- a/core/ticket/check.go
+++ b/core/ticket/check.go
@@ -15,6 +15,9 @@
 	Number  wire.TicketNumber
 	Field   string
 	Problem string
+	// Pending is set when other tickets, which may arrive later, would make this
+	// one valid.
+	Pending bool
 }
 
 // Error implements error.
@@ -23,7 +26,7 @@
 }
 
 func bad(n wire.TicketNumber, field, format string, args ...any) *BadTicket {
-	return &BadTicket{n, field, fmt.Sprintf(format, args...)}
+	return &BadTicket{Number: n, Field: field, Problem: fmt.Sprintf(format, args...)}
 }
 
 const (
--- a/core/ticket/refs.go
+++ b/core/ticket/refs.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"errors"
 	"fmt"
 
 	"hornbeamcove.example/core/wire"
@@ -40,6 +41,15 @@
 // checkReferences reports the first fault between the objects of s, the store
 // that ticket n yields from old through the changes.
 func (s *Store) checkReferences(old *Store, n wire.TicketNumber, changes []Change) error {
+	err := s.checkLinks(old, n, changes)
+	var b *BadTicket
+	if errors.As(err, &b) {
+		b.Pending = true
+	}
+	return err
+}
+
+func (s *Store) checkLinks(old *Store, n wire.TicketNumber, changes []Change) error {
 	gone := map[id]bool{}
 	for _, c := range changes {
 		if err := s.checkNamed(n, c.New); err != nil {
--- a/demo/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package demo is under construction.
-package demo
--- /dev/null
+++ b/demo/local/fleet.go
@@ -0,0 +1,428 @@
+// Package local runs whole fleets in one process on loopback: routers, agents
+// and stand-ins on real sockets, for the demo, for measurements and for tests.
+package local
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+
+	"hornbeamcove.example/agent"
+	"hornbeamcove.example/core/certs"
+	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/plat"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes"
+	"hornbeamcove.example/router"
+)
+
+const (
+	loopback   = "127.0.0.1:0"
+	certLife   = 24 * time.Hour
+	drainLimit = 10 * time.Second
+)
+
+// Centre is a data centre with its distances in microseconds to others.
+type Centre struct {
+	Name      wire.DataCentreID
+	Region    wire.RegionID
+	Distances map[string]int
+}
+
+// Pool is a set of like upstreams in each data centre.
+type Pool struct {
+	Name  wire.PoolID
+	Kind  wire.Kind
+	Each  int // upstreams in each data centre
+	Limit int
+	Cold  int
+	Model wire.ModelID
+	Opts  []fakes.Option
+}
+
+// Team is a team with its key in clear, which only the fleet's owner knows.
+type Team struct {
+	Name   wire.TeamID
+	Weight int
+	Key    string
+}
+
+// Spec describes a fleet.
+type Spec struct {
+	Centres   []Centre
+	Pools     []Pool
+	Teams     []Team
+	Models    map[wire.ModelID]wire.Model
+	Pipelines map[wire.PipelineID]wire.Pipeline
+	Routers   int
+	Log       *log.Logger
+}
+
+// Upstream is one upstream with its agent.
+type Upstream struct {
+	ID     wire.UpstreamID
+	Object wire.Upstream
+	Engine *fakes.Engine  // for engines
+	Plain  *fakes.Service // for all other kinds
+	Agent  *agent.Agent
+	cancel context.CancelFunc
+	link   *link.QUIC
+}
+
+// Record returns what the stand-in really did.
+func (u *Upstream) Record() fakes.Record {
+	if u.Engine != nil {
+		return u.Engine.Record()
+	}
+	return u.Plain.Record()
+}
+
+// URL returns the address of the stand-in.
+func (u *Upstream) URL() string {
+	if u.Engine != nil {
+		return u.Engine.URL()
+	}
+	return u.Plain.URL()
+}
+
+// Router is one router with its callers' address.
+type Router struct {
+	*router.Router
+	URL    string
+	Name   wire.HostID
+	app    *fiber.App
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Spec      Spec
+	Config    *fakes.Config
+	Hosts     *fakes.Hosts
+	Routers   []*Router
+	Upstreams []*Upstream
+
+	authority *certs.Authority
+	ctx       context.Context
+	stop      context.CancelFunc
+	wg        conc.WaitGroup
+	mu        sync.Mutex
+	number    wire.TicketNumber
+	errs      []error
+}
+
+// Start starts all processes of a fleet and publishes its configuration.
+func Start(ctx context.Context, spec Spec) (f *Fleet, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start fleet: %w", err)
+		}
+	}()
+	if spec.Log == nil {
+		spec.Log = log.New(io.Discard)
+	}
+	f = &Fleet{Spec: spec, Config: fakes.NewConfig(), Hosts: fakes.NewHosts()}
+	f.ctx, f.stop = context.WithCancel(ctx)
+	if f.authority, err = certs.NewAuthority(); err != nil {
+		return f, err
+	}
+	if err = f.Config.Start(f.ctx, loopback); err != nil {
+		return f, err
+	}
+	if err = f.Hosts.Start(f.ctx, loopback); err != nil {
+		return f, err
+	}
+	for _, c := range spec.Centres {
+		for i := range spec.Pools {
+			if err = f.addPool(c, &spec.Pools[i]); err != nil {
+				return f, err
+			}
+		}
+	}
+	if _, err = f.Publish(f.objects()...); err != nil {
+		return f, err
+	}
+	for i := range spec.Routers {
+		if err = f.addRouter(i); err != nil {
+			return f, err
+		}
+	}
+	return f, f.Ready(ctx)
+}
+
+func (f *Fleet) addPool(c Centre, p *Pool) error {
+	for i := range p.Each {
+		u := &Upstream{ID: wire.UpstreamID(fmt.Sprintf("%s-%s-%d", c.Name, p.Name, i+1))}
+		u.Object = wire.Upstream{
+			Pool: p.Name, Kind: p.Kind, Centre: c.Name, Host: wire.HostID(u.ID), Limit: p.Limit, Cold: p.Cold,
+			State: wire.UpstreamStateServe, Model: p.Model, Fencing: true,
+		}
+		if err := f.startUpstream(u, p.Opts); err != nil {
+			return err
+		}
+		f.Upstreams = append(f.Upstreams, u)
+	}
+	return nil
+}
+
+func (f *Fleet) startUpstream(u *Upstream, opts []fakes.Option) (err error) {
+	if u.Object.Kind == wire.KindGenerate {
+		u.Engine = fakes.NewEngine(opts...)
+		err = u.Engine.Start(f.ctx, loopback)
+	} else {
+		u.Plain = fakes.NewService(u.Object.Kind, opts...)
+		err = u.Plain.Start(f.ctx, loopback)
+	}
+	if err != nil {
+		return err
+	}
+	return f.StartAgent(u, loopback)
+}
+
+func (f *Fleet) source(role wire.Role, centre wire.DataCentreID, name wire.HostID) (*certs.Source, error) {
+	m, err := f.authority.Issue(certs.Identity{Role: role, Centre: centre, Name: name}, time.Now().Add(certLife))
+	if err != nil {
+		return nil, err
+	}
+	return certs.NewSource(m)
+}
+
+// StartAgent starts a fresh agent for an upstream at addr.
+func (f *Fleet) StartAgent(u *Upstream, addr wire.Address) (err error) {
+	name := wire.HostID(u.ID)
+	src, err := f.source(wire.RoleAgent, u.Object.Centre, name)
+	if err != nil {
+		return err
+	}
+	up, err := agent.NewHTTP(u.Object.Kind, u.URL())
+	if err != nil {
+		return err
+	}
+	inc := agent.NewIncarnation()
+	hello := wire.Hello{Role: wire.RoleAgent, Name: name, Centre: u.Object.Centre, Incarnation: inc, Version: link.Version}
+	if u.link, err = link.Listen(addr, src, hello, wire.RoleRouter); err != nil {
+		return err
+	}
+	u.Object.Agent = u.link.Addr()
+	u.Agent = agent.New(agent.Config{
+		Name: name, Upstream: u.ID, Centre: u.Object.Centre, Kind: u.Object.Kind,
+		Bounds: limit.Bounds{Warm: wire.Slots(u.Object.Limit), Cold: wire.Slots(u.Object.Cold)},
+	}, up, u.link, agent.WithLogger(f.Spec.Log.With("process", name)), agent.WithIncarnation(inc))
+	ctx, cancel := context.WithCancel(f.ctx)
+	u.cancel = cancel
+	f.wg.Go(func() { f.note(u.Agent.Run(ctx, drainLimit)) })
+	return nil
+}
+
+// StopAgent drains an upstream's agent.
+func (u *Upstream) StopAgent() { u.cancel() }
+
+// KillAgent ends an agent's connections at once, as a crash of its process does.
+func (u *Upstream) KillAgent() {
+	_ = u.link.Close()
+	u.cancel()
+}
+
+func (f *Fleet) note(err error) {
+	if err == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.errs = append(f.errs, err)
+}
+
+// platform reads tickets and hosts from two stand-ins.
+type platform struct {
+	*plat.Client
+	hosts *plat.Client
+}
+
+func (p platform) Hosts(ctx context.Context) ([]plat.Host, int, error) { return p.hosts.Hosts(ctx) }
+
+func (f *Fleet) addRouter(i int) (err error) {
+	c := f.Spec.Centres[i%len(f.Spec.Centres)]
+	name := wire.HostID(fmt.Sprintf("%s-router-%d", c.Name, i+1))
+	src, err := f.source(wire.RoleRouter, c.Name, name)
+	if err != nil {
+		return err
+	}
+	inc := agent.NewIncarnation()
+	hello := wire.Hello{Role: wire.RoleRouter, Name: name, Centre: c.Name, Incarnation: inc, Version: link.Version}
+	q, err := link.Listen(loopback, src, hello, wire.RoleRouter)
+	if err != nil {
+		return err
+	}
+	p := platform{plat.NewClient(f.Config.URL()), plat.NewClient(f.Hosts.URL())}
+	rt := &Router{Name: name, done: make(chan struct{}), Router: router.New(
+		router.Config{Name: name, Centre: c.Name, Region: c.Region}, q, q,
+		router.WithIncarnation(inc), router.WithPlatform(p), router.WithLogger(f.Spec.Log.With("process", name)))}
+	rt.app = rt.App()
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return err
+	}
+	rt.URL = "http://" + ln.Addr().String()
+	ctx, cancel := context.WithCancel(f.ctx)
+	rt.cancel = cancel
+	f.wg.Go(func() { f.note(rt.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})) })
+	f.wg.Go(func() {
+		defer close(rt.done)
+		f.note(rt.Run(ctx, drainLimit))
+		f.note(rt.app.ShutdownWithTimeout(drainLimit))
+		p.Client.Close()
+		p.hosts.Close()
+	})
+	f.Hosts.Set(fakes.Host{Name: name, Role: wire.RoleRouter, Address: q.Addr(), Region: c.Region, Centre: c.Name})
+	f.Routers = append(f.Routers, rt)
+	return nil
+}
+
+// Stop drains a router and waits for it.
+func (r *Router) Stop() {
+	r.cancel()
+	<-r.done
+}
+
+// objects returns the configuration of the whole fleet.
+func (f *Fleet) objects() (out []wire.Object) {
+	for _, t := range f.Spec.Teams {
+		sum := sha256.Sum256([]byte(t.Key))
+		out = append(out,
+			wire.Object{Kind: wire.ObjectKindTeam, Name: string(t.Name), Team: &wire.Team{Weight: t.Weight, Queue: 64}},
+			wire.Object{Kind: wire.ObjectKindKey, Name: string(t.Name) + "-1", Key: &wire.Key{Team: t.Name, Hash: wire.KeyHash(hex.EncodeToString(sum[:]))}})
+	}
+	for id, m := range f.Spec.Models {
+		out = append(out, wire.Object{Kind: wire.ObjectKindModel, Name: string(id), Model: &m})
+	}
+	for _, c := range f.Spec.Centres {
+		out = append(out, f.CentreObject(c.Name, wire.CentreStateIn))
+	}
+	for _, u := range f.Upstreams {
+		obj := u.Object
+		out = append(out, wire.Object{Kind: wire.ObjectKindUpstream, Name: string(u.ID), Upstream: &obj})
+	}
+	for id, p := range f.Spec.Pipelines {
+		out = append(out, wire.Object{Kind: wire.ObjectKindPipeline, Name: string(id), Pipeline: &p})
+	}
+	return out
+}
+
+// CentreObject returns a data centre's object in the given state.
+func (f *Fleet) CentreObject(name wire.DataCentreID, state wire.CentreState) wire.Object {
+	for _, c := range f.Spec.Centres {
+		if c.Name == name {
+			return wire.Object{Kind: wire.ObjectKindCentre, Name: string(name), Centre: &wire.Centre{Region: c.Region, State: state, Distances: c.Distances}}
+		}
+	}
+	panic("unknown data centre " + string(name))
+}
+
+// Publish publishes the next ticket with some objects and returns its number.
+func (f *Fleet) Publish(objs ...wire.Object) (n wire.TicketNumber, err error) {
+	f.mu.Lock()
+	f.number++
+	n = f.number
+	f.mu.Unlock()
+	for i := range objs {
+		objs[i].Number = n
+	}
+	_, err = f.Config.Publish(wire.Ticket{Number: n, Objects: objs})
+	return n, err
+}
+
+const readyPoll = 20 * time.Millisecond
+
+// Ready waits until every router may use every upstream of its subset.
+func (f *Fleet) Ready(ctx context.Context) error {
+	return f.Await(ctx, func() error {
+		for _, r := range f.Routers {
+			ms := r.Members()
+			if len(ms) == 0 {
+				return fmt.Errorf("router %s has no upstreams", r.Name)
+			}
+			for _, m := range ms {
+				if !m.Eligible {
+					return fmt.Errorf("router %s: upstream %s is %s", r.Name, m.Upstream, m.Reason)
+				}
+			}
+		}
+		return nil
+	})
+}
+
+const awaitLimit = 20 * time.Second
+
+// Await polls until check returns nil, for at most 20 s.
+func (f *Fleet) Await(ctx context.Context, check func() error) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitLimit)
+	defer cancel()
+	for {
+		if err = check(); err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return fmt.Errorf("not reached in %s: %w", awaitLimit, err)
+		}
+	}
+}
+
+// Close drains all processes and returns their errors.
+func (f *Fleet) Close() error {
+	for _, r := range f.Routers {
+		r.Stop()
+	}
+	for _, u := range f.Upstreams {
+		u.cancel()
+	}
+	f.stop()
+	f.wg.Wait()
+	for _, u := range f.Upstreams {
+		if u.Engine != nil {
+			u.Engine.Close()
+		} else {
+			u.Plain.Close()
+		}
+	}
+	f.Config.Close()
+	f.Hosts.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return errors.Join(f.errs...)
+}
+
+// Quiet returns an error while a router may use an upstream in the data centre.
+func (f *Fleet) Quiet(c wire.DataCentreID) error {
+	for _, r := range f.Routers {
+		for _, m := range r.Members() {
+			if m.Centre == c && m.Eligible {
+				return fmt.Errorf("router %s may use %s", r.Name, m.Upstream)
+			}
+		}
+	}
+	return nil
+}
+
+// Begun returns the number of calls that upstreams in the data centre were given.
+func (f *Fleet) Begun(c wire.DataCentreID) (n int) {
+	for _, u := range f.Upstreams {
+		if u.Object.Centre == c {
+			n += u.Record().Begun
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/demo/local/today.go
@@ -0,0 +1,70 @@
+package local
+
+import (
+	"time"
+
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes"
+)
+
+// Names that the demo and the tests use.
+const (
+	Folder    wire.TeamID     = "folders"
+	Installer wire.TeamID     = "installers"
+	FoldPlan  wire.PipelineID = "fold-plan"
+	Wiring    wire.PipelineID = "wiring-review"
+	KitOrder  wire.PipelineID = "kit-reservation"
+	Model     wire.ModelID    = "assistant"
+)
+
+// Today returns a fleet like those that run today, in three data centres: shared
+// engines, retrieval pools and a plain service with non-repeatable calls. The
+// token time sets the pace of the engines.
+func Today(token time.Duration) Spec {
+	service := []fakes.Option{fakes.WithSlots(16, 16), fakes.WithDelay(token), fakes.WithBusy(500)}
+	engine := []fakes.Option{
+		fakes.WithSlots(8, 8), fakes.WithCold(2, 4), fakes.WithTokenTime(token, 0),
+		fakes.WithModel(Model, 1), fakes.WithCache(256),
+	}
+	return Spec{
+		Centres: []Centre{
+			{"palermo", "sicily", map[string]int{"catania": 500, "messina": 500}},
+			{"catania", "sicily", map[string]int{"palermo": 500, "messina": 500}},
+			{"messina", "sicily", map[string]int{"palermo": 500, "catania": 500}},
+		},
+		Pools: []Pool{
+			{Name: "encoders", Kind: wire.KindEncode, Each: 1, Limit: 16, Cold: 4, Opts: service},
+			{Name: "archive", Kind: wire.KindRetrieve, Each: 2, Limit: 16, Cold: 4, Opts: service},
+			{Name: "rerankers", Kind: wire.KindRerank, Each: 1, Limit: 16, Cold: 4, Opts: service},
+			{Name: "assistants", Kind: wire.KindGenerate, Each: 4, Limit: 8, Cold: 2, Model: Model, Opts: engine},
+			{Name: "kits", Kind: wire.KindPlain, Each: 1, Limit: 16, Cold: 4, Opts: service},
+		},
+		Teams: []Team{
+			{Folder, 3, "folders-key"},
+			{Installer, 2, "installers-key"},
+		},
+		Models: map[wire.ModelID]wire.Model{Model: {Version: 1}},
+		Pipelines: map[wire.PipelineID]wire.Pipeline{
+			FoldPlan: answering(wire.RankInteractive),
+			Wiring:   answering(wire.RankInteractive),
+			KitOrder: {
+				Deadline: 3000, Rank: wire.RankInteractive, Teams: []wire.TeamID{Folder, Installer},
+				Stages: []wire.Stage{{Name: "reserve", Kind: wire.KindPlain, Pool: "kits", Once: true, Expect: 20}},
+			},
+		},
+		Routers: 2,
+	}
+}
+
+// answering is a pipeline that retrieves documents and generates an answer.
+func answering(rank wire.Rank) wire.Pipeline {
+	return wire.Pipeline{
+		Deadline: 3000, Rank: rank, Teams: []wire.TeamID{Folder, Installer},
+		Stages: []wire.Stage{
+			{Name: "encode", Kind: wire.KindEncode, Pool: "encoders", Expect: 20},
+			{Name: "retrieve", Kind: wire.KindRetrieve, Pool: "archive", Expect: 20},
+			{Name: "rerank", Kind: wire.KindRerank, Pool: "rerankers", Expect: 20},
+			{Name: "generate", Kind: wire.KindGenerate, Pool: "assistants", Model: Model, Expect: 300},
+		},
+	}
+}
--- /dev/null
+++ b/router/attempt.go
@@ -0,0 +1,181 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// silenceLimit is the time without a frame on an open call after which its
+	// session counts as lost; agents send one at least every 500 ms.
+	silenceLimit = 1500 * time.Millisecond
+	// verdictGrace is the time beyond the stage's budget for which the router
+	// waits for the agent's own word on what became of the call.
+	verdictGrace = 250 * time.Millisecond
+)
+
+// outcome is what became of one attempt.
+type outcome struct {
+	result   *wire.Result // for an attempt that the upstream was given
+	reason   wire.Reason  // empty when done
+	executed wire.Executed
+	report   *wire.Report
+}
+
+func (o *outcome) done() bool { return o.reason == "" }
+
+// attempt is one call to one agent, over one or more sessions.
+type attempt struct {
+	r        *Router
+	link     *agentLink
+	call     *wire.Call
+	emit     func([]byte) error
+	inc      wire.Incarnation // of the agent that was sent the call
+	next     int              // next chunk
+	accepted bool
+	until    time.Time // after it the agent may have forgotten the call
+}
+
+// errLost means that the session was lost before the outcome was known.
+var errLost = errors.New("session lost")
+
+// try sends a call and follows it until its outcome is known or ctx is done.
+// When the session is lost it asks for the outcome over a new one.
+func (r *Router) try(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error) outcome {
+	left := time.Duration(c.Left) * time.Millisecond
+	a := &attempt{r: r, link: l, call: c, emit: emit, until: time.Now().Add(left)}
+	ctx, cancel := context.WithTimeout(ctx, left+verdictGrace)
+	defer cancel()
+	sess, _ := l.session()
+	if sess == nil {
+		return outcome{reason: wire.ReasonUnavailable, executed: wire.ExecutedNone}
+	}
+	a.inc = sess.Peer().Incarnation
+	st, err := sess.Open(ctx)
+	if err != nil {
+		return outcome{reason: wire.ReasonUnavailable, executed: wire.ExecutedNone}
+	}
+	first := &wire.Frame{Call: c}
+	for {
+		out, err := a.follow(ctx, st, first)
+		if err == nil {
+			return out
+		}
+		sess.Close("no answer on an open call")
+		r.Inc("session_lost", "")
+		if sess, err = l.await(ctx, sess); err != nil {
+			return a.unknown(ctx)
+		}
+		if sess.Peer().Incarnation != a.inc {
+			return a.unknown(ctx)
+		}
+		if st, err = sess.Open(ctx); err != nil {
+			continue
+		}
+		first = &wire.Frame{Query: &wire.Query{Ref: c.Ref, Next: a.next}}
+	}
+}
+
+// unknown is the outcome of a call that was sent and cannot be asked after.
+func (a *attempt) unknown(ctx context.Context) outcome {
+	o := outcome{reason: wire.ReasonUnknown, executed: wire.ExecutedUnknown}
+	if a.accepted && !a.call.Once {
+		o.executed = wire.ExecutedSome
+	}
+	if ctx.Err() != nil {
+		o.reason = wire.ReasonDeadline
+	}
+	return o
+}
+
+// follow sends the first frame and reads the answer. It returns errLost when the
+// session broke or went silent.
+func (a *attempt) follow(ctx context.Context, st link.Stream, first *wire.Frame) (o outcome, err error) {
+	if st.Send(first) != nil {
+		return o, errLost
+	}
+	for {
+		f, err := a.recv(ctx, st)
+		if err != nil {
+			return a.broken(ctx, st)
+		}
+		o, ended, err := a.take(st, f)
+		if err != nil {
+			st.Reset()
+			return a.ended(wire.ReasonCancelled), nil
+		}
+		if ended {
+			return o, nil
+		}
+	}
+}
+
+func (a *attempt) recv(ctx context.Context, st link.Stream) (*wire.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	return st.Recv(ctx)
+}
+
+// broken tells a caller that gave up or ran out of time from a lost session.
+func (a *attempt) broken(ctx context.Context, st link.Stream) (outcome, error) {
+	if ctx.Err() == nil {
+		return outcome{}, errLost
+	}
+	st.Reset()
+	return a.ended(wire.ReasonDeadline), nil
+}
+
+func (a *attempt) ended(reason wire.Reason) outcome {
+	o := outcome{reason: reason, executed: wire.ExecutedUnknown}
+	if a.accepted && !a.call.Once {
+		o.executed = wire.ExecutedSome
+	}
+	return o
+}
+
+// take handles one frame. Frames of another call are dropped and counted.
+func (a *attempt) take(st link.Stream, f *wire.Frame) (o outcome, ended bool, err error) {
+	switch {
+	case f.Report != nil:
+		a.link.observe(f.Report)
+	case f.Accept != nil && f.Accept.Ref == a.call.Ref:
+		a.accepted = true
+	case f.Refuse != nil && f.Refuse.Ref == a.call.Ref:
+		return a.refused(f.Refuse), true, nil
+	case f.Chunk != nil && f.Chunk.Ref == a.call.Ref && f.Chunk.Number == a.next:
+		a.next++
+		return o, false, a.emit(f.Chunk.Data)
+	case f.Result != nil && f.Result.Ref == a.call.Ref && f.Result.Chunks == a.next:
+		_ = st.Send(&wire.Frame{Ack: &wire.Ack{Ref: a.call.Ref}})
+		_ = st.Close()
+		return a.finished(f.Result), true, nil
+	default:
+		a.r.Inc("discarded", wire.ReasonMismatch)
+		a.r.log.Warn("frame of another call dropped", "request", a.call.Ref.Request, "stage", a.call.Ref.Stage)
+	}
+	return o, false, nil
+}
+
+func (a *attempt) refused(f *wire.Refuse) outcome {
+	a.link.observe(f.Report)
+	o := outcome{reason: f.Reason, executed: f.Executed, report: f.Report}
+	// The agent forgets a call some time after its deadline; from then on
+	// "absent" proves nothing.
+	if f.Reason == wire.ReasonAbsent && (a.accepted || time.Now().After(a.until)) {
+		o.executed = wire.ExecutedUnknown
+	}
+	return o
+}
+
+func (a *attempt) finished(res *wire.Result) outcome {
+	a.link.observe(res.Report)
+	o := outcome{result: res, executed: res.Executed}
+	if res.Outcome == wire.OutcomeFailed {
+		o.reason = res.Reason
+	}
+	return o
+}
--- /dev/null
+++ b/router/cmd/hbrouter/main.go
@@ -0,0 +1,126 @@
+// Command hbrouter runs a router on an entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"hornbeamcove.example/core/certs"
+	"hornbeamcove.example/core/conf"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/plat"
+	"hornbeamcove.example/core/proc"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/router"
+)
+
+func main() {
+	err := run(os.Args[1:])
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "hbrouter:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) (err error) {
+	cfg, err := conf.LoadRouter(args, os.Stderr)
+	if err != nil {
+		return err
+	}
+	p, err := proc.New(proc.Config{
+		Name: cfg.Name, Role: wire.RoleRouter, Level: string(cfg.Level), Admin: cfg.Admin, Secret: cfg.Secret,
+		Drain: time.Duration(cfg.Drain) * time.Millisecond, Out: os.Stdout,
+	})
+	if err != nil {
+		return err
+	}
+	if err = start(p, &cfg); err != nil {
+		return errors.Join(err, p.Close())
+	}
+	return p.Run(context.Background())
+}
+
+func start(p *proc.Process, cfg *conf.Router) (err error) {
+	files := certs.Files{Cert: cfg.TLS.Cert, Key: cfg.TLS.Key, Authority: cfg.TLS.Authority}
+	src, err := certs.Open(files, certs.Identity{Role: wire.RoleRouter, Centre: cfg.Centre, Name: cfg.Name})
+	if err != nil {
+		return err
+	}
+	src.OnRefuse(func(err error) { p.Log().Warn("peer refused", "err", err) })
+	inc := wire.Incarnation(uuid.NewString())
+	hello := wire.Hello{Role: wire.RoleRouter, Name: cfg.Name, Centre: cfg.Centre, Incarnation: inc, Version: link.Version}
+	q, err := link.Listen(cfg.Peer, src, hello, wire.RoleRouter)
+	if err != nil {
+		return err
+	}
+	peers, err := peerAddresses(cfg)
+	if err != nil {
+		return err
+	}
+	client := plat.NewClient(cfg.Platform)
+	r := router.New(router.Config{
+		Name: cfg.Name, Centre: cfg.Centre, Region: cfg.Region, Peers: peers, Flight: int(cfg.Flight), Queue: cfg.Queue,
+	}, q, q, router.WithPlatform(client), router.WithLogger(p.Log()), router.WithIncarnation(inc))
+	r.Export(p.Scope())
+	r.Routes(p.Admin())
+	p.AddReady("router", r.Ready)
+	p.AddDumper("router", r)
+	p.Go("certificates", func(ctx context.Context) error { return src.Watch(ctx, files, p.Rotated) })
+	return serve(p, r, client, cfg)
+}
+
+// serve starts the callers' listener and the router, and adds the steps of the
+// drain: requests under way finish before the listener closes.
+func serve(p *proc.Process, r *router.Router, client *plat.Client, cfg *conf.Router) error {
+	ln, err := net.Listen("tcp", string(cfg.Callers))
+	if err != nil {
+		return err
+	}
+	app := r.App()
+	p.Go("callers", func(context.Context) error {
+		return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	drain := time.Duration(cfg.Drain) * time.Millisecond
+	live, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	p.Go("router", func(context.Context) error {
+		defer close(ended)
+		return r.Run(live, drain)
+	})
+	p.OnDrain("requests", func(ctx context.Context) error {
+		stop()
+		select {
+		case <-ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+	p.OnDrain("callers", func(ctx context.Context) error {
+		client.Close()
+		return app.ShutdownWithContext(ctx)
+	})
+	return nil
+}
+
+func peerAddresses(cfg *conf.Router) (out []wire.Address, err error) {
+	for i := range cfg.Peers {
+		_, addr, err := cfg.PeerAt(i)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, addr)
+	}
+	return out, nil
+}
--- a/router/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package router is under construction.
-package router
--- /dev/null
+++ b/router/platform.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"hornbeamcove.example/core/plat"
+)
+
+// Platform is what a router reads: tickets and the host list.
+type Platform interface {
+	plat.Source
+	Hosts(ctx context.Context) (hosts []plat.Host, dropped int, err error)
+}
+
+const (
+	// hostsPeriod is kept well under the 4 s in which a leaving host must stop
+	// receiving work; 370 routers make 250 such reads a second.
+	hostsPeriod = 1500 * time.Millisecond
+	hostsJitter = 200 * time.Millisecond
+	submitLimit = 5 * time.Second
+)
+
+// watchTickets follows the configuration service.
+func (r *Router) watchTickets(ctx context.Context) {
+	_ = r.watcher.Run(ctx)
+}
+
+// takeTickets hands the tickets of one answer to the control goroutine.
+func (r *Router) takeTickets(entries []plat.Entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), submitLimit)
+	defer cancel()
+	_ = r.ctl.do(ctx, func() {
+		for _, e := range entries {
+			if e.Bad != nil {
+				r.ctl.reject(e.Bad.Number, e.Bad)
+				continue
+			}
+			r.ctl.apply(e.Ticket)
+		}
+		r.ctl.confirmed()
+	})
+}
+
+// watchHosts reads the host list again and again.
+func (r *Router) watchHosts(ctx context.Context) {
+	for {
+		hosts, _, err := r.plat.Hosts(ctx)
+		if err == nil {
+			_ = r.ctl.do(ctx, func() { r.ctl.setHosts(hosts) })
+		}
+		if !sleep(ctx, hostsPeriod+rand.N(hostsJitter)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/router/pool.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hornbeamcove.example/core/budget"
+	"hornbeamcove.example/core/route"
+	"hornbeamcove.example/core/share"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	retryShare = 0.1
+	retryBurst = 10
+)
+
+// poolMember is an upstream that may receive work.
+type poolMember struct {
+	link     *agentLink
+	distance wire.Micros
+}
+
+// pool queues stages for one set of interchangeable upstreams. Control replaces
+// its members without taking its lock.
+type pool struct {
+	id      wire.PoolID
+	members atomic.Pointer[[]poolMember]
+	retry   *budget.Retry
+
+	mu    sync.Mutex
+	queue *share.Queue[*placement]
+	rng   *rand.Rand
+	cands []route.Candidate // scratch space of pick
+}
+
+// placement is a stage that waits for an upstream.
+type placement struct {
+	team   wire.TeamID
+	weight int
+	bound  wire.Slots
+	rank   wire.Rank
+	cost   int64
+	latest time.Time
+	prefix wire.Fingerprint
+	avoid  map[wire.UpstreamID]bool
+
+	done   chan struct{}
+	link   *agentLink
+	reason wire.Reason
+}
+
+func newPool(id wire.PoolID, queue wire.Slots) *pool {
+	p := &pool{
+		id:    id,
+		retry: budget.NewRetry(retryShare, retryBurst),
+		queue: share.New[*placement](queue),
+		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	p.members.Store(&[]poolMember{})
+	return p
+}
+
+// acquire waits until an upstream has room for the stage, and counts the stage
+// as under way there; the caller owes a call of release. On refusal the link is
+// nil.
+func (p *pool) acquire(ctx context.Context, w *placement) (*agentLink, wire.Reason) {
+	w.done = make(chan struct{})
+	now := time.Now()
+	p.mu.Lock()
+	reason, ok := p.queue.Push(now, share.Entry[*placement]{
+		Team: w.team, Weight: w.weight, Rank: w.rank, Cost: w.cost, Latest: w.latest, Bound: w.bound, Value: w,
+	})
+	if ok {
+		p.dispatch(now)
+	}
+	p.mu.Unlock()
+	if !ok {
+		return nil, reason
+	}
+	wait, cancel := context.WithDeadline(ctx, w.latest)
+	defer cancel()
+	select {
+	case <-w.done:
+		return w.link, w.reason
+	case <-wait.Done():
+		return p.withdraw(w)
+	}
+}
+
+// withdraw takes back a stage that waited too long, unless it was placed in the
+// meantime.
+func (p *pool) withdraw(w *placement) (*agentLink, wire.Reason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-w.done:
+		return w.link, w.reason
+	default:
+	}
+	p.queue.Remove(func(x *placement) bool { return x == w })
+	if len(*p.members.Load()) == 0 {
+		return nil, wire.ReasonUnavailable
+	}
+	return nil, wire.ReasonDeadline
+}
+
+// release ends a stage on l.
+func (p *pool) release(l *agentLink) {
+	l.own.Add(-1)
+	p.wake()
+}
+
+// wake places waiting stages where there is room.
+func (p *pool) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch(time.Now())
+}
+
+// dispatch places stages in the queue's order. The caller holds mu.
+func (p *pool) dispatch(now time.Time) {
+	for p.queue.Len() > 0 {
+		if _, ok := p.pick(nil); !ok {
+			return
+		}
+		e, late, ok := p.queue.Pop(now)
+		for _, l := range late {
+			l.Value.settle(nil, wire.ReasonDeadline)
+		}
+		if !ok {
+			return
+		}
+		w := e.Value
+		l, ok := p.pick(w)
+		if !ok {
+			// Only avoided replicas have room; a second failure there is better
+			// than none trying.
+			l, _ = p.pick(nil)
+		}
+		l.own.Add(1)
+		w.settle(l, "")
+	}
+}
+
+func (w *placement) settle(l *agentLink, reason wire.Reason) {
+	w.link, w.reason = l, reason
+	close(w.done)
+}
+
+// pick chooses an upstream with room for w, or for any stage when w is nil.
+func (p *pool) pick(w *placement) (*agentLink, bool) {
+	members := *p.members.Load()
+	p.cands = p.cands[:0]
+	for i := range members {
+		p.cands = append(p.cands, members[i].candidate(w))
+	}
+	c, ok := route.Pick(p.rng, p.cands)
+	if !ok {
+		return nil, false
+	}
+	return members[c.Index].link, true
+}
+
+func (m *poolMember) candidate(w *placement) route.Candidate {
+	c := route.Candidate{Upstream: m.link.up, Distance: m.distance, Own: wire.Slots(m.link.own.Load())}
+	rep := m.link.report.Load()
+	if rep == nil || w != nil && w.avoid[m.link.up] {
+		return c
+	}
+	c.Limit, c.Flight, c.Queued, c.Warmth = rep.Limit, rep.Flight, rep.Queued, rep.Warmth
+	c.Seen = wire.Slots(rep.own)
+	if w != nil && w.prefix != "" {
+		c.Prefix = holds(rep.Prefixes, w.prefix)
+	}
+	return c
+}
+
+func holds(ps []wire.Fingerprint, p wire.Fingerprint) bool {
+	for _, x := range ps {
+		if x == p {
+			return true
+		}
+	}
+	return false
+}
+
+// random returns a source of its own, seeded from the pool's.
+func (p *pool) random() *rand.Rand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return rand.New(rand.NewPCG(p.rng.Uint64(), p.rng.Uint64()))
+}
--- /dev/null
+++ b/router/reserve.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"hornbeamcove.example/core/once"
+	"hornbeamcove.example/core/wire"
+)
+
+const reserveLimit = 2 * time.Second
+
+// Reserve obtains a reservation for the non-repeatable stage of a pipeline. The
+// reservation is bound to one upstream and one run of its agent.
+func (r *Router) Reserve(ctx context.Context, team wire.TeamID, pipeline wire.PipelineID) (wire.Token, *Refusal) {
+	s := &serving{r: r, req: &Request{Team: team, Pipeline: pipeline}, id: r.newID(), store: r.snap.Load().store}
+	if reason := r.enter(); reason != "" {
+		return "", s.refuse(reason, "")
+	}
+	defer r.leave()
+	tok, reason := s.reserve(ctx)
+	if reason != "" {
+		return "", s.refuse(reason, "")
+	}
+	return tok, nil
+}
+
+func (s *serving) reserve(ctx context.Context) (wire.Token, wire.Reason) {
+	var ok bool
+	if s.team, ok = s.store.Team(s.req.Team); !ok {
+		return "", wire.ReasonUnauthorised
+	}
+	if s.pl, ok = s.store.Pipeline(s.req.Pipeline); !ok || !allowed(&s.pl, s.req.Team) {
+		return "", wire.ReasonNotfound
+	}
+	i := onceStage(&s.pl)
+	if i < 0 {
+		return "", wire.ReasonReservation
+	}
+	p := s.r.snap.Load().pools[s.pl.Stages[i].Pool]
+	if p == nil {
+		return "", wire.ReasonUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveLimit)
+	defer cancel()
+	avoid := map[wire.UpstreamID]bool{}
+	for range maxPlacements {
+		l, reason := p.acquire(ctx, &placement{
+			team: s.req.Team, weight: s.team.Weight, bound: wire.Slots(s.team.Queue), rank: s.pl.Rank,
+			cost: 1, latest: time.Now().Add(reserveLimit), avoid: avoid,
+		})
+		if l == nil {
+			return "", reason
+		}
+		tok, ok := l.reserve(ctx, s.req)
+		p.release(l)
+		if ok {
+			return tok, ""
+		}
+		avoid[l.up] = true
+	}
+	return "", wire.ReasonUnavailable
+}
+
+func (l *agentLink) reserve(ctx context.Context, req *Request) (wire.Token, bool) {
+	sess, _ := l.session()
+	if sess == nil {
+		return "", false
+	}
+	st, err := sess.Open(ctx)
+	if err != nil {
+		return "", false
+	}
+	defer st.Reset()
+	if st.Send(&wire.Frame{Reserve: &wire.Reserve{Team: req.Team, Pipeline: req.Pipeline}}) != nil {
+		return "", false
+	}
+	wait, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	f, err := st.Recv(wait)
+	if err != nil {
+		sess.Close("no answer to a reservation")
+		return "", false
+	}
+	if f.Refuse != nil {
+		l.observe(f.Refuse.Report)
+	}
+	if f.Reserved == nil {
+		return "", false
+	}
+	return f.Reserved.Token, true
+}
+
+// placeReserved returns the link to the upstream that issued the request's
+// reservation, whatever its pool's queue holds: the agent alone can say whether
+// the reservation was used.
+func (s *stageRun) placeReserved(ctx context.Context) (*agentLink, wire.Reason) {
+	up, _, _, err := once.Parse(s.req.Token)
+	if err != nil {
+		return nil, wire.ReasonMalformed
+	}
+	l, err := s.r.ctl.require(ctx, up)
+	if err != nil || l == nil {
+		return nil, wire.ReasonUnavailable
+	}
+	if _, err = l.await(ctx, nil); err != nil {
+		return nil, wire.ReasonUnavailable
+	}
+	l.own.Add(1)
+	return l, ""
+}
+
+// prefix is the fingerprint of the start of the prompt, by which agents report
+// what their engine has cached.
+func (s *stageRun) prefix() wire.Fingerprint {
+	if s.stage.Kind != wire.KindGenerate {
+		return ""
+	}
+	return PromptPrefix(s.req.Body)
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,181 @@
+// Package router takes requests from callers, runs the stages of their pipelines
+// on upstreams through agents, and answers each whole and on time or refuses it
+// truthfully.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"hornbeamcove.example/core/acct"
+	"hornbeamcove.example/core/clock"
+	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/meter"
+	"hornbeamcove.example/core/plat"
+	"hornbeamcove.example/core/wire"
+)
+
+// Config is what a router must know of itself.
+type Config struct {
+	Name   wire.HostID
+	Centre wire.DataCentreID
+	Region wire.RegionID
+	// Peers are addresses of other routers, beside those in the host list.
+	Peers []wire.Address
+	// Flight bounds the requests under way at once; 0 means 4,096.
+	Flight int
+	// Queue bounds the waiting stages of one pool; 0 means 1,024.
+	Queue wire.Slots
+}
+
+const (
+	defaultFlight = 4096
+	defaultQueue  = 1024
+	maxSuspects   = 1024
+)
+
+// Router is one entry process.
+type Router struct {
+	cfg  Config
+	inc  wire.Incarnation
+	dial link.Dialer
+	ln   link.Listener
+	log  *log.Logger
+	tick *clock.Service
+	plat Platform
+	book *acct.Book
+
+	crashes   *crash.Book
+	announced chan struct{}
+	snap      atomic.Pointer[snapshot]
+	ctl       *control
+	watcher   *plat.Watcher
+
+	flight   atomic.Int64
+	draining atomic.Bool
+	meter.Counters
+	requests sync.WaitGroup
+	newID    func() wire.RequestID
+}
+
+// Option changes a Router before it runs.
+type Option func(*Router)
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(l *log.Logger) Option { return func(r *Router) { r.log = l } }
+
+// WithPlatform sets the source of tickets and of the host list.
+func WithPlatform(c Platform) Option { return func(r *Router) { r.plat = c } }
+
+// WithIncarnation sets the identity of this run, which the hello of the
+// router's own listener carries too.
+func WithIncarnation(i wire.Incarnation) Option { return func(r *Router) { r.inc = i } }
+
+// WithAccounts sets the book of refusals and costs.
+func WithAccounts(b *acct.Book) Option { return func(r *Router) { r.book = b } }
+
+// New returns a Router that reaches agents and other routers through dial and
+// accepts other routers from ln, which may be nil.
+func New(cfg Config, dial link.Dialer, ln link.Listener, opts ...Option) *Router {
+	if cfg.Flight == 0 {
+		cfg.Flight = defaultFlight
+	}
+	if cfg.Queue == 0 {
+		cfg.Queue = defaultQueue
+	}
+	r := &Router{
+		cfg:       cfg,
+		inc:       wire.Incarnation(uuid.NewString()),
+		dial:      dial,
+		ln:        ln,
+		log:       log.New(io.Discard),
+		tick:      clock.New(),
+		crashes:   crash.NewBook(maxSuspects),
+		announced: make(chan struct{}, 1),
+		newID:     func() wire.RequestID { return wire.RequestID(uuid.NewString()) },
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	if r.book == nil {
+		r.book = acct.NewBook()
+	}
+	r.ctl = newControl(r)
+	r.snap.Store(emptySnapshot())
+	if r.plat != nil {
+		r.watcher = plat.NewWatcher(r.plat, r.takeTickets, plat.WithLogger(r.log))
+	}
+	return r
+}
+
+// Run serves until ctx is done, then drains: new requests are refused, those
+// under way finish, and Run returns when they have or drain has passed.
+func (r *Router) Run(ctx context.Context, drain time.Duration) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("router %s: %w", r.cfg.Name, err)
+		}
+	}()
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = r.tick.Run(live) })
+	wg.Go(func() { r.ctl.run(live) })
+	wg.Go(func() { r.peerLoop(live) })
+	if r.ln != nil {
+		wg.Go(func() { r.acceptPeers(live) })
+	}
+	if r.plat != nil {
+		wg.Go(func() { r.watchTickets(live) })
+		wg.Go(func() { r.watchHosts(live) })
+	}
+	<-ctx.Done()
+	err = r.drain(drain)
+	stop()
+	if r.ln != nil {
+		_ = r.ln.Close()
+	}
+	wg.Wait()
+	return err
+}
+
+func (r *Router) drain(limit time.Duration) error {
+	r.draining.Store(true)
+	r.log.Info("drain started", "flight", r.flight.Load())
+	ended := make(chan struct{})
+	go func() {
+		r.requests.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		r.log.Info("drain complete")
+		return nil
+	case <-time.After(limit):
+		return fmt.Errorf("drain exceeded %s with %d requests under way", limit, r.flight.Load())
+	}
+}
+
+// Ready returns an error while callers should not be sent here.
+func (r *Router) Ready() error {
+	switch {
+	case r.draining.Load():
+		return errors.New("draining")
+	case r.snap.Load().store.Len() == 0:
+		return errors.New("no configuration yet")
+	default:
+		return nil
+	}
+}
+
+// Members returns this router's view of the upstreams that it holds sessions to.
+func (r *Router) Members() []Member { return r.snap.Load().members }
--- /dev/null
+++ b/router/serve.go
@@ -0,0 +1,359 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"hornbeamcove.example/core/acct"
+	"hornbeamcove.example/core/budget"
+	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/core/ticket"
+	"hornbeamcove.example/core/wire"
+)
+
+// Request is a caller's request after its key was checked.
+type Request struct {
+	Team     wire.TeamID
+	Pipeline wire.PipelineID
+	Deadline time.Duration // 0 means the pipeline's own
+	Token    wire.Token    // reservation, for pipelines with a non-repeatable stage
+	Body     []byte        // JSON
+	// Sink receives the text of the last stage as it is generated. When it is nil
+	// the text is in the answer only.
+	Sink func(text []byte) error
+}
+
+// serving is one request under way.
+type serving struct {
+	r      *Router
+	req    *Request
+	id     wire.RequestID
+	pl     wire.Pipeline
+	team   wire.Team
+	store  *ticket.Store
+	print  wire.Fingerprint
+	end    time.Time
+	ran    executionRecord
+	stages []StageRun
+	sent   bool // whether any text reached the sink
+}
+
+// Do serves one request. Exactly one of the results is set.
+func (r *Router) Do(ctx context.Context, req *Request) (*Answer, *Refusal) {
+	s := &serving{r: r, req: req, id: r.newID(), store: r.snap.Load().store}
+	s.ran.token = req.Token != ""
+	reason := r.enter()
+	if reason == "" {
+		defer r.leave()
+		reason = s.admit()
+	}
+	if reason != "" {
+		return nil, s.refuse(reason, "")
+	}
+	s.end = time.Now().Add(s.limit())
+	ctx, cancel := context.WithDeadline(ctx, s.end)
+	defer cancel()
+	return s.run(ctx)
+}
+
+// enter counts a request in unless the router drains or is full.
+func (r *Router) enter() wire.Reason {
+	if r.draining.Load() {
+		return wire.ReasonLeaving
+	}
+	if r.flight.Add(1) > int64(r.cfg.Flight) {
+		r.flight.Add(-1)
+		return wire.ReasonOverload
+	}
+	r.requests.Add(1)
+	return ""
+}
+
+func (r *Router) leave() {
+	r.flight.Add(-1)
+	r.requests.Done()
+}
+
+func (s *serving) limit() time.Duration {
+	d := time.Duration(s.pl.Deadline) * time.Millisecond
+	if s.req.Deadline > 0 && s.req.Deadline < d {
+		return s.req.Deadline
+	}
+	return d
+}
+
+// admit checks a request before any stage runs.
+func (s *serving) admit() wire.Reason {
+	var ok bool
+	if s.team, ok = s.store.Team(s.req.Team); !ok {
+		return wire.ReasonUnauthorised
+	}
+	if s.pl, ok = s.store.Pipeline(s.req.Pipeline); !ok || !allowed(&s.pl, s.req.Team) {
+		return wire.ReasonNotfound
+	}
+	if (onceStage(&s.pl) >= 0) != (s.req.Token != "") {
+		return wire.ReasonReservation
+	}
+	s.print = crash.Print(s.req.Team, s.req.Pipeline, s.req.Body)
+	if s.r.crashes.State(time.Now(), s.print) == wire.MarkStateQuarantined {
+		return wire.ReasonQuarantined
+	}
+	if _, ok = budget.Split(s.limit(), expects(s.pl.Stages)); !ok {
+		return wire.ReasonDeadline
+	}
+	return ""
+}
+
+func allowed(p *wire.Pipeline, t wire.TeamID) bool {
+	for _, x := range p.Teams {
+		if x == t {
+			return true
+		}
+	}
+	return false
+}
+
+// onceStage returns the index of the non-repeatable stage, or -1.
+func onceStage(p *wire.Pipeline) int {
+	for i := range p.Stages {
+		if p.Stages[i].Once {
+			return i
+		}
+	}
+	return -1
+}
+
+func expects(stages []wire.Stage) []wire.Millis {
+	out := make([]wire.Millis, len(stages))
+	for i := range stages {
+		out[i] = wire.Millis(stages[i].Expect)
+	}
+	return out
+}
+
+func (s *serving) run(ctx context.Context) (*Answer, *Refusal) {
+	prior := []byte("null")
+	for i := range s.pl.Stages {
+		st := &stageRun{serving: s, stage: &s.pl.Stages[i], index: i, last: i == len(s.pl.Stages)-1}
+		out, reason := st.run(ctx, prior)
+		if reason != "" {
+			return nil, s.refuse(reason, st.stage.Name)
+		}
+		prior = out
+	}
+	s.r.Inc("answered", "")
+	return &Answer{Request: s.id, Output: prior, Stages: s.stages}, nil
+}
+
+// refuse builds the refusal and accounts for it.
+func (s *serving) refuse(reason wire.Reason, stage wire.StageID) *Refusal {
+	f := &Refusal{
+		Request: s.id, Reason: reason, Team: s.req.Team, Pipeline: s.req.Pipeline,
+		Executed: s.ran.value(), Retry: retryAfter(reason), Stage: stage,
+	}
+	s.r.book.Refuse(time.Now(), acct.Refusal{
+		Request: f.Request, Team: f.Team, Pipeline: f.Pipeline, Stage: f.Stage, Reason: f.Reason, Executed: f.Executed,
+	})
+	s.r.Inc("refused", reason)
+	return f
+}
+
+// stageRun is one stage of a request under way.
+type stageRun struct {
+	*serving
+	stage *wire.Stage
+	index int
+	last  bool
+	text  []byte
+	avoid map[wire.UpstreamID]bool
+}
+
+const (
+	// maxPlacements bounds how often one stage is offered to agents. An offer that
+	// an agent refuses costs no work, but the caller waits.
+	maxPlacements = 16
+)
+
+// run executes the stage, on other replicas too where that is allowed, and
+// returns its output or the reason of the refusal.
+func (s *stageRun) run(ctx context.Context, prior []byte) (out []byte, reason wire.Reason) {
+	input, err := json.Marshal(stageInput{rawJSON(s.req.Body), rawJSON(prior)})
+	if err != nil {
+		return nil, wire.ReasonMalformed
+	}
+	p := s.r.snap.Load().pools[s.stage.Pool]
+	if p == nil {
+		return nil, wire.ReasonUnavailable
+	}
+	s.avoid = map[wire.UpstreamID]bool{}
+	p.retry.First()
+	for n := wire.Attempt(1); ; n++ {
+		o := s.attempt(ctx, p, n, input)
+		if o.done() {
+			return s.output(o.result), ""
+		}
+		if !s.again(ctx, p, n, &o) {
+			return nil, o.reason
+		}
+	}
+}
+
+// stageInput is the JSON that a stage receives.
+type stageInput struct {
+	Body  rawJSON `json:"body"`
+	Prior rawJSON `json:"prior"`
+}
+
+// attempt places the stage on an upstream and follows it there.
+func (s *stageRun) attempt(ctx context.Context, p *pool, n wire.Attempt, input []byte) outcome {
+	left, ok := budget.Split(time.Until(s.end), expects(s.pl.Stages[s.index:]))
+	if !ok {
+		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
+	}
+	latest := time.Now().Add(left - time.Duration(s.stage.Expect)*time.Millisecond)
+	l, reason := s.place(ctx, p, input, latest)
+	if l == nil {
+		return outcome{reason: reason, executed: wire.ExecutedNone}
+	}
+	defer l.pool.release(l)
+	left, ok = budget.Split(time.Until(s.end), expects(s.pl.Stages[s.index:]))
+	if !ok {
+		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
+	}
+	return s.call(ctx, l, n, input, left)
+}
+
+func (s *stageRun) place(ctx context.Context, p *pool, input []byte, latest time.Time) (*agentLink, wire.Reason) {
+	if s.stage.Once {
+		return s.placeReserved(ctx)
+	}
+	return p.acquire(ctx, &placement{
+		team: s.req.Team, weight: s.team.Weight, bound: wire.Slots(s.team.Queue), rank: s.pl.Rank,
+		cost: 1 + int64(len(input))/4, latest: latest, prefix: s.prefix(), avoid: s.avoid,
+	})
+}
+
+func (s *stageRun) call(ctx context.Context, l *agentLink, n wire.Attempt, input []byte, left time.Duration) outcome {
+	solo := s.r.crashes.State(time.Now(), s.print) == wire.MarkStateSuspect
+	c := &wire.Call{
+		Ref: wire.Ref{Request: s.id, Stage: s.stage.Name, Attempt: n}, Team: s.req.Team, Pipeline: s.req.Pipeline,
+		Kind: s.stage.Kind, Rank: s.pl.Rank, Weight: s.team.Weight, Left: max(1, millis(left)), Once: s.stage.Once,
+		Print: s.print, Solo: solo, Model: s.stage.Model, Adapter: s.stage.Adapter,
+		Stream: s.stage.Kind == wire.KindGenerate, Input: input,
+	}
+	if s.stage.Once {
+		c.Token = s.req.Token
+	}
+	s.text = s.text[:0]
+	begun := time.Now()
+	o := s.r.try(ctx, l, c, s.emit)
+	s.record(l, c, &o, time.Since(begun))
+	return o
+}
+
+// emit takes in generated text; the last stage's text goes to the caller at once.
+func (s *stageRun) emit(text []byte) error {
+	s.text = append(s.text, text...)
+	if len(s.text) > maxOutput {
+		return errors.New("generated text exceeds its bound")
+	}
+	if !s.last || s.req.Sink == nil {
+		return nil
+	}
+	s.sent = true
+	return s.req.Sink(text)
+}
+
+const maxOutput = 2 << 20
+
+func (s *stageRun) output(res *wire.Result) []byte {
+	if s.stage.Kind != wire.KindGenerate {
+		return res.Output
+	}
+	out, err := json.Marshal(generated{string(s.text)})
+	if err != nil {
+		return []byte("null")
+	}
+	return out
+}
+
+// generated is the output of a generating stage.
+type generated struct {
+	Text string `json:"text"`
+}
+
+// record accounts for an attempt: what was run, at what cost, and what it says
+// about requests that crash upstreams.
+func (s *stageRun) record(l *agentLink, c *wire.Call, o *outcome, took time.Duration) {
+	if c.Once {
+		s.ran.token = false
+	}
+	s.ran.add(o.executed)
+	now := time.Now()
+	if o.result != nil {
+		run := StageRun{Stage: c.Ref.Stage, Upstream: l.up, Centre: s.centreOf(l.up), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
+		if o.done() {
+			s.stages = append(s.stages, run)
+		}
+		s.r.book.Stage(now, acct.StageRun{
+			Ref: c.Ref, Team: s.req.Team, Pipeline: s.req.Pipeline, Upstream: l.up, Centre: run.Centre, Took: took,
+			Cost: o.result.Cost, Wasted: o.result.Wasted, Cause: o.reason,
+		})
+	}
+	switch {
+	case o.reason == wire.ReasonCrashed:
+		state := s.r.crashes.Crashed(now, s.print, s.req.Team, s.req.Pipeline, c.Solo)
+		s.r.log.Warn("upstream crashed under a request", "request", s.id, "upstream", l.up, "print", s.print, "state", state)
+		s.r.announce()
+	case o.done() && c.Solo:
+		s.r.crashes.Survived(now, s.print)
+		s.r.announce()
+	}
+}
+
+func (s *serving) centreOf(up wire.UpstreamID) wire.DataCentreID {
+	u, _ := s.store.Upstream(up)
+	return u.Centre
+}
+
+// again decides whether the stage is tried once more, and waits for the back-off.
+func (s *stageRun) again(ctx context.Context, p *pool, n wire.Attempt, o *outcome) bool {
+	if ctx.Err() != nil || n >= maxPlacements || s.sent || final(o.reason) {
+		return false
+	}
+	left := time.Until(s.end)
+	expect := time.Duration(s.stage.Expect) * time.Millisecond
+	if o.executed != wire.ExecutedNone {
+		if s.stage.Once || s.quarantined(o) {
+			return false
+		}
+		if _, ok := p.retry.Allow(n, left, expect); !ok {
+			s.r.Inc("retry_denied", o.reason)
+			return false
+		}
+		s.r.Inc("retried", o.reason)
+		s.r.log.Info("stage retried", "request", s.id, "stage", s.stage.Name, "attempt", n, "reason", o.reason)
+	}
+	return sleep(ctx, min(budget.Backoff(p.random(), n), max(0, left-expect)))
+}
+
+func (s *stageRun) quarantined(o *outcome) bool {
+	if o.reason != wire.ReasonCrashed || s.r.crashes.State(time.Now(), s.print) != wire.MarkStateQuarantined {
+		return false
+	}
+	o.reason = wire.ReasonQuarantined
+	return true
+}
+
+// final reports whether trying another replica cannot help.
+func final(reason wire.Reason) bool {
+	switch reason {
+	case wire.ReasonDeadline, wire.ReasonQueue, wire.ReasonCancelled, wire.ReasonSpent, wire.ReasonMismatch,
+		wire.ReasonMalformed, wire.ReasonToolarge, wire.ReasonReservation, wire.ReasonQuarantined:
+		return true
+	default:
+		return false
+	}
+}
