--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,67 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Run sends the requests of cfg and waits for their answers. When ctx ends it starts no
+// more requests and reports on those that it sent.
+func Run(ctx context.Context, cfg Config) (r *Report, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("load: %w", err)
+		}
+	}()
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	var (
+		wg     conc.WaitGroup
+		mu     sync.Mutex
+		tally  = newTally(&cfg)
+		calls  = newCaller(&cfg)
+		flight = make(chan struct{}, cfg.Flight)
+		begin  = time.Now()
+		plan   = newSchedule(&cfg)
+	)
+	defer calls.client.CloseIdleConnections()
+	for a, ok := plan.next(); ok && sleep(ctx, time.Until(begin.Add(a.at))); a, ok = plan.next() {
+		select {
+		case flight <- struct{}{}:
+		default:
+			mu.Lock()
+			tally.shed(a)
+			mu.Unlock()
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-flight }()
+			o := calls.do(a, begin.Add(a.at))
+			mu.Lock()
+			defer mu.Unlock()
+			tally.add(o)
+		})
+	}
+	wg.Wait()
+	return tally.report(), nil
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,294 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// maxLatency bounds recorded latencies; longer ones count as this.
+	maxLatency = 10 * time.Minute
+	// digits is the precision of the histograms.
+	digits = 3
+)
+
+// Report sums up a run. Shares are from 0 to 1 and latencies in milliseconds.
+type Report struct {
+	Counts
+	// Worst is the lowest attainment of any second in which requests were due.
+	Worst     float64        `json:"worst"`
+	Latency   Quantiles      `json:"latency"`
+	First     Quantiles      `json:"first"`
+	Pipelines []Pipeline     `json:"pipelines"`
+	Stages    []Stage        `json:"stages"`
+	Refusals  []RefusalCount `json:"refusals"`
+	Errors    map[string]int `json:"errors"`
+	Seconds   []Counts       `json:"seconds"`
+}
+
+// Counts says how requests ended. Sent requests were answered, refused or failed; Shed
+// ones were due but not sent, because too many were in flight.
+type Counts struct {
+	Due      int `json:"due"`
+	Shed     int `json:"shed"`
+	Sent     int `json:"sent"`
+	Resent   int `json:"resent"`
+	Answered int `json:"answered"`
+	Attained int `json:"attained"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// Attainment is the share of due requests that were answered in time.
+	Attainment float64 `json:"attainment"`
+}
+
+// Pipeline is the part of a report about one pipeline.
+type Pipeline struct {
+	Pipeline wire.PipelineID `json:"pipeline"`
+	Counts
+	Latency Quantiles `json:"latency"`
+	First   Quantiles `json:"first"`
+}
+
+// Stage sums up one stage of the answered requests of a pipeline.
+type Stage struct {
+	Pipeline wire.PipelineID `json:"pipeline"`
+	Stage    wire.StageID    `json:"stage"`
+	Requests int             `json:"requests"`
+	Retried  int             `json:"retried"`
+	Millis   float64         `json:"millis"` // mean
+	Cost     wire.Cost       `json:"cost"`
+}
+
+// RefusalCount counts the refusals of one kind.
+type RefusalCount struct {
+	Pipeline wire.PipelineID `json:"pipeline"`
+	Team     wire.TeamID     `json:"team"`
+	Reason   wire.Reason     `json:"reason"`
+	Executed wire.Executed   `json:"executed"`
+	Count    int             `json:"count"`
+}
+
+// Quantiles are latencies in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+type stageKey struct {
+	pipeline wire.PipelineID
+	stage    wire.StageID
+}
+
+// tally collects outcomes; its owner locks.
+type tally struct {
+	deadline time.Duration
+	all      *group
+	groups   map[wire.PipelineID]*group
+	stages   map[stageKey]*Stage
+	refusals map[RefusalCount]int
+	errors   map[string]int
+	seconds  []Counts
+}
+
+// group collects counts and latencies.
+type group struct {
+	Counts
+	latency, first *hdrhistogram.Histogram
+}
+
+func newGroup() *group {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency.Microseconds(), digits) }
+	return &group{latency: h(), first: h()}
+}
+
+func newTally(cfg *Config) *tally {
+	t := &tally{
+		deadline: cfg.Deadline,
+		all:      newGroup(),
+		groups:   map[wire.PipelineID]*group{},
+		stages:   map[stageKey]*Stage{},
+		refusals: map[RefusalCount]int{},
+		errors:   map[string]int{},
+		seconds:  make([]Counts, int(cfg.For/time.Second)+1),
+	}
+	for _, r := range cfg.Rates {
+		t.groups[r.Pipeline] = newGroup()
+	}
+	return t
+}
+
+// shed counts a request that was due but not sent.
+func (t *tally) shed(a arrival) {
+	for _, c := range []*Counts{&t.all.Counts, &t.groups[a.pipeline].Counts, &t.seconds[a.at/time.Second]} {
+		c.Due++
+		c.Shed++
+	}
+}
+
+// add counts a request that was sent.
+func (t *tally) add(o outcome) {
+	g := t.groups[o.arrival.pipeline]
+	for _, c := range []*Counts{&t.all.Counts, &g.Counts, &t.seconds[o.arrival.at/time.Second]} {
+		c.add(o, t.deadline)
+	}
+	switch {
+	case o.err != nil:
+		t.errors[kind(o.err)]++
+	case o.refusal != nil:
+		r := o.refusal
+		t.refusals[RefusalCount{Pipeline: o.arrival.pipeline, Team: r.Team, Reason: r.Reason, Executed: r.Executed}]++
+	default:
+		t.all.record(o)
+		g.record(o)
+		t.addStages(o)
+	}
+}
+
+func (c *Counts) add(o outcome, deadline time.Duration) {
+	c.Due++
+	c.Sent++
+	c.Resent += o.resent
+	switch {
+	case o.err != nil:
+		c.Failed++
+	case o.refusal != nil:
+		c.Refused++
+	default:
+		c.Answered++
+		if o.latency <= deadline {
+			c.Attained++
+		}
+	}
+}
+
+func (g *group) record(o outcome) {
+	record(g.latency, o.latency)
+	if o.first > 0 {
+		record(g.first, o.first)
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(max(1, min(d, maxLatency).Microseconds())) //nolint:errcheck // the value is in range
+}
+
+func (t *tally) addStages(o outcome) {
+	for _, a := range o.answer.Stages {
+		key := stageKey{o.arrival.pipeline, a.Stage}
+		s := t.stages[key]
+		if s == nil {
+			s = &Stage{Pipeline: key.pipeline, Stage: key.stage}
+			t.stages[key] = s
+		}
+		s.Requests++
+		if a.Attempt > 1 {
+			s.Retried++
+		}
+		s.Millis += a.Millis
+		s.Cost.Input += a.Cost.Input
+		s.Cost.Cached += a.Cost.Cached
+		s.Cost.Output += a.Cost.Output
+		s.Cost.Calls += a.Cost.Calls
+		s.Cost.Busy += a.Cost.Busy
+	}
+}
+
+func (t *tally) report() *Report {
+	r := &Report{
+		Counts: t.all.done(), Worst: 1, Errors: t.errors,
+		Latency: quantiles(t.all.latency), First: quantiles(t.all.first),
+		Pipelines: []Pipeline{}, Stages: []Stage{}, Refusals: []RefusalCount{}, Seconds: []Counts{},
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.groups)) {
+		g := t.groups[name]
+		r.Pipelines = append(r.Pipelines, Pipeline{name, g.done(), quantiles(g.latency), quantiles(g.first)})
+	}
+	for _, s := range t.stages {
+		s.Millis /= float64(s.Requests)
+		r.Stages = append(r.Stages, *s)
+	}
+	slices.SortFunc(r.Stages, func(a, b Stage) int {
+		return cmp.Or(cmp.Compare(a.Pipeline, b.Pipeline), cmp.Compare(a.Stage, b.Stage))
+	})
+	for c, n := range t.refusals {
+		c.Count = n
+		r.Refusals = append(r.Refusals, c)
+	}
+	slices.SortFunc(r.Refusals, func(a, b RefusalCount) int {
+		return cmp.Or(cmp.Compare(a.Pipeline, b.Pipeline), cmp.Compare(a.Team, b.Team),
+			cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Executed, b.Executed))
+	})
+	for _, c := range t.seconds {
+		c = c.done()
+		r.Seconds = append(r.Seconds, c)
+		if c.Due > 0 {
+			r.Worst = min(r.Worst, c.Attainment)
+		}
+	}
+	return r
+}
+
+func (c Counts) done() Counts {
+	if c.Due > 0 {
+		c.Attainment = float64(c.Attained) / float64(c.Due)
+	}
+	return c
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{h.TotalCount(), at(50), at(90), at(95), at(99), float64(h.Max()) / 1000}
+}
+
+// WriteJSON writes the report as indented JSON.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// WriteText writes the report as tables.
+func (r *Report) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, "pipeline\tdue\tshed\tsent\tresent\tanswered\tin time\tattainment\trefused\tfailed\tp50 ms\tp95 ms\tp99 ms\tfirst p50\tfirst p95")
+	for _, p := range append(r.Pipelines, Pipeline{"all", r.Counts, r.Latency, r.First}) {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.4f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n",
+			p.Pipeline, p.Due, p.Shed, p.Sent, p.Resent, p.Answered, p.Attained, p.Attainment, p.Refused, p.Failed,
+			p.Latency.P50, p.Latency.P95, p.Latency.P99, p.First.P50, p.First.P95)
+	}
+	fmt.Fprintf(tw, "\nworst second\t%.4f\n", r.Worst)
+	if len(r.Stages) > 0 {
+		fmt.Fprintln(tw, "\npipeline\tstage\trequests\tretried\tmean ms\tcalls\tinput\tcached\toutput\tbusy ms")
+	}
+	for _, s := range r.Stages {
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%.1f\n", s.Pipeline, s.Stage, s.Requests, s.Retried,
+			s.Millis, s.Cost.Calls, s.Cost.Input, s.Cost.Cached, s.Cost.Output, float64(s.Cost.Busy)/1000)
+	}
+	if len(r.Refusals) > 0 {
+		fmt.Fprintln(tw, "\npipeline\tteam\trefused for\texecuted\tcount")
+	}
+	for _, c := range r.Refusals {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\n", c.Pipeline, c.Team, c.Reason, c.Executed, c.Count)
+	}
+	if len(r.Errors) > 0 {
+		fmt.Fprintln(tw, "\nfailure\tcount")
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Errors)) {
+		fmt.Fprintf(tw, "%s\t%d\n", name, r.Errors[name])
+	}
+	return tw.Flush()
+}
