--- /dev/null
+++ b/fakes/weights_test.go
@@ -0,0 +1,27 @@
+package fakes
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an order that succeeds without its weights, and against a Retry-After that
+// does not reach whoever gave the order.
+func TestOrderOverWeightRate(t *testing.T) {
+	clock := &testClock{}
+	w := start(t, NewWeights(WithRate(1), WithSize(10), WithClock(clock.now)))
+	e := start(t, NewEngine(WithModel("m", 1), WithWeightStore(w.Addr())))
+	const order = `{"model":"m","version":2,"fence":1}`
+	a := mustSend(t, "GET", w.URL()+"/v1/weights/m/1", "", "", 200)
+	assert.Equal(t, len(a.body), 10)
+	a = mustSend(t, "POST", e.URL()+"/orders", "", order, 429)
+	assert.Equal(t, a.header.Get("Retry-After"), "1")
+	assert.Equal(t, int(e.Load().Version), 1)
+	clock.advance(time.Second)
+	mustSend(t, "POST", e.URL()+"/orders", "", order, 200)
+	assert.Equal(t, int(e.Load().Version), 2)
+	assert.Equal(t, w.Record().Reads["/v1/weights/m/2"], 1)
+	assert.Equal(t, w.Record().Refused, 1)
+}
