--- a/fakes/engine_http.go
+++ b/fakes/engine_http.go
@@ -159,7 +159,7 @@
 				last.Error = "cancelled"
 			}
 			if sendJSON(send, last) == nil {
-				send([]byte("[DONE]")) //nolint:errcheck // nothing is left to send
+				send([]byte("[DONE]")) // nothing is left to send
 			}
 			return
 		}
--- a/fakes/fault.go
+++ b/fakes/fault.go
@@ -86,7 +86,7 @@
 		defer t.Stop()
 		select {
 		case <-t.C:
-			s.Restart() //nolint:errcheck // a failed restart shows as a refused connection
+			s.Restart() // a failed restart shows as a refused connection
 		case <-done:
 		}
 	})
--- a/fakes/listener.go
+++ b/fakes/listener.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0) //nolint:errcheck // the connection may be closed already
+			tcp.SetLinger(0) // the connection may be closed already
 		}
 		c.Conn.Close()
 	}
--- a/fakes/server.go
+++ b/fakes/server.go
@@ -108,8 +108,10 @@
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    maxBody,
 		Logger:                quiet{},
+		// A worker pool stays for this long after its run; the default is 10 s.
+		MaxIdleWorkerDuration: time.Second,
 	}
-	r.tasks.Go(func() { http.Serve(r.ln) }) //nolint:errcheck // ends with the listener
+	r.tasks.Go(func() { http.Serve(r.ln) }) // the error only says that the listener has closed
 	if s.work != nil {
 		r.tasks.Go(func() { s.work(r.ctx) })
 	}
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -65,7 +65,7 @@
 	u.set = newSettings(opts)
 	u.rng = rand.New(rand.NewPCG(u.set.seed, 0))
 	u.faults = faults{delay: u.set.delay, poison: u.set.poison, lag: u.set.lag}
-	u.rec = Record{Effects: map[string]int{}, Costs: map[string]wire.Cost{}}
+	u.rec = Record{Effects: map[string]int{}, Costs: map[string]wire.Cost{}, Orders: []Order{}}
 	u.server.record = func() any { return u.Record() }
 }
 
