--- a/load/call.go
+++ b/load/call.go
@@ -168,12 +168,12 @@
 	if err := c.client.Do(req, resp); err != nil {
 		return err
 	}
-	defer resp.CloseBodyStream() //nolint:errcheck // the answer has been read
+	defer resp.CloseBodyStream() // the answer has been read
 	err := read(resp)
 	o.latency = time.Since(begin)
 	if err == nil {
 		// A connection is used again only after its answer has been read to the end.
-		io.Copy(io.Discard, io.LimitReader(resp.BodyStream(), maxAnswer)) //nolint:errcheck // the answer is complete
+		io.Copy(io.Discard, io.LimitReader(resp.BodyStream(), maxAnswer)) // the answer is complete
 	}
 	return err
 }
--- a/load/report.go
+++ b/load/report.go
@@ -183,7 +183,7 @@
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
-	h.RecordValue(max(1, min(d, maxLatency).Microseconds())) //nolint:errcheck // the value is in range
+	h.RecordValue(max(1, min(d, maxLatency).Microseconds())) // the value is in range
 }
 
 func (t *tally) addStages(o outcome) {
