--- /dev/null
+++ b/core/hold/hold_test.go
@@ -0,0 +1,212 @@
+package hold
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// TestMain fixes the seed of property tests; -rapid.seed on the command line overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	m.Run()
+}
+
+var (
+	start = time.Unix(1_000, 0)
+	one   = wire.Ref{Request: "r1", Stage: "s", Attempt: 1}
+	two   = wire.Ref{Request: "r1", Stage: "s", Attempt: 2}
+)
+
+func chunk(n, size int) *wire.Chunk {
+	return &wire.Chunk{Ref: one, Number: n, Data: make([]byte, size)}
+}
+
+func done(n int) *wire.Result {
+	return &wire.Result{Ref: one, Chunks: n, Outcome: wire.OutcomeDone, Output: []byte("x")}
+}
+
+// TestEntry guards against lost, doubled, foreign and truncated answers. Each
+// script works on a table of 2 entries and 1,000 bytes; want lists what Next
+// gives for chunk 0 and on (d: data, R: result done, F: result failed), then the
+// number of entries and the last error.
+func TestEntry(t *testing.T) {
+	type table = Table
+	for name, c := range map[string]struct {
+		play func(t *table, e *Entry) error
+		want string
+	}{
+		"chunks": {func(_ *table, e *Entry) error {
+			e.Append(chunk(0, 1))
+			e.Append(chunk(1, 1))
+			e.Finish(done(2))
+			return nil
+		}, "ddR 1 <nil>"},
+		"open":          {func(_ *table, e *Entry) error { return e.Append(chunk(0, 1)) }, "d… 1 <nil>"},
+		"doubled chunk": {func(_ *table, e *Entry) error { e.Append(chunk(0, 1)); return e.Append(chunk(0, 1)) }, "d… 1 chunk number out of sequence"},
+		"gap":           {func(_ *table, e *Entry) error { return e.Append(chunk(1, 1)) }, "… 1 chunk number out of sequence"},
+		"after result":  {func(_ *table, e *Entry) error { e.Finish(done(0)); return e.Append(chunk(0, 1)) }, "R 1 entry has its result already"},
+		"other call":    {func(_ *table, e *Entry) error { return e.Append(&wire.Chunk{Ref: two}) }, "… 1 chunk of another call"},
+		"over bytes":    {func(_ *table, e *Entry) error { e.Append(chunk(0, 500)); return e.Append(chunk(1, 309)) }, "d… 1 held results exceed the table's bytes"},
+		"at bytes":      {func(_ *table, e *Entry) error { e.Append(chunk(0, 500)); return e.Append(chunk(1, 308)) }, "dd… 1 <nil>"},
+		"second result": {func(_ *table, e *Entry) error { e.Finish(done(0)); e.Finish(nil); return nil }, "R 1 <nil>"},
+		"no result":     {func(_ *table, e *Entry) error { e.Finish(nil); return nil }, "F 1 <nil>"},
+		"other result": {func(_ *table, e *Entry) error {
+			e.Finish(&wire.Result{Ref: two, Outcome: wire.OutcomeDone})
+			return nil
+		}, "F 1 <nil>"},
+		"missing chunk":   {func(_ *table, e *Entry) error { e.Append(chunk(0, 1)); e.Finish(done(2)); return nil }, "dF 1 <nil>"},
+		"failure":         {func(_ *table, e *Entry) error { e.Append(chunk(0, 1)); e.Finish(&wire.Result{Ref: one}); return nil }, "dF 1 <nil>"},
+		"ack":             {func(t *table, e *Entry) error { e.Finish(done(0)); t.Ack(one); return e.Append(chunk(0, 1)) }, "! 0 entry has ended"},
+		"ack of another":  {func(t *table, e *Entry) error { e.Finish(done(0)); t.Ack(two); return nil }, "R 1 <nil>"},
+		"early ack":       {func(t *table, e *Entry) error { t.Ack(one); return e.Append(chunk(0, 1)) }, "d… 1 <nil>"},
+		"early ack, done": {func(t *table, e *Entry) error { t.Ack(one); e.Finish(done(0)); return nil }, "! 0 <nil>"},
+		"before expiry":   {func(t *table, e *Entry) error { assertDropped(t.Expire(start.Add(Keep-1)), 0); return nil }, "… 1 <nil>"},
+		"expiry":          {func(t *table, e *Entry) error { assertDropped(t.Expire(start.Add(Keep)), 1); e.Finish(nil); return nil }, "! 0 <nil>"},
+		"doubled call":    {func(t *table, e *Entry) error { return begin(t, e, one, start, wire.ReasonMalformed) }, "… 1 <nil>"},
+		"late call":       {func(t *table, _ *Entry) error { return begin(t, nil, two, start.Add(Keep), wire.ReasonDeadline) }, "… 1 <nil>"},
+		"full bytes": {func(t *table, e *Entry) error {
+			e.Append(chunk(0, 904))
+			return begin(t, nil, two, start, wire.ReasonBusy)
+		}, "d… 1 <nil>"},
+		"full entries": {func(t *table, _ *Entry) error {
+			t.Begin(start, two, start.Add(Keep))
+			return begin(t, nil, wire.Ref{}, start, wire.ReasonBusy)
+		}, "… 2 <nil>"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(2, 1_000)
+			e, _, ok := table.Begin(start, one, start.Add(Keep))
+			assert.Assert(t, ok)
+			err := c.play(table, e)
+			for inner := errors.Unwrap(err); inner != nil; inner = errors.Unwrap(err) {
+				err = inner
+			}
+			n, _ := table.Size()
+			assert.Equal(t, fmt.Sprintf("%s %d %v", replay(e), n, err), c.want)
+			table.Expire(start.Add(Keep))
+			n, bytes := table.Size()
+			assert.Equal(t, n+bytes, 0, "left in the table")
+			assert.Assert(t, table.Find(one) == nil)
+		})
+	}
+}
+
+func assertDropped(got, want int) {
+	if got != want {
+		panic(fmt.Sprintf("%d entries dropped, want %d", got, want))
+	}
+}
+
+func begin(t *Table, want *Entry, ref wire.Ref, now time.Time, reason wire.Reason) error {
+	e, got, ok := t.Begin(now, ref, start.Add(Keep))
+	if ok || e != want || got != reason {
+		return fmt.Errorf("begin: %v %s %v", e, got, ok)
+	}
+	return nil
+}
+
+// replay reads e without waiting.
+func replay(e *Entry) (got string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for n := 0; ; n++ {
+		switch c, r, err := e.Next(ctx, n); {
+		case c != nil && c.Number == n && c.Ref == e.Ref():
+			got += "d"
+		case errors.Is(err, context.Canceled):
+			return got + "…"
+		case err != nil:
+			return got + "!"
+		case r.Ref != e.Ref() || r.Chunks != n:
+			return got + "?"
+		case r.Outcome == wire.OutcomeDone:
+			return got + "R"
+		default:
+			return got + "F"
+		}
+	}
+}
+
+// TestReplay guards against lost, doubled or reordered chunks and missed
+// wake-ups when readers from any chunk on run beside the writer.
+func TestReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(0, 40).Draw(t, "chunks")
+		table := NewTable(1, 1<<20)
+		e, _, _ := table.Begin(start, one, start.Add(Keep))
+		froms := rapid.SliceOfN(rapid.IntRange(-1, total+1), 1, 6).Draw(t, "from")
+		got := make([][]int, len(froms))
+		var wg sync.WaitGroup
+		for i, from := range froms {
+			wg.Go(func() {
+				for n := from; ; n++ {
+					c, r, err := e.Next(context.Background(), n)
+					switch {
+					case err != nil:
+						got[i] = append(got[i], -9)
+						return
+					case r != nil:
+						got[i] = append(got[i], r.Chunks)
+						return
+					}
+					got[i] = append(got[i], c.Number)
+				}
+			})
+		}
+		for n := range total {
+			assert.NilError(t, e.Append(chunk(n, 1)))
+		}
+		e.Finish(done(total))
+		wg.Wait()
+		for i, from := range froms {
+			want := []int{-9}
+			if from >= 0 && from <= total {
+				want = want[:0]
+				for n := from; n <= total; n++ {
+					want = append(want, n)
+				}
+			}
+			assert.Assert(t, slices.Equal(got[i], want), "from %d: %v", from, got[i])
+		}
+	})
+}
+
+// TestExpiryWakes guards against a reader that waits for an entry that has ended.
+func TestExpiryWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(1, 1)
+		e, _, _ := table.Begin(start, one, start.Add(Keep))
+		failed := make(chan error, 1)
+		go func() {
+			_, _, err := e.Next(t.Context(), 0)
+			failed <- err
+		}()
+		synctest.Wait()
+		table.Expire(start.Add(Keep))
+		assert.ErrorIs(t, <-failed, ErrEnded)
+	})
+}
+
+func BenchmarkAppendNextAck(b *testing.B) {
+	t, c, r, ctx := NewTable(1_024, 16<<20), chunk(0, 40), done(1), context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		e, _, _ := t.Begin(start, one, start.Add(Keep))
+		_ = e.Append(c)
+		_, _, _ = e.Next(ctx, 0)
+		e.Finish(r)
+		t.Ack(one)
+	}
+}
