--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -149,7 +149,7 @@
 	switch {
 	case c.Ref != e.ref:
 		return ErrRef
-	case false:
+	case e.ended:
 		return ErrEnded
 	case e.result != nil:
 		return ErrFinished
--- a/core/hold/hold_test.go
+++ b/core/hold/hold_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -182,6 +183,22 @@
 	})
 }
 
+// TestExpiryWakes guards against a reader that waits for an entry that has ended.
+func TestExpiryWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable(1, 1)
+		e, _, _ := table.Begin(start, one, start.Add(Keep))
+		failed := make(chan error, 1)
+		go func() {
+			_, _, err := e.Next(t.Context(), 0)
+			failed <- err
+		}()
+		synctest.Wait()
+		table.Expire(start.Add(Keep))
+		assert.ErrorIs(t, <-failed, ErrEnded)
+	})
+}
+
 func BenchmarkAppendNextAck(b *testing.B) {
 	t, c, r, ctx := NewTable(1_024, 16<<20), chunk(0, 40), done(1), context.Background()
 	b.ReportAllocs()
