--- /dev/null
+++ b/core/route/pick_test.go
@@ -0,0 +1,104 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// TestPick guards against each term deciding the wrong way or outside its range.
+func TestPick(t *testing.T) {
+	for name, c := range map[string]struct {
+		a, b   Candidate
+		reason string // of a's choice; empty: none has room
+	}{
+		"load":                 {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Own: 2}, ReasonLoad},
+		"load over limit":      {Candidate{Limit: 16, Own: 3}, Candidate{Limit: 4, Own: 2}, ReasonLoad},
+		"reports of others":    {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Flight: 2}, ReasonLoad},
+		"queued":               {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Queued: 2}, ReasonLoad},
+		"own calls in report":  {Candidate{Limit: 8, Flight: 4, Seen: 4, Own: 1}, Candidate{Limit: 8, Own: 2}, ReasonLoad},
+		"own calls that ended": {Candidate{Limit: 8, Flight: 1, Seen: 3, Own: 1}, Candidate{Limit: 8, Own: 2}, ReasonLoad},
+		"prefix":               {Candidate{Limit: 8, Own: 2, Prefix: true}, Candidate{Limit: 8, Own: 1}, ReasonPrefix},
+		"prefix but loaded":    {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Own: 3, Prefix: true}, ReasonLoad},
+		"nearer":               {Candidate{Limit: 8, Distance: 500}, Candidate{Limit: 8, Distance: 1500}, ReasonDistance},
+		"nearer but loaded":    {Candidate{Limit: 8, Distance: 900_000}, Candidate{Limit: 8, Own: 2}, ReasonLoad},
+		"warmer":               {Candidate{Limit: 8, Warmth: wire.WarmthWarm}, Candidate{Limit: 8, Warmth: wire.WarmthWarming}, ReasonWarmth},
+		"warming":              {Candidate{Limit: 8, Warmth: wire.WarmthWarming}, Candidate{Limit: 8, Warmth: wire.WarmthCold}, ReasonWarmth},
+		"other full by own":    {Candidate{Limit: 8, Own: 7}, Candidate{Limit: 1, Own: 1}, ReasonOnly},
+		"other full by report": {Candidate{Limit: 8, Own: 7}, Candidate{Limit: 4, Own: 1, Flight: 2, Queued: 2, Seen: 1}, ReasonOnly},
+		"both full":            {Candidate{Limit: 2, Own: 2}, Candidate{}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				rng := rand.New(rand.NewPCG(seed, 0))
+				for _, cs := range [][]Candidate{{c.a, c.b}, {c.b, c.a}} {
+					got, ok := Pick(rng, cs)
+					assert.Equal(t, ok, c.reason != "")
+					assert.Equal(t, got.Reason, c.reason)
+					assert.Assert(t, !ok || cs[got.Index] == c.a)
+				}
+			}
+		})
+	}
+}
+
+// TestPickRoom guards against calls for a full replica and refusals with room left.
+func TestPickRoom(t *testing.T) {
+	slots := rapid.Custom(func(t *rapid.T) wire.Slots { return wire.Slots(rapid.IntRange(0, 4).Draw(t, "slots")) })
+	rapid.Check(t, func(t *rapid.T) {
+		cs := make([]Candidate, rapid.IntRange(0, 24).Draw(t, "n"))
+		open := map[int]bool{}
+		for i := range cs {
+			c := Candidate{Limit: slots.Draw(t, "limit"), Own: slots.Draw(t, "own"), Flight: slots.Draw(t, "flight"), Seen: slots.Draw(t, "seen")}
+			if c.Own+max(0, c.Flight-c.Seen) < c.Limit {
+				open[i] = true
+			}
+			cs[i] = c
+		}
+		got, ok := Pick(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), cs)
+		if ok != (len(open) > 0) || ok && !open[got.Index] {
+			t.Fatalf("picked %v, %v of %v", got, ok, cs)
+		}
+	})
+}
+
+// TestPickHerding guards against many routers that send a whole report interval's
+// calls to the replica that the last report showed idle.
+func TestPickHerding(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	cs := make([]Candidate, 24)
+	for i := range cs {
+		cs[i] = Candidate{Limit: 64, Flight: 32, Prefix: i == 0}
+	}
+	cs[0].Flight = 0
+	idle := 0
+	for range 2400 { // the first call of as many routers
+		if c, _ := Pick(rng, cs); c.Index == 0 {
+			idle++
+		}
+	}
+	assert.Assert(t, idle > 120 && idle < 280, "expected about 2 in 24, got %d of 2400", idle)
+
+	for range 24 * 16 { // calls of one router between two reports
+		c, _ := Pick(rng, cs)
+		cs[c.Index].Own++
+	}
+	for i, c := range cs[1:] {
+		assert.Assert(t, c.Own >= 10 && c.Own <= 22, "replica %d got %d calls", i+1, c.Own)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	cs := make([]Candidate, 24)
+	for i := range cs {
+		cs[i] = Candidate{Limit: 64, Flight: wire.Slots(i), Distance: wire.Micros(500 * i), Prefix: i%8 == 0}
+	}
+	for b.Loop() {
+		Pick(rng, cs)
+	}
+}
