router, agent: say unknown where a reservation was not looked at

An agent with a full table refused a reserved call with executed none, although an earlier copy of the request may have run. The router's drain used a WaitGroup that a new request could raise from zero while the drain waited, so a request could outlive the drain.

Change: a refusal before the token's record was read says unknown, also for a token that belongs to another body. The drain counts requests before it looks at the flag.

--- a/agent/run.go
+++ b/agent/run.go
@@ -113,7 +113,8 @@
 		case once.Finished:
 			a.replay(r, u.Result)
 		case once.Mismatch:
-			a.refuse(r, wire.ReasonMismatch, wire.ExecutedNone)
+			// The token belongs to another body, which may have run.
+			a.refuse(r, wire.ReasonMismatch, wire.ExecutedUnknown)
 		default:
 			// The token is of another run of the agent, or its record was
 			// dropped: whether the call ran cannot be told.
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -18,6 +18,8 @@
 	beatPeriod = 500 * time.Millisecond
 	firstFrame = 2 * time.Second
 	ackLimit   = 5 * time.Second
+	// maxSessions bounds routers served at once; about 9 are expected.
+	maxSessions = 256
 )
 
 // session is one router's connection.
@@ -40,7 +42,8 @@
 		}
 		s := &session{Session: ls}
 		if !a.replace(s) {
-			s.Close("a newer session is open")
+			a.Inc("session_refused", "")
+			s.Close("a newer session is open, or too many are")
 			continue
 		}
 		wg.Go(func() { a.serveSession(ctx, s) })
@@ -53,7 +56,8 @@
 func (a *Agent) replace(s *session) bool {
 	a.mu.Lock()
 	old := a.sessions[s.Peer().Incarnation]
-	if old != nil && old.Peer().Epoch >= s.Peer().Epoch {
+	full := old == nil && len(a.sessions) >= maxSessions
+	if full || old != nil && old.Peer().Epoch >= s.Peer().Epoch {
 		a.mu.Unlock()
 		return false
 	}
@@ -194,13 +198,22 @@
 	s.gate.RUnlock()
 	if r == nil {
 		a.Inc("refused", reason)
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(c.Ref, reason, wire.ExecutedNone)})
+		_ = st.Send(&wire.Frame{Refuse: a.refusal(c.Ref, reason, unasked(c))})
 		_ = st.Close()
 		return
 	}
 	a.stream(ctx, st, r, 0)
 }
 
+// unasked is how much of a call ran that was refused before its token was looked
+// at: an earlier call under the same token may have run.
+func unasked(c *wire.Call) wire.Executed {
+	if c.Once {
+		return wire.ExecutedUnknown
+	}
+	return wire.ExecutedNone
+}
+
 // serveQuery answers what became of a call. Older sessions of the same router
 // are closed by now, so a call that is unknown here was never accepted.
 func (a *Agent) serveQuery(ctx context.Context, st link.Stream, q *wire.Query) {
--- a/router/router.go
+++ b/router/router.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +41,7 @@
 	defaultFlight = 4096
 	defaultQueue  = 1024
 	maxSuspects   = 1024
+	drainPoll     = 20 * time.Millisecond
 )
 
 // Router is one entry process.
@@ -64,8 +64,7 @@
 	flight   atomic.Int64
 	draining atomic.Bool
 	meter.Counters
-	requests sync.WaitGroup
-	newID    func() wire.RequestID
+	newID func() wire.RequestID
 }
 
 // Option changes a Router before it runs.
@@ -148,21 +147,22 @@
 	return err
 }
 
+// drain refuses new requests and waits until those under way have ended.
 func (r *Router) drain(limit time.Duration) error {
 	r.draining.Store(true)
 	r.log.Info("drain started", "flight", r.flight.Load())
-	ended := make(chan struct{})
-	go func() {
-		r.requests.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		r.log.Info("drain complete")
-		return nil
-	case <-time.After(limit):
-		return fmt.Errorf("drain exceeded %s with %d requests under way", limit, r.flight.Load())
+	end := time.After(limit)
+	sub := r.tick.Subscribe(drainPoll, "drain")
+	defer sub.Close()
+	for r.flight.Load() > 0 {
+		select {
+		case <-sub.C:
+		case <-end:
+			return fmt.Errorf("drain exceeded %s with %d requests under way", limit, r.flight.Load())
+		}
 	}
+	r.log.Info("drain complete")
+	return nil
 }
 
 // Ready returns an error while callers should not be sent here.
--- a/router/serve.go
+++ b/router/serve.go
@@ -58,23 +58,23 @@
 	return s.run(ctx)
 }
 
-// enter counts a request in unless the router drains or is full.
+// enter counts a request in unless the router drains or is full. It counts before
+// it looks at the drain, so that the drain misses no request that was let in.
 func (r *Router) enter() wire.Reason {
-	if r.draining.Load() {
+	n := r.flight.Add(1)
+	switch {
+	case r.draining.Load():
+		r.leave()
 		return wire.ReasonLeaving
-	}
-	if r.flight.Add(1) > int64(r.cfg.Flight) {
-		r.flight.Add(-1)
+	case n > int64(r.cfg.Flight):
+		r.leave()
 		return wire.ReasonOverload
+	default:
+		return ""
 	}
-	r.requests.Add(1)
-	return ""
 }
 
-func (r *Router) leave() {
-	r.flight.Add(-1)
-	r.requests.Done()
-}
+func (r *Router) leave() { r.flight.Add(-1) }
 
 func (s *serving) limit() time.Duration {
 	d := time.Duration(s.pl.Deadline) * time.Millisecond
