conf: add the host list's address and the linger time

Cause: a platform may serve its host list apart from its configuration, and a load balancer keeps sending for a moment after readiness has turned false.

Change: settings hosts and linger of hbrouter; the processes log the addresses they are bound to, so that port 0 can be used.

--- a/agent/cmd/hbagent/main.go
+++ b/agent/cmd/hbagent/main.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return err
 	}
+	p.Log().Info("listening", "routers", ln.Addr())
 	a := agent.New(agent.Config{
 		Name: cfg.Name, Upstream: cfg.Upstream, Centre: cfg.Centre, Kind: cfg.Kind, Bounds: firstBounds,
 	}, up, ln, agent.WithLogger(p.Log()), agent.WithIncarnation(inc))
--- a/core/conf/conf_gen.go
+++ b/core/conf/conf_gen.go
@@ -69,9 +69,17 @@
 	// Flight bounds the requests in flight.
 	Flight wire.Slots `json:"flight,omitempty,omitzero" toml:"flight,omitempty"`
 
+	// Hosts is the base URL of the platform's host list where it differs from the
+	// configuration service; empty means the same.
+	Hosts string `json:"hosts,omitempty,omitzero" toml:"hosts,omitempty"`
+
 	// Level is the lowest level of log lines written.
 	Level Level `json:"level,omitempty,omitzero" toml:"level,omitempty"`
 
+	// Linger is the time in milliseconds for which a planned stop still takes new
+	// requests after readiness has turned false, until the load balancer has noticed.
+	Linger wire.Millis `json:"linger,omitempty,omitzero" toml:"linger,omitempty"`
+
 	// Name is the name of this process among all routers and agents.
 	Name wire.HostID `json:"name" toml:"name"`
 
--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -47,7 +47,7 @@
 	assert.DeepEqual(t, r, Router{
 		Name: "r1", Centre: "pa", Region: "west", Callers: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0",
 		Platform: "http://127.0.0.1:80", Peers: []string{"r2=127.0.0.1:7", "r3=[::1]:8"}, Secret: secret,
-		Queue: 7, Flight: 4096, Drain: 30000, Level: "info", TLS: TLS{Cert: "a.pem", Key: "d.pem", Authority: "c.pem"},
+		Queue: 7, Flight: 4096, Drain: 30000, Linger: 1000, Level: "info", TLS: TLS{Cert: "a.pem", Key: "d.pem", Authority: "c.pem"},
 	})
 	name, addr, err := r.PeerAt(1)
 	assert.NilError(t, err)
--- a/router/cmd/hbrouter/main.go
+++ b/router/cmd/hbrouter/main.go
@@ -64,11 +64,12 @@
 	if err != nil {
 		return err
 	}
+	p.Log().Info("listening", "peer", q.Addr())
 	peers, err := peerAddresses(cfg)
 	if err != nil {
 		return err
 	}
-	client := plat.NewClient(cfg.Platform)
+	client := newPlatform(cfg)
 	r := router.New(router.Config{
 		Name: cfg.Name, Centre: cfg.Centre, Region: cfg.Region, Peers: peers, Flight: int(cfg.Flight), Queue: cfg.Queue,
 	}, q, q, router.WithPlatform(client), router.WithLogger(p.Log()), router.WithIncarnation(inc))
@@ -80,13 +81,37 @@
 	return serve(p, r, client, cfg)
 }
 
+// platform reads tickets and the host list, which may be two services.
+type platform struct {
+	*plat.Client
+	hosts *plat.Client
+}
+
+func newPlatform(cfg *conf.Router) *platform {
+	p := &platform{Client: plat.NewClient(cfg.Platform)}
+	p.hosts = p.Client
+	if cfg.Hosts != "" {
+		p.hosts = plat.NewClient(cfg.Hosts)
+	}
+	return p
+}
+
+// Hosts implements router.Platform.
+func (p *platform) Hosts(ctx context.Context) ([]plat.Host, int, error) { return p.hosts.Hosts(ctx) }
+
+func (p *platform) close() {
+	p.Client.Close()
+	p.hosts.Close()
+}
+
 // serve starts the callers' listener and the router, and adds the steps of the
 // drain: requests under way finish before the listener closes.
-func serve(p *proc.Process, r *router.Router, client *plat.Client, cfg *conf.Router) error {
+func serve(p *proc.Process, r *router.Router, client *platform, cfg *conf.Router) error {
 	ln, err := net.Listen("tcp", string(cfg.Callers))
 	if err != nil {
 		return err
 	}
+	p.Log().Info("listening", "callers", ln.Addr().String())
 	app := r.App()
 	p.Go("callers", func(context.Context) error {
 		return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
@@ -98,6 +123,13 @@
 		defer close(ended)
 		return r.Run(live, drain)
 	})
+	p.OnDrain("linger", func(ctx context.Context) error {
+		select {
+		case <-time.After(time.Duration(cfg.Linger) * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return nil
+	})
 	p.OnDrain("requests", func(ctx context.Context) error {
 		stop()
 		select {
@@ -108,7 +140,7 @@
 		}
 	})
 	p.OnDrain("callers", func(ctx context.Context) error {
-		client.Close()
+		client.close()
 		return app.ShutdownWithContext(ctx)
 	})
 	return nil
