crash: add fingerprints and the book of suspects and quarantines

Cause: a request that crashes upstreams must be isolated, then refused, and one team must not get another team's requests refused.

Book holds marks for 10 minutes; a quarantine wins a merge, then the later expiry, then the more severe state. At the bound the oldest cleared mark goes first, then the oldest suspect.

--- /dev/null
+++ b/core/crash/crash_test.go
@@ -0,0 +1,194 @@
+package crash
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// A fixed seed makes every run check the same cases; the flag -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var start = time.Unix(1000, 0)
+
+const (
+	suspect     = wire.MarkStateSuspect
+	quarantined = wire.MarkStateQuarantined
+	cleared     = wire.MarkStateCleared
+)
+
+// TestPrint guards against fingerprints that mix up requests, exceed the wire
+// format or could be made equal for two teams.
+func TestPrint(t *testing.T) {
+	seen := map[wire.Fingerprint]string{}
+	for _, c := range [][3]string{{"a", "b", "c"}, {"ab", "", "c"}, {"a", "bc", ""}, {"a", "", "bc"}, {"b", "b", "c"}, {"a", "b", "d"}} {
+		p := Print(wire.TeamID(c[0]), wire.PipelineID(c[1]), []byte(c[2]))
+		assert.Equal(t, len(p), 32)
+		assert.Equal(t, seen[p], "", "%v", c)
+		seen[p] = fmt.Sprint(c)
+	}
+	assert.Equal(t, Print("a", "b", []byte("c")), Print("a", "b", []byte("c")))
+	assert.Equal(t, Print("a", "b", nil)[:16], Print("a", "x", []byte("c"))[:16], "part of the team")
+	assert.Assert(t, Print("a", "b", nil)[:16] != Print("b", "b", nil)[:16], "part of the team")
+}
+
+// TestStates guards against a request that crashes further upstreams, and
+// against one that is refused without proof.
+func TestStates(t *testing.T) {
+	crash := func(solo bool) func(*Book, time.Time) {
+		return func(b *Book, now time.Time) { b.Crashed(now, "p", "a", "pl", solo) }
+	}
+	survive := func(b *Book, now time.Time) { b.Survived(now, "p") }
+	wait := func(*Book, time.Time) {}
+	for name, c := range map[string]struct {
+		steps []func(*Book, time.Time) // 6 minutes apart
+		want  []wire.MarkState
+	}{
+		"with others":         {[]func(*Book, time.Time){crash(false), wait, wait}, []wire.MarkState{suspect, suspect, ""}},
+		"again with others":   {[]func(*Book, time.Time){crash(false), crash(false), wait}, []wire.MarkState{suspect, suspect, suspect}},
+		"alone":               {[]func(*Book, time.Time){crash(false), crash(true), wait, wait}, []wire.MarkState{suspect, quarantined, quarantined, ""}},
+		"late report":         {[]func(*Book, time.Time){crash(true), crash(false), wait}, []wire.MarkState{quarantined, quarantined, ""}},
+		"completed alone":     {[]func(*Book, time.Time){crash(false), survive, wait}, []wire.MarkState{suspect, cleared, cleared}},
+		"crash after that":    {[]func(*Book, time.Time){crash(false), survive, crash(false)}, []wire.MarkState{suspect, cleared, suspect}},
+		"late completion":     {[]func(*Book, time.Time){crash(true), survive, wait}, []wire.MarkState{quarantined, quarantined, ""}},
+		"unknown completion":  {[]func(*Book, time.Time){survive}, []wire.MarkState{""}},
+		"expired quarantine":  {[]func(*Book, time.Time){crash(true), wait, crash(false)}, []wire.MarkState{quarantined, quarantined, suspect}},
+		"quarantined at once": {[]func(*Book, time.Time){crash(true)}, []wire.MarkState{quarantined}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook(0)
+			for i, step := range c.steps {
+				now := start.Add(time.Duration(i) * 6 * time.Minute)
+				step(b, now)
+				assert.Equal(t, b.State(now, "p"), c.want[i], "step %d", i)
+			}
+		})
+	}
+}
+
+// TestTeamsApart guards against one team that gets another team's requests refused.
+func TestTeamsApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, peer := NewBook(0), NewBook(0)
+		name := rapid.SampledFrom([]string{"a", "b", "ab", "ba"})
+		body := rapid.SliceOfN(rapid.Byte(), 0, 4)
+		crashed := map[wire.Fingerprint]string{}
+		for range rapid.IntRange(0, 20).Draw(t, "crashes") {
+			team, pl, body := name.Draw(t, "team"), name.Draw(t, "pipeline"), body.Draw(t, "body")
+			p := Print(wire.TeamID(team), wire.PipelineID(pl), body)
+			crashed[p] = fmt.Sprintf("%s/%s/%x", team, pl, body)
+			if b.Crashed(start, p, wire.TeamID(team), wire.PipelineID(pl), true) != quarantined {
+				t.Fatal("not quarantined")
+			}
+		}
+		peer.Merge(start, b.Marks(start))
+		for range 20 {
+			team, pl, body := name.Draw(t, "team"), name.Draw(t, "pipeline"), body.Draw(t, "body")
+			p := Print(wire.TeamID(team), wire.PipelineID(pl), body)
+			own := crashed[p] == fmt.Sprintf("%s/%s/%x", team, pl, body)
+			if got := peer.State(start, p); (got == quarantined) != own || !own && crashed[p] != "" {
+				t.Fatalf("%s/%s/%x: %q, crashed %q", team, pl, body, got, crashed[p])
+			}
+		}
+	})
+}
+
+// TestMerge guards against routers that disagree on marks after gossip in
+// different order or with repeated messages.
+func TestMerge(t *testing.T) {
+	marks := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) wire.Mark {
+		return wire.Mark{
+			Print:    wire.Fingerprint(rapid.SampledFrom([]string{"p", "q", "r"}).Draw(t, "print")),
+			Team:     wire.TeamID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team")),
+			Pipeline: wire.PipelineID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pipeline")),
+			State:    rapid.SampledFrom([]wire.MarkState{suspect, quarantined, cleared, "other"}).Draw(t, "state"),
+			Left:     wire.Millis(rapid.IntRange(0, 3).Draw(t, "left") * 300_000),
+		}
+	}), 0, 10)
+	rapid.Check(t, func(t *rapid.T) {
+		x, y := marks.Draw(t, "x"), marks.Draw(t, "y")
+		ab, ba := NewBook(0), NewBook(0)
+		ab.Merge(start, x)
+		ab.Merge(start, y)
+		ba.Merge(start, y)
+		ba.Merge(start, x)
+		want := ab.Marks(start)
+		if !slices.Equal(want, ba.Marks(start)) {
+			t.Fatalf("order matters: %v, %v", want, ba.Marks(start))
+		}
+		ab.Merge(start, x)
+		ab.Merge(start, want)
+		if !slices.Equal(want, ab.Marks(start)) {
+			t.Fatalf("repetition matters: %v, %v", want, ab.Marks(start))
+		}
+		for _, m := range want {
+			if m.Check() != nil || m.Left > 600_000 {
+				t.Fatalf("mark %v", m)
+			}
+		}
+	})
+}
+
+// TestMergeLatest guards against old gossip that undoes a later event.
+func TestMergeLatest(t *testing.T) {
+	a, b := NewBook(0), NewBook(0)
+	a.Crashed(start, "p", "t", "pl", false)
+	old := a.Marks(start)
+	b.Merge(start, old)
+	b.Survived(start.Add(time.Second), "p")
+	a.Merge(start.Add(2*time.Second), b.Marks(start.Add(2*time.Second)))
+	assert.Equal(t, a.State(start.Add(2*time.Second), "p"), cleared)
+	a.Crashed(start.Add(3*time.Second), "p", "t", "pl", false)
+	a.Merge(start.Add(4*time.Second), b.Marks(start.Add(4*time.Second)))
+	assert.Equal(t, a.State(start.Add(4*time.Second), "p"), suspect)
+	b.Crashed(start.Add(4*time.Second), "p", "t", "pl", true)
+	a.Crashed(start.Add(5*time.Second), "p", "t", "pl", false)
+	a.Merge(start.Add(5*time.Second), b.Marks(start.Add(5*time.Second)))
+	assert.Equal(t, a.State(start.Add(5*time.Second), "p"), quarantined)
+	late := start.Add(time.Hour)
+	a.Merge(late, old)
+	assert.Equal(t, a.State(late, "p"), suspect, "an expired quarantine stands in the way")
+}
+
+// TestBound guards against a table that grows without bound and against a
+// dropped quarantine.
+func TestBound(t *testing.T) {
+	b := NewBook(3)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	states := func(s int, ps ...wire.Fingerprint) (all string) {
+		for _, p := range ps {
+			all += (string(b.State(at(s), p)) + "-")[:1]
+		}
+		return all
+	}
+	b.Crashed(at(0), "a", "t", "pl", true)
+	b.Crashed(at(1), "b", "t", "pl", false)
+	b.Crashed(at(2), "c", "t", "pl", false)
+	b.Survived(at(3), "c")
+	b.Crashed(at(4), "d", "t", "pl", false)
+	assert.Equal(t, states(4, "a", "b", "c", "d"), "qs-s")
+	b.Crashed(at(5), "e", "t", "pl", false)
+	assert.Equal(t, states(5, "a", "b", "d", "e"), "q-ss")
+	b.Crashed(at(6), "d", "t", "pl", true)
+	b.Crashed(at(6), "e", "t", "pl", true)
+	assert.Equal(t, b.Crashed(at(7), "f", "t", "pl", true), wire.MarkState(""))
+	assert.Equal(t, states(7, "a", "d", "e", "f"), "qqq-")
+	b.Crashed(at(601), "f", "t", "pl", false)
+	assert.Equal(t, states(601, "a", "d", "e", "f"), "-qqs")
+}
+
+func BenchmarkState(b *testing.B) {
+	book := NewBook(0)
+	body := make([]byte, 4096)
+	book.Crashed(start, Print("a", "b", body), "a", "b", true)
+	for b.Loop() {
+		book.State(start, Print("a", "b", body))
+	}
+}
