limit, agent: compare calls by the latency of a unit of work

The spike rule compared whole latencies, so an answer of 500 tokens after answers of 50 looked like a cold upstream, and jitter of services that answer in a millisecond did too. A call that arrived twice after its run had ended was refused as not executed although its result was held. Waiting calls were refused as busy when the upstream held work of others.

Change: a sample carries its units (generated tokens), and a rise counts only from 20 ms a unit. A doubled call joins the held result. Reports count from the time at which they were asked for, and the gate waits while others fill the upstream.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -190,22 +190,24 @@
 func (a *Agent) pollOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollLimit)
 	defer cancel()
+	asked := time.Now()
 	ev, loaded, err := a.up.Load(ctx)
 	if err != nil {
 		return
 	}
-	a.observe(ev)
+	a.observe(asked, ev)
 	a.reconcile(ctx, loaded)
 }
 
-// observe takes in the upstream's report and logs a restart.
-func (a *Agent) observe(ev limit.Evidence) {
+// observe takes in the upstream's report, which was asked for at asked, and logs
+// a restart.
+func (a *Agent) observe(asked time.Time, ev limit.Evidence) {
 	before := a.boot.Swap(&ev.Boot)
 	if before != nil && *before != ev.Boot {
 		a.log.Warn("upstream restarted", "upstream", a.cfg.Upstream, "boot", ev.Boot)
 		a.Inc("restarted", "")
 	}
-	a.gate.observe(ev)
+	a.gate.observe(asked, ev)
 }
 
 // resumed handles the end of a pause: what was known of the upstream and of the
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -139,8 +139,8 @@
 }
 
 func (g *gate) room(now time.Time) bool {
-	_, most, flight := g.lim.View(now)
-	return flight < most && g.queue.Len() > 0
+	_, most, _ := g.lim.View(now)
+	return g.lim.Held() < most && g.queue.Len() > 0
 }
 
 // leave ends an admitted call.
@@ -152,13 +152,12 @@
 	g.dispatch(now)
 }
 
-// observe takes in the upstream's own report.
-func (g *gate) observe(e limit.Evidence) {
+// observe takes in the upstream's own report, which was asked for at asked.
+func (g *gate) observe(asked time.Time, e limit.Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
-	g.lim.Observe(now, e)
-	g.dispatch(now)
+	g.lim.Observe(asked, e)
+	g.dispatch(time.Now())
 }
 
 // chill assumes that the upstream is cold.
@@ -198,11 +197,12 @@
 	}
 }
 
-func (g *gate) view() (w wire.Warmth, most, flight, queued wire.Slots) {
+// view returns the limiter's state; held counts work of others at the upstream too.
+func (g *gate) view() (w wire.Warmth, most, held, queued wire.Slots) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w, most, flight = g.lim.View(time.Now())
-	return w, most, flight, g.queue.Len()
+	w, most, _ = g.lim.View(time.Now())
+	return w, most, g.lim.Held(), g.queue.Len()
 }
 
 // estimate is the cost of a call in tokens before it runs, at four bytes of
--- a/agent/run.go
+++ b/agent/run.go
@@ -63,16 +63,13 @@
 	})
 }
 
-// start registers a call and begins to execute it. A call that is already known
-// by its reference is joined, so that a doubled message runs once.
+// start registers a call and begins to execute it. Of two calls with one
+// reference that arrive at once the second is refused as malformed.
 func (a *Agent) start(c *wire.Call) (r *run, reason wire.Reason) {
 	now := time.Now()
 	deadline := now.Add(time.Duration(c.Left) * time.Millisecond)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r = a.runs[c.Ref]; r != nil {
-		return r, ""
-	}
 	if a.stopped {
 		return nil, wire.ReasonLeaving
 	}
@@ -176,7 +173,7 @@
 		Ref: r.call.Ref, Outcome: wire.OutcomeDone, Executed: wire.ExecutedSome, Reason: wire.ReasonUpstream,
 		Chunks: n, Output: ans.Output, Cost: ans.Cost,
 	}
-	sample := limit.Sample{Latency: time.Since(begun)}
+	sample := limit.Sample{Latency: time.Since(begun), Units: units(r.call, ans.Cost.Output)}
 	if err != nil {
 		a.failed(r.call, res, err)
 		sample.Failed = true
@@ -191,6 +188,15 @@
 	a.account(r.call, res)
 }
 
+// units is the work by which the limiter compares calls: generated tokens, since
+// answers differ in length.
+func units(c *wire.Call, tokens wire.Tokens) int64 {
+	if c.Kind != wire.KindGenerate {
+		return 1
+	}
+	return int64(tokens)
+}
+
 // settle records the end of a non-repeatable call under its token.
 func (a *Agent) settle(t wire.Token, res *wire.Result) {
 	switch {
@@ -237,11 +243,12 @@
 	ctx, cancel := context.WithTimeout(a.work, probeLimit)
 	defer cancel()
 	before := a.boot.Load()
+	asked := time.Now()
 	ev, _, err := a.up.Load(ctx)
 	if err != nil {
 		a.gate.chill()
 		return true
 	}
-	a.observe(ev)
+	a.observe(asked, ev)
 	return before != nil && *before != ev.Boot
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -194,6 +194,11 @@
 		st.Reset()
 		return
 	}
+	if e := a.known(c.Ref); e != nil {
+		s.gate.RUnlock()
+		a.stream(ctx, st, e, 0)
+		return
+	}
 	r, reason := a.start(c)
 	s.gate.RUnlock()
 	if r == nil {
@@ -217,23 +222,29 @@
 // serveQuery answers what became of a call. Older sessions of the same router
 // are closed by now, so a call that is unknown here was never accepted.
 func (a *Agent) serveQuery(ctx context.Context, st link.Stream, q *wire.Query) {
-	a.mu.Lock()
-	r := a.runs[q.Ref]
-	a.mu.Unlock()
-	if r != nil {
+	if r := a.known(q.Ref); r != nil {
 		a.stream(ctx, st, r, q.Next)
 		return
 	}
-	e := a.held.Find(q.Ref)
+	_ = st.Send(&wire.Frame{Refuse: a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone)})
+	_ = st.Close()
+}
+
+// known returns the run of a call that is under way or whose result is held, or
+// nil. A call that arrives twice joins its first run.
+func (a *Agent) known(ref wire.Ref) *run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r := a.runs[ref]; r != nil {
+		return r
+	}
+	e := a.held.Find(ref)
 	if e == nil {
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone)})
-		_ = st.Close()
-		return
+		return nil
 	}
 	done := make(chan struct{})
 	close(done)
-	ended := &run{call: &wire.Call{Ref: q.Ref, Once: true}, entry: e, decided: done, cancel: func() {}}
-	a.stream(ctx, st, ended, q.Next)
+	return &run{call: &wire.Call{Ref: ref, Once: true}, entry: e, decided: done, cancel: func() {}}
 }
 
 // stream delivers a run to a router from chunk next on, until the router has
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -18,6 +18,9 @@
 	// spikeFactor is the multiple of the average latency above which the
 	// upstream is assumed cold.
 	spikeFactor = 4
+	// spikeFloor is the latency of a unit below which no rise counts: services
+	// that answer in a millisecond vary by more than spikeFactor on a busy host.
+	spikeFloor = 20 * time.Millisecond
 	// goodFactor is the multiple of the average latency up to which a
 	// completion counts towards growth.
 	goodFactor = 2
@@ -50,12 +53,17 @@
 }
 
 // Sample describes the end of one call. Failed calls don't count towards growth.
-// Reset says that the connection to the upstream was lost.
+// Reset says that the connection to the upstream was lost. Units is the work of
+// the call, for instance its generated tokens; calls are compared by the latency
+// of a unit, since a long answer is not a slow upstream. 0 counts as 1.
 type Sample struct {
 	Latency       time.Duration
+	Units         int64
 	Failed, Reset bool
 }
 
+func (s Sample) pace() time.Duration { return s.Latency / time.Duration(max(s.Units, 1)) }
+
 // Decision is the answer to one request for admission. Reason is empty when OK
 // is true; Limit is the limit that applied.
 type Decision struct {
@@ -133,12 +141,13 @@
 func (l *Limiter) Done(now time.Time, s Sample) {
 	began := now.Add(-s.Latency)
 	l.release(began)
-	if s.Reset || l.spike(s.Latency) {
+	pace := s.pace()
+	if s.Reset || l.spike(pace) {
 		l.learn(s)
 		l.Chill(now)
 		return
 	}
-	good := l.average == 0 || s.Latency <= goodFactor*l.average
+	good := l.average == 0 || pace <= goodFactor*l.average || pace < spikeFloor
 	l.learn(s)
 	// A call given to the upstream before it turned cold says nothing about
 	// what it can take now.
@@ -162,8 +171,8 @@
 	}
 }
 
-func (l *Limiter) spike(latency time.Duration) bool {
-	return l.average > 0 && latency > spikeFactor*l.average
+func (l *Limiter) spike(pace time.Duration) bool {
+	return l.average > 0 && pace > spikeFactor*l.average && pace >= spikeFloor
 }
 
 // learn moves the average towards s. The step is capped at the spike threshold:
@@ -173,9 +182,9 @@
 	switch {
 	case s.Failed || s.Reset:
 	case l.average == 0:
-		l.average = max(s.Latency, 1)
+		l.average = max(s.pace(), 1)
 	default:
-		capped := min(s.Latency, spikeFactor*l.average)
+		capped := min(s.pace(), spikeFactor*l.average)
 		l.average = max(l.average+(capped-l.average)/averageWeight, 1)
 	}
 }
