--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -31,10 +31,8 @@
 	d := xxhash.New()
 	_, _ = d.WriteString(string(team))
 	sum := d.Sum(make([]byte, 0, 16))
-	// Names never contain a zero byte, so the parts can't run into each other.
-	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(string(pipeline))
-	_, _ = d.Write([]byte{0})
+	_, _ = d.Write([]byte{0}) // names contain no zero byte, so the name can't run into the body
 	_, _ = d.Write(body)
 	return wire.Fingerprint(hex.EncodeToString(d.Sum(sum)))
 }
