router, agent: charge teams what their stages cost

Cause: the queues were served by an estimate from the input's length, so shares followed request sizes and not what the upstreams spent, and wasted work was free.

Change: an entry costs the moving average of accelerator time in its pool, and the team's account is corrected by the real cost, wasted work included.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -22,14 +22,16 @@
 	lim    *limit.Limiter
 	queue  *share.Queue[*waiter]
 	solo   *waiter     // call that waits to run alone
+	mean   share.Mean  // accelerator time of a call in microseconds
 	closed wire.Reason // why no new work is admitted, or empty
 }
 
 // waiter is a call that waits for admission.
 type waiter struct {
-	solo   bool
-	done   chan struct{}
-	reason wire.Reason // empty when admitted
+	solo     bool
+	estimate int64
+	done     chan struct{}
+	reason   wire.Reason // empty when admitted
 }
 
 func (w *waiter) settle(reason wire.Reason) {
@@ -42,20 +44,21 @@
 }
 
 // enter waits for admission until ctx is done. It returns an empty reason when
-// the call was admitted; the caller then owes a call of leave.
-func (g *gate) enter(ctx context.Context, c *wire.Call, deadline time.Time) wire.Reason {
-	w := &waiter{solo: c.Solo, done: make(chan struct{})}
+// the call was admitted; the caller then owes a call of leave. The estimate is
+// the cost that the team was charged.
+func (g *gate) enter(ctx context.Context, c *wire.Call, deadline time.Time) (estimate int64, reason wire.Reason) {
+	w := &waiter{solo: c.Solo, estimate: g.mean.Estimate(firstCost), done: make(chan struct{})}
 	g.mu.Lock()
 	reason, waits := g.join(time.Now(), w, c, deadline)
 	g.mu.Unlock()
 	if !waits {
-		return reason
+		return 0, reason
 	}
 	select {
 	case <-w.done:
-		return w.reason
+		return w.estimate, w.reason
 	case <-ctx.Done():
-		return g.abandon(w, ctx)
+		return 0, g.abandon(w, ctx)
 	}
 }
 
@@ -72,7 +75,7 @@
 		return "", true
 	}
 	reason, ok := g.queue.Push(now, share.Entry[*waiter]{
-		Team: c.Team, Weight: c.Weight, Rank: c.Rank, Cost: estimate(c),
+		Team: c.Team, Weight: c.Weight, Rank: c.Rank, Cost: w.estimate,
 		Latest: deadline, Bound: queueSlots, Value: w,
 	})
 	if !ok {
@@ -205,6 +208,11 @@
 	return w, most, g.lim.Held(), g.queue.Len()
 }
 
-// estimate is the cost of a call in tokens before it runs, at four bytes of
-// input a token.
-func estimate(c *wire.Call) int64 { return 1 + int64(len(c.Input))/4 }
+// firstCost is the cost of a call in microseconds before any has ended.
+const firstCost = 1000
+
+// charge corrects the account of a call's team by what the call really cost.
+func (g *gate) charge(c *wire.Call, estimate int64, cost wire.Cost) {
+	g.queue.ChargeRank(c.Team, c.Rank, int64(cost.Busy)-estimate)
+	g.mean.Learn(int64(cost.Busy))
+}
--- a/agent/http.go
+++ b/agent/http.go
@@ -88,11 +88,15 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	ans.Cost.Calls = 1
+	begun := time.Now()
 	if err = h.calls.roundTrip(ctx, req, resp, c.Once); err != nil {
 		return ans, err
 	}
-	busy, _ := strconv.ParseInt(string(resp.Header.Peek(headerBusy)), 10, 64)
-	ans.Cost.Busy = wire.Micros(max(busy, 0))
+	busy, e := strconv.ParseInt(string(resp.Header.Peek(headerBusy)), 10, 64)
+	if e != nil || busy < 0 {
+		busy = time.Since(begun).Microseconds() // the service does not report it
+	}
+	ans.Cost.Busy = wire.Micros(busy)
 	if err = statusError(resp); err != nil {
 		return ans, err
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -132,7 +132,7 @@
 }
 
 func (a *Agent) admit(ctx context.Context, r *run) {
-	reason := a.gate.enter(ctx, r.call, r.deadline)
+	estimate, reason := a.gate.enter(ctx, r.call, r.deadline)
 	if reason == "" && !time.Now().Before(r.deadline) {
 		a.gate.leave(limit.Sample{Failed: true})
 		reason = wire.ReasonDeadline
@@ -145,7 +145,7 @@
 		return
 	}
 	r.accept()
-	a.deliver(ctx, r)
+	a.deliver(ctx, r, estimate)
 }
 
 func (a *Agent) refuse(r *run, reason wire.Reason, ex wire.Executed) {
@@ -160,7 +160,7 @@
 }
 
 // deliver gives an admitted call to the upstream and holds what comes back.
-func (a *Agent) deliver(ctx context.Context, r *run) {
+func (a *Agent) deliver(ctx context.Context, r *run, estimate int64) {
 	begun := time.Now()
 	n := 0
 	emit := func(text []byte) error {
@@ -179,6 +179,7 @@
 		sample.Failed = true
 		sample.Reset = res.Reason == wire.ReasonCrashed
 	}
+	a.gate.charge(r.call, estimate, res.Cost)
 	a.gate.leave(sample)
 	if r.call.Once {
 		a.settle(r.call.Token, res)
--- a/router/control.go
+++ b/router/control.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -34,7 +35,7 @@
 	store    *ticket.Store
 	pools    map[wire.PoolID]*pool
 	links    map[wire.UpstreamID]*agentLink
-	members  []Member
+	members  []memberView
 	routers  []peerHost
 	rejected []Rejection
 }
@@ -289,24 +290,13 @@
 			routers = append(routers, route.Router{Name: h.Name, Region: h.Region})
 		}
 	}
-	slices.SortFunc(routers, func(a, b route.Router) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(routers, func(a, b route.Router) int { return cmp.Compare(a.Name, b.Name) })
 	if !slices.Equal(routers, c.routers) {
 		c.routers = routers
 		c.resubset = true
 	}
 }
 
-func compare(a, b wire.HostID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // rebuild brings links and pools in line with the state and publishes a
 // snapshot.
 func (c *control) rebuild(ctx context.Context, now time.Time) {
@@ -324,9 +314,9 @@
 	}
 	for id, l := range c.links {
 		snap.links[id] = l.agentLink
-		snap.members = append(snap.members, l.view(c.verdict(l, now)))
+		snap.members = append(snap.members, memberView{l.agentLink, c.verdict(l, now)})
 	}
-	slices.SortFunc(snap.members, func(a, b Member) int { return compare(wire.HostID(a.Upstream), wire.HostID(b.Upstream)) })
+	slices.SortFunc(snap.members, func(a, b memberView) int { return cmp.Compare(a.link.up, b.link.up) })
 	c.r.snap.Store(snap)
 	for _, l := range c.links {
 		l.nudge()
@@ -439,7 +429,7 @@
 		*list = append(*list, poolMember{link: l.agentLink, distance: distance(own, c.r.cfg.Centre, u.Centre)})
 	}
 	for _, list := range out {
-		slices.SortFunc(*list, func(a, b poolMember) int { return compare(wire.HostID(a.link.up), wire.HostID(b.link.up)) })
+		slices.SortFunc(*list, func(a, b poolMember) int { return cmp.Compare(a.link.up, b.link.up) })
 	}
 	return out
 }
@@ -488,9 +478,26 @@
 	return l
 }
 
-func (l *heldLink) view(v member.Verdict) Member {
+// memberView is a link with the verdict on its upstream.
+type memberView struct {
+	link *agentLink
+	member.Verdict
+}
+
+// Members returns this router's view of the upstreams that it holds sessions to,
+// in name order.
+func (r *Router) Members() (out []Member) {
+	s := r.snap.Load()
+	for _, m := range s.members {
+		out = append(out, m.view(s.store))
+	}
+	return out
+}
+
+func (v memberView) view(s *ticket.Store) Member {
+	l := v.link
 	m := Member{Upstream: l.up, Pool: l.pool.id, Eligible: v.Eligible, Reason: v.Reason, Own: l.own.Load()}
-	if u, ok := l.r.snap.Load().store.Upstream(l.up); ok {
+	if u, ok := s.Upstream(l.up); ok {
 		m.Centre = u.Centre
 	}
 	if rep := l.report.Load(); rep != nil {
--- a/router/dump.go
+++ b/router/dump.go
@@ -40,7 +40,7 @@
 	digest := s.store.Digest()
 	d := Dump{
 		Name: r.cfg.Name, Incarnation: r.inc, Draining: r.draining.Load(), Flight: r.flight.Load(),
-		Objects: s.store.Len(), Head: digest.Head, Root: digest.Root, Rejected: s.rejected, Members: s.members,
+		Objects: s.store.Len(), Head: digest.Head, Root: digest.Root, Rejected: s.rejected, Members: r.Members(),
 		Peers: r.peerAddresses(), Marks: r.crashes.Marks(time.Now()), Counts: r.Totals(),
 	}
 	if r.watcher != nil {
--- a/router/peers.go
+++ b/router/peers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -108,7 +109,7 @@
 			out = append(out, peerHost{h.Name, h.Address})
 		}
 	}
-	slices.SortFunc(out, func(a, b peerHost) int { return compare(a.name, b.name) })
+	slices.SortFunc(out, func(a, b peerHost) int { return cmp.Compare(a.name, b.name) })
 	return out
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -30,6 +30,7 @@
 	id      wire.PoolID
 	members atomic.Pointer[[]poolMember]
 	retry   *budget.Retry
+	mean    share.Mean // accelerator time of a stage in microseconds
 
 	mu    sync.Mutex
 	queue *share.Queue[*placement]
--- a/router/router.go
+++ b/router/router.go
@@ -176,6 +176,3 @@
 		return nil
 	}
 }
-
-// Members returns this router's view of the upstreams that it holds sessions to.
-func (r *Router) Members() []Member { return r.snap.Load().members }
--- a/router/serve.go
+++ b/router/serve.go
@@ -167,6 +167,7 @@
 	index int
 	last  bool
 	text  []byte
+	cost  int64 // charged on placement, in microseconds of accelerator time
 	avoid map[wire.UpstreamID]bool
 }
 
@@ -229,9 +230,10 @@
 	if s.stage.Once {
 		return s.placeReserved(ctx)
 	}
+	s.cost = p.mean.Estimate(int64(s.stage.Expect) * microsPerMilli)
 	return p.acquire(ctx, &placement{
 		team: s.req.Team, weight: s.team.Weight, bound: wire.Slots(s.team.Queue), rank: s.pl.Rank,
-		cost: 1 + int64(len(input))/4, latest: latest, prefix: s.prefix(), avoid: s.avoid,
+		cost: s.cost, latest: latest, prefix: s.prefix(), avoid: s.avoid,
 	})
 }
 
@@ -293,6 +295,7 @@
 	s.ran.add(o.executed)
 	now := time.Now()
 	if o.result != nil {
+		s.charge(l.pool, &o.result.Cost)
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.up, Centre: s.centreOf(l.up), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
 		if o.done() {
 			s.stages = append(s.stages, run)
@@ -318,6 +321,17 @@
 	return u.Centre
 }
 
+const microsPerMilli = 1000
+
+// charge corrects the team's account by what the attempt really cost, wasted
+// work included, so that shares follow cost and not the number of requests.
+func (s *stageRun) charge(p *pool, c *wire.Cost) {
+	p.mean.Learn(int64(c.Busy))
+	if !s.stage.Once {
+		p.queue.ChargeRank(s.req.Team, s.pl.Rank, int64(c.Busy)-s.cost)
+	}
+}
+
 // again decides whether the stage is tried once more, and waits for the back-off.
 func (s *stageRun) again(ctx context.Context, p *pool, n wire.Attempt, o *outcome) bool {
 	if ctx.Err() != nil || n >= maxPlacements || s.sent || final(o.reason) {
