router, agent: place by loaded model, refuse backed-up pipelines, avoid failed replicas

Cause: review of the decisions against the design. Failed replicas were not avoided on the next attempt. Admission looked at the usual times of stages only, so a burst in front of a late stage let requests use the early ones in vain. A router waited up to the deadline for a dead host's session. Orders to engines ran under the load report's time limit of 400 ms and blocked the reports. A replaced link cut its calls; links outside the subset still got work. Two routers with different tickets could swap the model object of an agent.

Change: reports name the loaded model and adapters and placement honours them; admission adds the present wait in later pools; silence counts after 800 ms and a repeatable call waits 300 ms for a new session; an order runs beside the reports, one at a time, and a fresh agent waits 4 s before its first; replaced links finish their calls; an agent keeps models by name.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -58,11 +58,14 @@
 	held  *hold.Table
 	spent *once.Book
 	boot  atomic.Pointer[wire.BootID]
+	have  atomic.Pointer[Loaded]
+	order atomic.Bool // an order is under way
 	state atomic.Pointer[state]
 
 	work     context.Context // ends after the drain
 	stopWork context.CancelFunc
 	wg       conc.WaitGroup // runs
+	orders   conc.WaitGroup
 
 	mu       sync.Mutex
 	runs     map[wire.Ref]*run
@@ -102,7 +105,8 @@
 		merges:   make(chan merge),
 	}
 	a.work, a.stopWork = context.WithCancel(context.Background())
-	a.state.Store(&state{})
+	// A fresh agent may hear from a router with old objects first.
+	a.state.Store(&state{orderAt: time.Now().Add(forceLimit)})
 	for _, o := range opts {
 		o(a)
 	}
@@ -134,6 +138,7 @@
 	_ = a.ln.Close()
 	a.closeSessions("agent stopped")
 	wg.Wait()
+	a.orders.Wait()
 	return err
 }
 
@@ -196,7 +201,8 @@
 		return
 	}
 	a.observe(asked, ev)
-	a.reconcile(ctx, loaded)
+	a.have.Store(&loaded)
+	a.reconcile(loaded)
 }
 
 // observe takes in the upstream's report, which was asked for at asked, and logs
--- a/agent/dump.go
+++ b/agent/dump.go
@@ -57,10 +57,8 @@
 		Upstream: a.cfg.Upstream, Incarnation: a.inc, Report: a.report(), Confirmed: s.confirmed, Ordered: s.ordered,
 		Counts: a.Totals(),
 	}
-	for _, o := range []*wire.Object{s.upstream, s.centre, s.model} {
-		if o != nil {
-			d.Objects = append(d.Objects, *o)
-		}
+	for _, o := range s.objects() {
+		d.Objects = append(d.Objects, *o)
 	}
 	d.Held, _ = a.held.Size()
 	d.Tokens.Unused, d.Tokens.Running, d.Tokens.Results = a.spent.Len()
--- a/agent/run.go
+++ b/agent/run.go
@@ -132,6 +132,10 @@
 }
 
 func (a *Agent) admit(ctx context.Context, r *run) {
+	if !a.loaded(r.call) {
+		a.refuse(r, wire.ReasonUnavailable, wire.ExecutedNone)
+		return
+	}
 	estimate, reason := a.gate.enter(ctx, r.call, r.deadline)
 	if reason == "" && !time.Now().Before(r.deadline) {
 		a.gate.leave(limit.Sample{Failed: true})
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -14,8 +14,8 @@
 
 const (
 	// beatPeriod is the longest time without a frame on the stream of an open
-	// call; a router treats 1,500 ms of silence as a lost session.
-	beatPeriod = 500 * time.Millisecond
+	// call; a router treats 800 ms of silence as a lost session.
+	beatPeriod = 250 * time.Millisecond
 	firstFrame = 2 * time.Second
 	ackLimit   = 5 * time.Second
 	// maxSessions bounds routers served at once; about 9 are expected.
@@ -143,7 +143,7 @@
 }
 
 // confirm asks one router for the slice of the configuration.
-func (a *Agent) confirm(context.Context) {
+func (a *Agent) confirm() {
 	for _, s := range a.openSessions() {
 		a.sendControl(s, &wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
 		return
@@ -306,13 +306,22 @@
 		case <-ctx.Done():
 			return false
 		case <-beat.C:
-			if st.Send(&wire.Frame{Report: a.report()}) != nil {
+			if st.Send(a.beat()) != nil {
 				return false
 			}
 		}
 	}
 }
 
+// beat shows a router that an open call is alive. It leaves out the cached
+// prefixes, which make up most of a report.
+func (a *Agent) beat() *wire.Frame {
+	rep := a.report()
+	rep.Prefixes = nil
+	rep.Brief = true
+	return &wire.Frame{Report: rep}
+}
+
 func (a *Agent) forward(ctx context.Context, st link.Stream, r *run, next int) bool {
 	for {
 		wait, cancel := context.WithTimeout(ctx, beatPeriod)
@@ -323,7 +332,7 @@
 		case ctx.Err() != nil:
 			return false
 		case err != nil:
-			f = &wire.Frame{Report: a.report()}
+			f = a.beat()
 		case c != nil:
 			f = &wire.Frame{Chunk: c}
 			next++
--- a/agent/state.go
+++ b/agent/state.go
@@ -2,21 +2,28 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/wire"
 )
 
-// maxObjects bounds the slice of the configuration that an agent keeps.
-const maxObjects = 16
+const (
+	// maxObjects bounds the objects that a router may send at once.
+	maxObjects = 16
+	// maxModels bounds the models that an agent keeps.
+	maxModels = 16
+)
 
 // state is the agent's control state; published values are never changed.
 type state struct {
 	upstream  *wire.Object
 	centre    *wire.Object
-	model     *wire.Object
+	models    map[string]*wire.Object
 	leaving   bool      // a planned stop has begun
 	confirmed time.Time // when a router last confirmed the slice
 	orderAt   time.Time // earliest time of the next order
@@ -36,12 +43,23 @@
 }
 
 func (s *state) ticket() (n wire.TicketNumber) {
-	for _, o := range []*wire.Object{s.upstream, s.centre, s.model} {
+	for _, o := range s.objects() {
+		n = max(n, o.Number)
+	}
+	return n
+}
+
+// objects lists the slice of the configuration, models in name order.
+func (s *state) objects() (out []*wire.Object) {
+	for _, o := range []*wire.Object{s.upstream, s.centre} {
 		if o != nil {
-			n = max(n, o.Number)
+			out = append(out, o)
 		}
 	}
-	return n
+	for _, name := range slices.Sorted(maps.Keys(s.models)) {
+		out = append(out, s.models[name])
+	}
+	return out
 }
 
 // merge is a request to the control goroutine to take in objects from a router
@@ -94,24 +112,36 @@
 	a.react(before, &next)
 }
 
-// take replaces an object of the slice unless its ticket number is older.
+// take replaces an object of the slice unless its ticket number is older. Models
+// are kept by name, since routers with different tickets may send different ones.
 func (a *Agent) take(s *state, o *wire.Object) {
-	var slot **wire.Object
+	var old *wire.Object
 	switch {
 	case o.Kind == wire.ObjectKindUpstream && o.Name == string(a.cfg.Upstream) && (o.Deleted || o.Upstream != nil):
-		slot = &s.upstream
+		old = s.upstream
 	case o.Kind == wire.ObjectKindCentre && o.Name == string(a.cfg.Centre) && (o.Deleted || o.Centre != nil):
-		slot = &s.centre
-	case o.Kind == wire.ObjectKindModel && (o.Deleted || o.Model != nil):
-		slot = &s.model
+		old = s.centre
+	case o.Kind == wire.ObjectKindModel && (o.Deleted || o.Model != nil) && (s.models[o.Name] != nil || len(s.models) < maxModels):
+		old = s.models[o.Name]
 	default:
 		a.Inc("discarded", wire.ReasonMalformed)
 		return
 	}
-	if *slot != nil && (*slot).Number >= o.Number && (*slot).Name == o.Name {
+	if old != nil && old.Number >= o.Number {
 		return
 	}
-	*slot = o
+	switch o.Kind {
+	case wire.ObjectKindUpstream:
+		s.upstream = o
+	case wire.ObjectKindCentre:
+		s.centre = o
+	default:
+		s.models = maps.Clone(s.models)
+		if s.models == nil {
+			s.models = map[string]*wire.Object{}
+		}
+		s.models[o.Name] = o
+	}
 	a.log.Info("object in force", "kind", o.Kind, "name", o.Name, "ticket", o.Number)
 }
 
@@ -156,43 +186,74 @@
 	if b := a.boot.Load(); b != nil {
 		r.Boot = *b
 	}
+	if l := a.have.Load(); l != nil {
+		r.Model, r.Version, r.Adapters = l.Model, l.Version, l.Adapters
+	}
 	return r
 }
 
+// loaded reports whether the engine has what a call needs, as far as is known.
+func (a *Agent) loaded(c *wire.Call) bool {
+	l := a.have.Load()
+	if c.Kind != wire.KindGenerate || l == nil {
+		return true
+	}
+	return wire.Serves(l.Model, l.Adapters, c.Model, c.Adapter)
+}
+
 const (
 	// confirmLimit is the age of a router's confirmation beyond which no order
 	// goes to an engine that ignores fencing.
 	confirmLimit = 2 * time.Second
 	orderRetry   = time.Second
 	orderLimit   = 30 * time.Second
+	// forceLimit is the time within which a ticket is in force everywhere.
+	forceLimit = 4 * time.Second
 )
 
-// reconcile orders the model in force when the engine has another one loaded.
-func (a *Agent) reconcile(ctx context.Context, have Loaded) {
+// reconcile orders the model in force when the engine has another one loaded. One
+// order runs at a time; the next report reads its effect back.
+func (a *Agent) reconcile(have Loaded) {
 	s := a.state.Load()
 	want, ok := s.wanted()
-	now := time.Now()
-	if !ok || now.Before(s.orderAt) || sameLoad(want.Loaded, have) {
+	if !ok || time.Now().Before(s.orderAt) || sameLoad(want.Loaded, have) {
+		return
+	}
+	if !s.upstream.Upstream.Fencing && time.Since(s.confirmed) > confirmLimit {
+		a.confirm()
 		return
 	}
-	if !s.upstream.Upstream.Fencing && now.Sub(s.confirmed) > confirmLimit {
-		a.confirm(ctx)
+	if !a.order.CompareAndSwap(false, true) {
 		return
 	}
+	a.orders.Go(func() {
+		defer a.order.Store(false)
+		a.give(want)
+	})
+}
+
+// give sends one order and sets the time before which no other follows.
+func (a *Agent) give(want Order) {
+	ctx, cancel := context.WithTimeout(a.work, orderLimit)
+	defer cancel()
 	err := a.up.Order(ctx, want)
 	wait := orderRetry + rand.N(orderRetry)
-	if err != nil {
-		a.log.Warn("order refused", "model", want.Model, "version", want.Version, "ticket", want.Fence, "err", err)
-		a.Inc("order_failed", "")
-		if r, ok := err.(interface{ RetryAfter() time.Duration }); ok {
-			wait = r.RetryAfter() + rand.N(orderRetry)
-		}
-	} else {
+	var after interface{ RetryAfter() time.Duration }
+	switch {
+	case err == nil:
 		a.log.Info("order given", "model", want.Model, "version", want.Version, "ticket", want.Fence)
 		a.Inc("ordered", "")
+	case errors.As(err, &after):
+		// The weight store's limit is shared by the fleet; the jitter spreads a
+		// fleet that starts at once.
+		wait = after.RetryAfter() + rand.N(after.RetryAfter()+orderRetry)
+		fallthrough
+	default:
+		a.log.Warn("order refused", "model", want.Model, "version", want.Version, "ticket", want.Fence, "wait", wait, "err", err)
+		a.Inc("order_failed", "")
 	}
 	a.update(func(s *state) {
-		s.orderAt = now.Add(wait)
+		s.orderAt = time.Now().Add(wait)
 		if err == nil {
 			s.ordered = want
 		}
@@ -204,12 +265,12 @@
 	if s.upstream == nil || s.upstream.Upstream == nil || s.upstream.Upstream.Kind != wire.KindGenerate {
 		return o, false
 	}
-	if s.model == nil || s.model.Model == nil || s.model.Name != string(s.upstream.Upstream.Model) {
+	obj := s.models[string(s.upstream.Upstream.Model)]
+	if obj == nil || obj.Model == nil {
 		return o, false
 	}
-	m := s.model.Model
-	o.Loaded = Loaded{wire.ModelID(s.model.Name), m.Version, m.Adapters}
-	o.Fence = max(s.model.Number, s.upstream.Number)
+	o.Loaded = Loaded{wire.ModelID(obj.Name), obj.Model.Version, obj.Model.Adapters}
+	o.Fence = max(obj.Number, s.upstream.Number)
 	return o, true
 }
 
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -104,6 +104,8 @@
 		checkRange("report.flight", int(r.Flight), 0, maxSlots),
 		checkRange("report.queued", int(r.Queued), 0, maxSlots),
 		checkRange("report.prefixes", len(r.Prefixes), 0, maxName),
+		checkText("report.model", string(r.Model), maxName, false),
+		checkRange("report.adapters", len(r.Adapters), 0, maxName),
 	)
 }
 
--- a/core/wire/msgp_gen.go
+++ b/core/wire/msgp_gen.go
@@ -3641,43 +3641,91 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "boot"
-	o = append(o, 0x8b, 0xa4, 0x62, 0x6f, 0x6f, 0x74)
-	o = msgp.AppendString(o, string(z.Boot))
-	// string "flight"
-	o = append(o, 0xa6, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
-	o = msgp.AppendInt(o, int(z.Flight))
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, string(z.Incarnation))
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "limit"
-	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
-	o = msgp.AppendInt(o, int(z.Limit))
-	// string "out"
-	o = append(o, 0xa3, 0x6f, 0x75, 0x74)
-	o = msgp.AppendBool(o, z.Out)
-	// string "prefixes"
-	o = append(o, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x78, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Prefixes)))
-	for za0001 := range z.Prefixes {
-		o = msgp.AppendString(o, string(z.Prefixes[za0001]))
-	}
-	// string "queued"
-	o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
-	o = msgp.AppendInt(o, int(z.Queued))
-	// string "ticket"
-	o = append(o, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
-	o = msgp.AppendInt(o, int(z.Ticket))
-	// string "upstream"
-	o = append(o, 0xa8, 0x75, 0x70, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
-	o = msgp.AppendString(o, string(z.Upstream))
-	// string "warmth"
-	o = append(o, 0xa6, 0x77, 0x61, 0x72, 0x6d, 0x74, 0x68)
-	o = msgp.AppendString(o, string(z.Warmth))
+	// check for omitted fields
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
+	_ = zb0001Mask
+	if z.Adapters == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Brief == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Model == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Version == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "adapters"
+			o = append(o, 0xa8, 0x61, 0x64, 0x61, 0x70, 0x74, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Adapters)))
+			for za0001 := range z.Adapters {
+				o = msgp.AppendString(o, string(z.Adapters[za0001]))
+			}
+		}
+		// string "boot"
+		o = append(o, 0xa4, 0x62, 0x6f, 0x6f, 0x74)
+		o = msgp.AppendString(o, string(z.Boot))
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "brief"
+			o = append(o, 0xa5, 0x62, 0x72, 0x69, 0x65, 0x66)
+			o = msgp.AppendBool(o, z.Brief)
+		}
+		// string "flight"
+		o = append(o, 0xa6, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+		o = msgp.AppendInt(o, int(z.Flight))
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, string(z.Incarnation))
+		// string "leaving"
+		o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+		o = msgp.AppendBool(o, z.Leaving)
+		// string "limit"
+		o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
+		o = msgp.AppendInt(o, int(z.Limit))
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "model"
+			o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+			o = msgp.AppendString(o, string(z.Model))
+		}
+		// string "out"
+		o = append(o, 0xa3, 0x6f, 0x75, 0x74)
+		o = msgp.AppendBool(o, z.Out)
+		// string "prefixes"
+		o = append(o, 0xa8, 0x70, 0x72, 0x65, 0x66, 0x69, 0x78, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Prefixes)))
+		for za0002 := range z.Prefixes {
+			o = msgp.AppendString(o, string(z.Prefixes[za0002]))
+		}
+		// string "queued"
+		o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
+		o = msgp.AppendInt(o, int(z.Queued))
+		// string "ticket"
+		o = append(o, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
+		o = msgp.AppendInt(o, int(z.Ticket))
+		// string "upstream"
+		o = append(o, 0xa8, 0x75, 0x70, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
+		o = msgp.AppendString(o, string(z.Upstream))
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "version"
+			o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendInt(o, int(z.Version))
+		}
+		// string "warmth"
+		o = append(o, 0xa6, 0x77, 0x61, 0x72, 0x6d, 0x74, 0x68)
+		o = msgp.AppendString(o, string(z.Warmth))
+	}
 	return
 }
 
@@ -3703,35 +3751,68 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "adapters":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Adapters")
+				return
+			}
+			if zb0002 > zf6ce1d47limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Adapters) >= int(zb0002) {
+				z.Adapters = (z.Adapters)[:zb0002]
+			} else {
+				z.Adapters = make([]AdapterID, zb0002)
+			}
+			for za0001 := range z.Adapters {
+				{
+					var zb0003 string
+					zb0003, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Adapters", za0001)
+						return
+					}
+					z.Adapters[za0001] = AdapterID(zb0003)
+				}
+			}
 		case "boot":
 			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				var zb0004 string
+				zb0004, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Boot")
 					return
 				}
-				z.Boot = BootID(zb0002)
+				z.Boot = BootID(zb0004)
+			}
+		case "brief":
+			z.Brief, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Brief")
+				return
 			}
 		case "flight":
 			{
-				var zb0003 int
-				zb0003, bts, err = msgp.ReadIntBytes(bts)
+				var zb0005 int
+				zb0005, bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Flight")
 					return
 				}
-				z.Flight = Slots(zb0003)
+				z.Flight = Slots(zb0005)
 			}
 		case "incarnation":
 			{
-				var zb0004 string
-				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				var zb0006 string
+				zb0006, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Incarnation")
 					return
 				}
-				z.Incarnation = Incarnation(zb0004)
+				z.Incarnation = Incarnation(zb0006)
 			}
 		case "leaving":
 			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
@@ -3741,13 +3822,23 @@
 			}
 		case "limit":
 			{
-				var zb0005 int
-				zb0005, bts, err = msgp.ReadIntBytes(bts)
+				var zb0007 int
+				zb0007, bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Limit")
 					return
 				}
-				z.Limit = Slots(zb0005)
+				z.Limit = Slots(zb0007)
+			}
+		case "model":
+			{
+				var zb0008 string
+				zb0008, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Model")
+					return
+				}
+				z.Model = ModelID(zb0008)
 			}
 		case "out":
 			z.Out, bts, err = msgp.ReadBoolBytes(bts)
@@ -3756,71 +3847,81 @@
 				return
 			}
 		case "prefixes":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Prefixes")
 				return
 			}
-			if zb0006 > zf6ce1d47limitArrays {
+			if zb0009 > zf6ce1d47limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Prefixes) >= int(zb0006) {
-				z.Prefixes = (z.Prefixes)[:zb0006]
+			if cap(z.Prefixes) >= int(zb0009) {
+				z.Prefixes = (z.Prefixes)[:zb0009]
 			} else {
-				z.Prefixes = make([]Fingerprint, zb0006)
+				z.Prefixes = make([]Fingerprint, zb0009)
 			}
-			for za0001 := range z.Prefixes {
+			for za0002 := range z.Prefixes {
 				{
-					var zb0007 string
-					zb0007, bts, err = msgp.ReadStringBytes(bts)
+					var zb0010 string
+					zb0010, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Prefixes", za0001)
+						err = msgp.WrapError(err, "Prefixes", za0002)
 						return
 					}
-					z.Prefixes[za0001] = Fingerprint(zb0007)
+					z.Prefixes[za0002] = Fingerprint(zb0010)
 				}
 			}
 		case "queued":
 			{
-				var zb0008 int
-				zb0008, bts, err = msgp.ReadIntBytes(bts)
+				var zb0011 int
+				zb0011, bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Queued")
 					return
 				}
-				z.Queued = Slots(zb0008)
+				z.Queued = Slots(zb0011)
 			}
 		case "ticket":
 			{
-				var zb0009 int
-				zb0009, bts, err = msgp.ReadIntBytes(bts)
+				var zb0012 int
+				zb0012, bts, err = msgp.ReadIntBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Ticket")
 					return
 				}
-				z.Ticket = TicketNumber(zb0009)
+				z.Ticket = TicketNumber(zb0012)
 			}
 		case "upstream":
 			{
-				var zb0010 string
-				zb0010, bts, err = msgp.ReadStringBytes(bts)
+				var zb0013 string
+				zb0013, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Upstream")
 					return
 				}
-				z.Upstream = UpstreamID(zb0010)
+				z.Upstream = UpstreamID(zb0013)
+			}
+		case "version":
+			{
+				var zb0014 int
+				zb0014, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Version")
+					return
+				}
+				z.Version = Version(zb0014)
 			}
 		case "warmth":
 			{
-				var zb0011 string
-				zb0011, bts, err = msgp.ReadStringBytes(bts)
+				var zb0015 string
+				zb0015, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Warmth")
 					return
 				}
-				z.Warmth = Warmth(zb0011)
+				z.Warmth = Warmth(zb0015)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -3836,11 +3937,15 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Report) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Boot)) + 7 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(string(z.Incarnation)) + 8 + msgp.BoolSize + 6 + msgp.IntSize + 4 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
-	for za0001 := range z.Prefixes {
-		s += msgp.StringPrefixSize + len(string(z.Prefixes[za0001]))
+	s = 1 + 9 + msgp.ArrayHeaderSize
+	for za0001 := range z.Adapters {
+		s += msgp.StringPrefixSize + len(string(z.Adapters[za0001]))
+	}
+	s += 5 + msgp.StringPrefixSize + len(string(z.Boot)) + 6 + msgp.BoolSize + 7 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(string(z.Incarnation)) + 8 + msgp.BoolSize + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.Model)) + 4 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Prefixes {
+		s += msgp.StringPrefixSize + len(string(z.Prefixes[za0002]))
 	}
-	s += 7 + msgp.IntSize + 7 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(string(z.Upstream)) + 7 + msgp.StringPrefixSize + len(string(z.Warmth))
+	s += 7 + msgp.IntSize + 7 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(string(z.Upstream)) + 8 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(string(z.Warmth))
 	return
 }
 
--- a/core/wire/wire_gen.go
+++ b/core/wire/wire_gen.go
@@ -443,9 +443,16 @@
 
 // Report is an agent's view of its upstream.
 type Report struct {
+	// Adapters are loaded beside the model.
+	Adapters []AdapterID `json:"adapters,omitempty,omitzero" msg:"adapters,omitempty"`
+
 	// Boot corresponds to the JSON schema field "boot".
 	Boot BootID `json:"boot" msg:"boot"`
 
+	// Brief marks a report without prefixes, which leaves those of the last full one
+	// valid.
+	Brief bool `json:"brief,omitempty,omitzero" msg:"brief,omitempty"`
+
 	// Flight counts calls given to the upstream.
 	Flight Slots `json:"flight" msg:"flight"`
 
@@ -458,6 +465,9 @@
 	// Limit corresponds to the JSON schema field "limit".
 	Limit Slots `json:"limit" msg:"limit"`
 
+	// Model is what the engine has loaded, or empty.
+	Model ModelID `json:"model,omitempty,omitzero" msg:"model,omitempty"`
+
 	// Out is set while the agent knows its data centre to be out.
 	Out bool `json:"out" msg:"out"`
 
@@ -473,6 +483,9 @@
 	// Upstream corresponds to the JSON schema field "upstream".
 	Upstream UpstreamID `json:"upstream" msg:"upstream"`
 
+	// Version corresponds to the JSON schema field "version".
+	Version Version `json:"version,omitempty,omitzero" msg:"version,omitempty"`
+
 	// Warmth corresponds to the JSON schema field "warmth".
 	Warmth Warmth `json:"warmth" msg:"warmth"`
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -11,8 +11,11 @@
 
 const (
 	// silenceLimit is the time without a frame on an open call after which its
-	// session counts as lost; agents send one at least every 500 ms.
-	silenceLimit = 1500 * time.Millisecond
+	// session counts as lost; agents send one at least every 250 ms.
+	silenceLimit = 800 * time.Millisecond
+	// resumeLimit bounds the wait for a new session when the call may be run
+	// elsewhere instead; a dead host never opens one.
+	resumeLimit = 300 * time.Millisecond
 	// verdictGrace is the time beyond the stage's budget for which the router
 	// waits for the agent's own word on what became of the call.
 	verdictGrace = 250 * time.Millisecond
@@ -67,7 +70,7 @@
 		}
 		sess.Close("no answer on an open call")
 		r.Inc("session_lost", "")
-		if sess, err = l.await(ctx, sess); err != nil {
+		if sess, err = a.resume(ctx, sess); err != nil {
 			return a.unknown(ctx)
 		}
 		if sess.Peer().Incarnation != a.inc {
@@ -80,6 +83,16 @@
 	}
 }
 
+// resume waits for a new session to the agent.
+func (a *attempt) resume(ctx context.Context, old link.Session) (link.Session, error) {
+	if !a.call.Once {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, resumeLimit)
+		defer cancel()
+	}
+	return a.link.await(ctx, old)
+}
+
 // unknown is the outcome of a call that was sent and cannot be asked after.
 func (a *attempt) unknown(ctx context.Context) outcome {
 	o := outcome{reason: wire.ReasonUnknown, executed: wire.ExecutedUnknown}
--- a/router/control.go
+++ b/router/control.go
@@ -83,6 +83,7 @@
 	routers    []route.Router
 	subset     map[wire.UpstreamID]bool
 	links      map[wire.UpstreamID]*heldLink
+	retired    []*heldLink // replaced links with calls under way
 	pools      map[wire.PoolID]*pool
 	rejected   []Rejection
 	pending    []wire.Ticket
@@ -368,7 +369,8 @@
 		return l
 	}
 	if l != nil {
-		l.cancel()
+		// Calls under way finish on the old session.
+		c.retired = append(c.retired, l)
 	}
 	p := c.pools[u.Pool]
 	if p == nil {
@@ -385,6 +387,13 @@
 // closeLinks ends links to upstreams that left the subset, once their calls are
 // done.
 func (c *control) closeLinks(now time.Time) {
+	c.retired = slices.DeleteFunc(c.retired, func(l *heldLink) bool {
+		if l.own.Load() > 0 {
+			return false
+		}
+		l.cancel()
+		return true
+	})
 	for up, l := range c.links {
 		if c.subset[up] || l.own.Load() > 0 || now.Before(l.extra) {
 			continue
@@ -419,7 +428,7 @@
 	own, _ := c.store.Centre(c.r.cfg.Centre)
 	for up, l := range c.links {
 		u, ok := c.store.Upstream(up)
-		if !ok || !c.verdict(l, now).Eligible {
+		if !ok || !c.subset[up] || !c.verdict(l, now).Eligible {
 			continue
 		}
 		list := out[u.Pool]
--- a/router/links.go
+++ b/router/links.go
@@ -132,7 +132,12 @@
 	if rep == nil || rep.Upstream != l.up {
 		return
 	}
-	before := l.report.Swap(&seenReport{*rep, l.own.Load()})
+	next := &seenReport{*rep, l.own.Load()}
+	before := l.report.Load()
+	if rep.Brief && before != nil {
+		next.Prefixes = before.Prefixes
+	}
+	l.report.Store(next)
 	if before == nil || before.Leaving != rep.Leaving || before.Out != rep.Out || before.Incarnation != rep.Incarnation {
 		l.r.ctl.wake()
 	}
--- a/router/pool.go
+++ b/router/pool.go
@@ -30,7 +30,8 @@
 	id      wire.PoolID
 	members atomic.Pointer[[]poolMember]
 	retry   *budget.Retry
-	mean    share.Mean // accelerator time of a stage in microseconds
+	mean    share.Mean    // accelerator time of a stage in microseconds
+	waits   [2]share.Mean // time in the queue in microseconds, by class
 
 	mu    sync.Mutex
 	queue *share.Queue[*placement]
@@ -40,14 +41,17 @@
 
 // placement is a stage that waits for an upstream.
 type placement struct {
-	team   wire.TeamID
-	weight int
-	bound  wire.Slots
-	rank   wire.Rank
-	cost   int64
-	latest time.Time
-	prefix wire.Fingerprint
-	avoid  map[wire.UpstreamID]bool
+	team    wire.TeamID
+	weight  int
+	bound   wire.Slots
+	rank    wire.Rank
+	cost    int64
+	latest  time.Time
+	prefix  wire.Fingerprint
+	model   wire.ModelID
+	adapter wire.AdapterID
+	since   time.Time
+	avoid   map[wire.UpstreamID]bool
 
 	done   chan struct{}
 	link   *agentLink
@@ -69,8 +73,8 @@
 // as under way there; the caller owes a call of release. On refusal the link is
 // nil.
 func (p *pool) acquire(ctx context.Context, w *placement) (*agentLink, wire.Reason) {
-	w.done = make(chan struct{})
 	now := time.Now()
+	w.done, w.since = make(chan struct{}), now
 	p.mu.Lock()
 	reason, ok := p.queue.Push(now, share.Entry[*placement]{
 		Team: w.team, Weight: w.weight, Rank: w.rank, Cost: w.cost, Latest: w.latest, Bound: w.bound, Value: w,
@@ -109,6 +113,21 @@
 	return nil, wire.ReasonDeadline
 }
 
+func classOf(r wire.Rank) int {
+	if r == wire.RankBatch {
+		return 1
+	}
+	return 0
+}
+
+// wait is the time that a stage of a class may expect to spend in the queue now.
+func (p *pool) wait(r wire.Rank) time.Duration {
+	if p.queue.Len() == 0 {
+		return 0
+	}
+	return time.Duration(p.waits[classOf(r)].Estimate(1)) * time.Microsecond
+}
+
 // release ends a stage on l.
 func (p *pool) release(l *agentLink) {
 	l.own.Add(-1)
@@ -137,12 +156,19 @@
 		}
 		w := e.Value
 		l, ok := p.pick(w)
+		if !ok && len(w.avoid) > 0 {
+			// Only avoided replicas have room; another try there is better than
+			// none.
+			w.avoid = nil
+			l, ok = p.pick(w)
+		}
 		if !ok {
-			// Only avoided replicas have room; a second failure there is better
-			// than none trying.
-			l, _ = p.pick(nil)
+			// The replicas with room lack the stage's model; it comes back later.
+			w.settle(nil, wire.ReasonBusy)
+			continue
 		}
 		l.own.Add(1)
+		p.waits[classOf(w.rank)].Learn(now.Sub(w.since).Microseconds())
 		w.settle(l, "")
 	}
 }
@@ -169,7 +195,7 @@
 func (m *poolMember) candidate(w *placement) route.Candidate {
 	c := route.Candidate{Upstream: m.link.up, Distance: m.distance, Own: wire.Slots(m.link.own.Load())}
 	rep := m.link.report.Load()
-	if rep == nil || w != nil && w.avoid[m.link.up] {
+	if rep == nil || w != nil && !w.fits(m.link.up, rep) {
 		return c
 	}
 	c.Limit, c.Flight, c.Queued, c.Warmth = rep.Limit, rep.Flight, rep.Queued, rep.Warmth
@@ -180,6 +206,11 @@
 	return c
 }
 
+// fits reports whether the stage may go to an upstream with such a report.
+func (w *placement) fits(up wire.UpstreamID, rep *seenReport) bool {
+	return !w.avoid[up] && wire.Serves(rep.Model, rep.Adapters, w.model, w.adapter)
+}
+
 func holds(ps []wire.Fingerprint, p wire.Fingerprint) bool {
 	for _, x := range ps {
 		if x == p {
--- a/router/serve.go
+++ b/router/serve.go
@@ -100,7 +100,7 @@
 	if s.r.crashes.State(time.Now(), s.print) == wire.MarkStateQuarantined {
 		return wire.ReasonQuarantined
 	}
-	if _, ok = budget.Split(s.limit(), expects(s.pl.Stages)); !ok {
+	if _, ok = budget.Split(s.limit(), s.needs(0)); !ok {
 		return wire.ReasonDeadline
 	}
 	return ""
@@ -125,10 +125,19 @@
 	return -1
 }
 
-func expects(stages []wire.Stage) []wire.Millis {
-	out := make([]wire.Millis, len(stages))
-	for i := range stages {
-		out[i] = wire.Millis(stages[i].Expect)
+// needs is the time that the stages from index on are expected to take: their
+// usual time and, for later ones, the present wait in their pools. A request whose
+// later stages are backed up is refused before it uses the earlier ones.
+func (s *serving) needs(from int) []wire.Millis {
+	pools := s.r.snap.Load().pools
+	out := make([]wire.Millis, 0, len(s.pl.Stages)-from)
+	for i := from; i < len(s.pl.Stages); i++ {
+		st := &s.pl.Stages[i]
+		n := wire.Millis(st.Expect)
+		if p := pools[st.Pool]; p != nil && i > from {
+			n += millis(p.wait(s.pl.Rank))
+		}
+		out = append(out, n)
 	}
 	return out
 }
@@ -209,7 +218,7 @@
 
 // attempt places the stage on an upstream and follows it there.
 func (s *stageRun) attempt(ctx context.Context, p *pool, n wire.Attempt, input []byte) outcome {
-	left, ok := budget.Split(time.Until(s.end), expects(s.pl.Stages[s.index:]))
+	left, ok := budget.Split(time.Until(s.end), s.needs(s.index))
 	if !ok {
 		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
 	}
@@ -219,7 +228,7 @@
 		return outcome{reason: reason, executed: wire.ExecutedNone}
 	}
 	defer l.pool.release(l)
-	left, ok = budget.Split(time.Until(s.end), expects(s.pl.Stages[s.index:]))
+	left, ok = budget.Split(time.Until(s.end), s.needs(s.index))
 	if !ok {
 		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
 	}
@@ -234,6 +243,7 @@
 	return p.acquire(ctx, &placement{
 		team: s.req.Team, weight: s.team.Weight, bound: wire.Slots(s.team.Queue), rank: s.pl.Rank,
 		cost: s.cost, latest: latest, prefix: s.prefix(), avoid: s.avoid,
+		model: s.stage.Model, adapter: s.stage.Adapter,
 	})
 }
 
@@ -293,6 +303,9 @@
 		s.ran.token = false
 	}
 	s.ran.add(o.executed)
+	if !o.done() {
+		s.avoid[l.up] = true
+	}
 	now := time.Now()
 	if o.result != nil {
 		s.charge(l.pool, &o.result.Cost)
