bench: add capacity run for ticket store and control goroutine

The target scale had no figures behind it. `bench capacity` measures each quantity at three or more sizes, fits the slopes by least squares with standard errors, and derives the figures at the target size with mechanism, target and first figure at which it breaks. This commit has the fit, the table and the parts a (ticket store) and b (control goroutine with 10 to 6,583 stub sessions).

--- a/bench/doc.go
+++ b/bench/doc.go
@@ -1,2 +1,3 @@
-// Package bench is under construction.
+// Package bench measures how the cost of each part of the system grows with the
+// size of the fleet, and derives the figures at the target size from the slopes.
 package bench
--- /dev/null
+++ b/bench/page.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+)
+
+// write prints the page: table, conditions and measured series.
+func (c *capacity) write(w io.Writer) {
+	fmt.Fprintln(w, "# Capacity")
+	fmt.Fprintf(w, "\nWritten by `go run ./bench/cmd/bench capacity` with seed %d on %d cores, %s.\n", c.seed, runtime.NumCPU(), runtime.Version())
+	fmt.Fprintf(w, "Other work ran on the machine, so times are the least of several rounds; a baseline, SHA-256 of\n1 KiB, took %d ns in the same run, and times are given as multiples of it too (×B).\n", c.base.Nanoseconds())
+	fmt.Fprintln(w, "\n## Figures at the target size")
+	fmt.Fprintln(w)
+	WriteTable(w, c.lines())
+	if len(c.notes) > 0 {
+		fmt.Fprintln(w, "\n## Notes")
+		fmt.Fprintln(w)
+		for _, n := range c.notes {
+			fmt.Fprintln(w, "- "+n)
+		}
+	}
+	fmt.Fprintln(w, "\n## Measured")
+	for _, s := range c.all {
+		s.Write(w)
+		c.writeRatio(w, s)
+	}
+	fmt.Fprint(w, "\nTime of the parts:")
+	for _, p := range Parts {
+		if d, ok := c.took[string(p)]; ok {
+			fmt.Fprintf(w, " %c %.1f s", p, d.Seconds())
+		}
+	}
+	fmt.Fprintln(w, ".")
+}
+
+// writeRatio prints the slopes of a time as multiples of the baseline.
+func (c *capacity) writeRatio(w io.Writer, s *Series) {
+	unit, ok := map[string]float64{"µs": 1e3, "ms": 1e6, "µs of processor time": 1e3}[s.Unit]
+	f, err := s.Fit()
+	if !ok || err != nil {
+		return
+	}
+	fmt.Fprintf(w, "In ×B: %s", number(f.Coef[0]*unit/float64(c.base)))
+	for i, v := range s.Vars {
+		fmt.Fprintf(w, " + %s per unit of %s", number(f.Coef[i+1]*unit/float64(c.base)), v)
+	}
+	fmt.Fprintln(w, ".")
+}
--- /dev/null
+++ b/bench/table.go
@@ -0,0 +1,55 @@
+package bench
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+)
+
+// Line is one row of the table of figures at the target size.
+type Line struct {
+	Role, Quantity string
+	Value, Err     float64 // with its standard error, 0 if there is none
+	Unit           string
+	Target         float64 // most that the target allows; 0 means that there is none
+	Note           string  // where the value goes beyond the measured sizes, and other limits
+	Mechanism      string
+	Breaks         string // first figure at which the target no longer holds
+}
+
+// Verdict says whether the target is met and by how much.
+func (l Line) Verdict() string {
+	switch {
+	case l.Target == 0:
+		return "no target"
+	case l.Value <= l.Target:
+		return fmt.Sprintf("met, %s%% of it", number(100*l.Value/l.Target))
+	default:
+		return fmt.Sprintf("**missed, %sx**", number(l.Value/l.Target))
+	}
+}
+
+func (l Line) value() string {
+	text := number(l.Value)
+	if l.Err > 0 {
+		text += " ± " + number(l.Err)
+	}
+	return text + " " + l.Unit
+}
+
+func (l Line) target() string {
+	if l.Target == 0 {
+		return "-"
+	}
+	return number(l.Target) + " " + l.Unit
+}
+
+// WriteTable prints lines as a table in Markdown.
+func WriteTable(w io.Writer, lines []Line) {
+	fmt.Fprintln(w, "| role | quantity | at the target size | target | result | mechanism | first breaks at | beyond what was measured |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	for _, l := range lines {
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s | %s |\n",
+			l.Role, l.Quantity, l.value(), l.target(), l.Verdict(), l.Mechanism, cmp.Or(l.Breaks, "-"), cmp.Or(l.Note, "no"))
+	}
+}
--- /dev/null
+++ b/bench/table_test.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestVerdict guards against a missed target that is shown as met.
+func TestVerdict(t *testing.T) {
+	tests := []struct {
+		value, target float64
+		want          string
+	}{
+		{1, 0, "no target"},
+		{32, 64, "met, 50% of it"},
+		{64, 64, "met, 100% of it"},
+		{96, 64, "**missed, 1.5x**"},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, Line{Value: tt.value, Target: tt.target}.Verdict(), tt.want)
+	}
+}
+
+// TestNote guards against an extrapolation that the page does not name.
+func TestNote(t *testing.T) {
+	c := &capacity{}
+	s := c.series("a", "memory", "MB", "upstreams")
+	for _, x := range []float64{1, 2, 4} {
+		s.Add(2*x, x)
+	}
+	tests := []struct {
+		at   float64
+		want string
+	}{
+		{3, ""},
+		{4, "no: measured there, 8 MB"},
+		{12, "upstreams 3.0x the largest measured"},
+	}
+	for _, tt := range tests {
+		y, _, note, ok := c.at("memory", tt.at)
+		assert.Assert(t, ok)
+		near(t, y, 2*tt.at)
+		assert.Equal(t, note, tt.want)
+	}
+	assert.Equal(t, c.reach("memory", 40, 0, 1), "20 upstreams (5x the largest measured)")
+}
+
+func TestNumber(t *testing.T) {
+	for x, want := range map[float64]string{11000: "11,000", -1234567: "-1,234,567", 123.4: "123", 12.34: "12.3", 0.1234: "0.123", 2: "2"} {
+		assert.Equal(t, number(x), want)
+	}
+}
+
+// TestCapacity guards against a part that fails or a table without its rows, at
+// sizes whose figures mean nothing.
+func TestCapacity(t *testing.T) {
+	var page bytes.Buffer
+	assert.NilError(t, Capacity(t.Context(), &page, Options{Parts: "ab", Seed: 1, Tiny: true}))
+	for _, want := range []string{"| router | state: ticket store |", "| router | one rebuild |", "Fit: "} {
+		assert.Assert(t, strings.Contains(page.String(), want), "no %q in:\n%s", want, page.String())
+	}
+	assert.Assert(t, !strings.Contains(page.String(), "No fit"), page.String())
+}
