link: count the bytes and datagrams of a socket

The design bounds control traffic at 3 KB/s a daemon, but no figure of it could be had from a running process: sessions hide their packets. The socket under a QUIC endpoint now counts what it sends and receives, and QUIC.Traffic returns the counts.

--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -148,3 +148,22 @@
 		assert.ErrorIs(t, err, errUnreachable)
 	})
 }
+
+// TestTraffic guards against a socket whose traffic is not counted, which would
+// show a control overhead of nothing.
+func TestTraffic(t *testing.T) {
+	a, err := certs.NewAuthority()
+	assert.NilError(t, err)
+	rt := listen(t, issue(t, a, wire.RoleRouter, "r", time.Hour), wire.RoleRouter, "r", wire.RoleRouter)
+	ag := listen(t, issue(t, a, wire.RoleAgent, "a", time.Hour), wire.RoleAgent, "a", wire.RoleRouter)
+	near, far := connect(t, rt, ag, hello(wire.RoleRouter, "r"))
+	before := rt.Traffic()
+	expectExchange(t, near, far)
+	after, other := rt.Traffic(), ag.Traffic()
+	for _, n := range []int64{
+		after.SentBytes - before.SentBytes, after.SentUnits - before.SentUnits,
+		after.RecvBytes - before.RecvBytes, after.RecvUnits - before.RecvUnits, other.SentBytes, other.RecvBytes,
+	} {
+		assert.Assert(t, n > 0, "before %+v, after %+v, other end %+v", before, after, other)
+	}
+}
--- a/core/link/quic.go
+++ b/core/link/quic.go
@@ -43,7 +43,7 @@
 type QUIC struct {
 	src   *certs.Source
 	hello wire.Hello
-	conn  *net.UDPConn
+	conn  *countedConn
 	tr    *quic.Transport
 	ln    *quic.Listener
 	ready chan Session
@@ -63,10 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", ua)
+	socket, err := net.ListenUDP("udp", ua)
 	if err != nil {
 		return nil, err
 	}
+	conn := newCountedConn(socket)
 	q = &QUIC{src: src, hello: hello, conn: conn, tr: &quic.Transport{Conn: conn}, ready: make(chan Session)}
 	q.ln, err = q.tr.Listen(src.Server(Protocol, roles...), quicConfig())
 	if err != nil {
