router, agent: add the administration API

Cause: operators could see a router's state only in its dump, and agents kept no accounts.

Change: core/admin holds the types and bounds of the API. Routers serve /v1/objects, tickets, upstreams, teams, quarantines, centres/{name}, counts, accounts/refusals, accounts/costs and check; agents serve /v1/report and /v1/accounts/costs; a team's own key reads /v1/accounts on the callers' listener. Every list is paged and says when it was cut. hbrouter and hbagent run an acct.Book with log lines and metrics. /v1/members is replaced by /v1/upstreams.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/hold"
 	"hornbeamcove.example/core/limit"
@@ -70,7 +71,8 @@
 	stopped  bool
 	merges   chan merge
 	meter.Counters
-	onResult func(*wire.Call, *wire.Result)
+	book     *acct.Book // may be nil
+	onResult func(c *wire.Call, res *wire.Result, took time.Duration)
 }
 
 // Option changes an Agent before it runs.
@@ -79,8 +81,11 @@
 // WithLogger sets the log; without it nothing is logged.
 func WithLogger(l *log.Logger) Option { return func(a *Agent) { a.log = l } }
 
-// WithResults calls f for each call that the upstream was given, after it ended.
-func WithResults(f func(*wire.Call, *wire.Result)) Option { return func(a *Agent) { a.onResult = f } }
+// WithResults calls f for each call that the upstream was given, after it ended,
+// with the time that it took there.
+func WithResults(f func(c *wire.Call, res *wire.Result, took time.Duration)) Option {
+	return func(a *Agent) { a.onResult = f }
+}
 
 // WithIncarnation sets the identity of this run, which the hello of the agent's
 // listener carries too.
@@ -217,9 +222,9 @@
 	a.update(func(s *state) { s.confirmed = time.Time{} })
 }
 
-func (a *Agent) account(c *wire.Call, res *wire.Result) {
+func (a *Agent) account(c *wire.Call, res *wire.Result, took time.Duration) {
 	if a.onResult != nil {
-		a.onResult(c, res)
+		a.onResult(c, res, took)
 	}
 }
 
--- a/agent/cmd/hbagent/main.go
+++ b/agent/cmd/hbagent/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hornbeamcove.example/agent"
+	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/certs"
 	"hornbeamcove.example/core/conf"
 	"hornbeamcove.example/core/limit"
@@ -67,12 +68,16 @@
 	if err != nil {
 		return err
 	}
+	book := acct.NewBook(acct.WithLogger(p.Log()), acct.WithScope(p.Scope()))
 	a := agent.New(agent.Config{
 		Name: cfg.Name, Upstream: cfg.Upstream, Centre: cfg.Centre, Kind: cfg.Kind, Bounds: firstBounds,
-	}, up, ln, agent.WithLogger(p.Log()), agent.WithIncarnation(inc))
+	}, up, ln, agent.WithLogger(p.Log()), agent.WithIncarnation(inc), agent.WithAccounts(book))
 	a.Export(p.Scope())
 	p.AddReady("agent", a.Ready)
+	a.Routes(p.Admin())
 	p.AddDumper("agent", a)
+	p.AddDumper("accounts", book)
+	p.Go("accounts", book.Run)
 	p.Go("certificates", func(ctx context.Context) error { return src.Watch(ctx, files, p.Rotated) })
 	serve(p, a, time.Duration(cfg.Drain)*time.Millisecond)
 	return nil
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -190,7 +190,8 @@
 		s.cost.Input, s.cost.Cached, s.cost.Output, s.cost.Busy = u.Prompt, min(u.Cached, u.Prompt), u.Output, u.Busy
 	}
 	if e.Error != "" {
-		return &UpstreamError{Sent: true, Err: errors.New(e.Error)}
+		// The engine's text may quote the prompt, so it does not go into the log.
+		return &UpstreamError{Sent: true, Err: errors.New("engine ended the stream with an error")}
 	}
 	for _, ch := range e.Choices {
 		if ch.Text == "" {
--- a/agent/run.go
+++ b/agent/run.go
@@ -188,7 +188,7 @@
 	}
 	res.Report = a.report()
 	r.entry.Finish(res)
-	a.account(r.call, res)
+	a.account(r.call, res, sample.Latency)
 }
 
 // settle records the end of a non-repeatable call under its token.
--- a/core/acct/book.go
+++ b/core/acct/book.go
@@ -202,17 +202,10 @@
 // Rows returns copies of the rows of the last 60 minutes before the newest entry
 // that the filter takes, by minute, team, pipeline, stage and reason.
 func (b *Book) Rows(f Filter) []Row {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var newest int64
-	for i := range b.minutes {
-		newest = max(newest, b.minutes[i].number)
-	}
+	newest := b.newest()
 	var rows []Row
 	for i := range b.minutes {
-		if m := &b.minutes[i]; m.rows != nil && m.number > newest-Minutes {
-			rows = m.append(rows, f)
-		}
+		rows = append(rows, b.minuteRows(i, newest, f)...)
 	}
 	slices.SortFunc(rows, func(a, b Row) int {
 		return cmp.Or(
@@ -226,7 +219,28 @@
 	return rows
 }
 
-func (m *minute) append(rows []Row, f Filter) []Row {
+func (b *Book) newest() (n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.minutes {
+		n = max(n, b.minutes[i].number)
+	}
+	return n
+}
+
+// minuteRows locks the book for one minute only, since the data path waits for
+// the lock and a full book holds 245,760 rows.
+func (b *Book) minuteRows(i int, newest int64, f Filter) []Row {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := &b.minutes[i]
+	if m.rows == nil || m.number <= newest-Minutes || m.number > newest {
+		return nil
+	}
+	return m.list(f)
+}
+
+func (m *minute) list(f Filter) (rows []Row) {
 	start := time.Unix(m.number*60, 0).UTC()
 	add := func(k key, a account, overflow bool) {
 		r := Row{
--- /dev/null
+++ b/core/admin/check.go
@@ -0,0 +1,205 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"hornbeamcove.example/core/ticket"
+	"hornbeamcove.example/core/wire"
+)
+
+// maxFaults bounds the faults that one check reports.
+const maxFaults = 16
+
+// Fault is one fault of a ticket. A pending one would vanish if another ticket,
+// with the objects that this one names, came first.
+type Fault struct {
+	Number  wire.TicketNumber `json:"number"`
+	Field   string            `json:"field"`
+	Problem string            `json:"problem"`
+	Pending bool              `json:"pending"`
+}
+
+// Change is what a ticket would do to one object. Old is null for a new object.
+// Fields lists what differs; the hash of a key is listed and not shown.
+type Change struct {
+	Kind   wire.ObjectKind `json:"kind"`
+	Name   string          `json:"name"`
+	Action string          `json:"action"` // add, change, delete or renumber
+	Fields []string        `json:"fields"`
+	Old    *Object         `json:"old"`
+	New    *Object         `json:"new"`
+}
+
+// Skip is an object of a ticket that would have no effect, since a ticket with a
+// higher or the same number has set it.
+type Skip struct {
+	Kind   wire.ObjectKind   `json:"kind"`
+	Name   string            `json:"name"`
+	Number wire.TicketNumber `json:"number"`
+}
+
+// Check is the answer of /v1/check.
+type Check struct {
+	Head
+	Number  wire.TicketNumber `json:"number"`
+	Valid   bool              `json:"valid"`
+	Faults  []Fault           `json:"faults"`
+	Changes []Change          `json:"changes"`
+	Skipped []Skip            `json:"skipped"`
+	Cut     bool              `json:"cut"`
+}
+
+// CheckTicket reports what the JSON text of a ticket would change in s. The
+// faults of each object are reported together; faults between objects only when
+// there are no others.
+func CheckTicket(s *ticket.Store, text []byte) *Check {
+	c := &Check{Faults: []Fault{}, Changes: []Change{}, Skipped: []Skip{}}
+	t, err := ticket.Parse(text)
+	c.Number = t.Number
+	if c.fault(err) {
+		c.parts(s, text)
+		return c
+	}
+	changes, err := s.Diff(t)
+	if c.fault(err) {
+		if !c.Faults[0].Pending {
+			c.parts(s, text)
+		}
+		return c
+	}
+	c.Valid = true
+	for i := range changes {
+		c.Changes = append(c.Changes, newChange(&changes[i]))
+	}
+	c.skipped(s, t, changes)
+	return c
+}
+
+// fault records an error and reports whether there was one.
+func (c *Check) fault(err error) bool {
+	if err == nil {
+		return false
+	}
+	f := Fault{Field: "document", Problem: err.Error()}
+	var bt *ticket.BadTicket
+	if errors.As(err, &bt) {
+		f = Fault{bt.Number, bt.Field, bt.Problem, bt.Pending}
+	}
+	c.Number = max(c.Number, f.Number)
+	if slices.Contains(c.Faults, f) {
+		return true
+	}
+	if len(c.Faults) >= maxFaults {
+		c.Cut = true
+		return true
+	}
+	c.Faults = append(c.Faults, f)
+	return true
+}
+
+// parts checks the objects of a faulty ticket one by one, so that an operator
+// sees more than the first fault. Faults between objects are left out: they
+// cannot be told from one object.
+func (c *Check) parts(s *ticket.Store, text []byte) {
+	var doc struct {
+		Number  json.RawMessage   `json:"number"`
+		Objects []json.RawMessage `json:"objects"`
+	}
+	if json.Unmarshal(text, &doc) != nil || len(doc.Number) == 0 {
+		return
+	}
+	for i, o := range doc.Objects {
+		one, err := json.Marshal(map[string]any{"number": doc.Number, "objects": []json.RawMessage{o}})
+		if err != nil || c.Cut {
+			return
+		}
+		t, err := ticket.Parse(one)
+		if err == nil {
+			_, err = s.Diff(t)
+		}
+		var bt *ticket.BadTicket
+		if !errors.As(err, &bt) || bt.Pending {
+			continue
+		}
+		if rest, ok := strings.CutPrefix(bt.Field, "objects.0"); ok {
+			at := *bt
+			at.Field = fmt.Sprintf("objects.%d%s", i, rest)
+			c.fault(&at)
+		}
+	}
+}
+
+func (c *Check) skipped(s *ticket.Store, t wire.Ticket, changes []ticket.Change) {
+	type id struct {
+		kind wire.ObjectKind
+		name string
+	}
+	changed := make(map[id]bool, len(changes))
+	for _, ch := range changes {
+		changed[id{ch.Kind, ch.Name}] = true
+	}
+	for i := range t.Objects {
+		o := &t.Objects[i]
+		if changed[id{o.Kind, o.Name}] {
+			continue
+		}
+		if have, ok := s.Object(o.Kind, o.Name); ok {
+			c.Skipped = append(c.Skipped, Skip{o.Kind, o.Name, have.Number})
+		}
+	}
+}
+
+func newChange(ch *ticket.Change) Change {
+	out := Change{Kind: ch.Kind, Name: ch.Name, Old: NewObject(ch.Old), New: NewObject(ch.New)}
+	out.Fields = differing(part(ch.Old), part(ch.New))
+	switch {
+	case ch.New.Deleted:
+		out.Action = "delete"
+	case ch.Old == nil || ch.Old.Deleted:
+		out.Action = "add"
+	case len(out.Fields) > 0:
+		out.Action = "change"
+	default:
+		out.Action = "renumber"
+	}
+	return out
+}
+
+// part returns the fields of an object's part, or nothing for a tombstone.
+func part(o *wire.Object) map[string]any {
+	if o == nil || o.Deleted {
+		return nil
+	}
+	text, err := json.Marshal(o)
+	if err != nil {
+		return nil
+	}
+	var doc map[string]any
+	if json.Unmarshal(text, &doc) != nil {
+		return nil
+	}
+	fields, _ := doc[string(o.Kind)].(map[string]any)
+	return fields
+}
+
+// differing lists the fields in which two parts differ, in name order.
+func differing(a, b map[string]any) []string {
+	out := []string{}
+	for k, v := range a {
+		if w, ok := b[k]; !ok || !reflect.DeepEqual(v, w) {
+			out = append(out, k)
+		}
+	}
+	for k := range b {
+		if _, ok := a[k]; !ok {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/core/admin/types.go
@@ -0,0 +1,188 @@
+package admin
+
+import (
+	"time"
+
+	"hornbeamcove.example/core/acct"
+	"hornbeamcove.example/core/meter"
+	"hornbeamcove.example/core/share"
+	"hornbeamcove.example/core/wire"
+)
+
+// Key is a team's key without its hash, which is never shown.
+type Key struct {
+	Team wire.TeamID `json:"team"`
+}
+
+// Object is a configuration object as the API shows it.
+type Object struct {
+	Number   wire.TicketNumber `json:"number"`
+	Kind     wire.ObjectKind   `json:"kind"`
+	Name     string            `json:"name"`
+	Deleted  bool              `json:"deleted,omitempty"`
+	Team     *wire.Team        `json:"team,omitempty"`
+	Pipeline *wire.Pipeline    `json:"pipeline,omitempty"`
+	Upstream *wire.Upstream    `json:"upstream,omitempty"`
+	Centre   *wire.Centre      `json:"centre,omitempty"`
+	Model    *wire.Model       `json:"model,omitempty"`
+	Key      *Key              `json:"key,omitempty"`
+}
+
+// NewObject returns o without secrets, or nil for nil.
+func NewObject(o *wire.Object) *Object {
+	if o == nil {
+		return nil
+	}
+	v := &Object{
+		Number: o.Number, Kind: o.Kind, Name: o.Name, Deleted: o.Deleted,
+		Team: o.Team, Pipeline: o.Pipeline, Upstream: o.Upstream, Centre: o.Centre, Model: o.Model,
+	}
+	if o.Key != nil {
+		v.Key = &Key{o.Key.Team}
+	}
+	return v
+}
+
+// Objects is the answer of /v1/objects.
+type Objects struct {
+	Head
+	// Number is the highest ticket number of any object.
+	Number  wire.TicketNumber `json:"number"`
+	Objects []Object          `json:"objects"`
+	Page
+}
+
+// Rejection is a ticket that was refused as a whole. Pending ones name objects
+// of a ticket that has not arrived, and are tried again when others arrive.
+type Rejection struct {
+	Number  wire.TicketNumber `json:"number"`
+	Field   string            `json:"field"`
+	Problem string            `json:"problem"`
+	Pending bool              `json:"pending"`
+	At      time.Time         `json:"at"`
+}
+
+// Tickets is the answer of /v1/tickets.
+type Tickets struct {
+	Head
+	Number  wire.TicketNumber `json:"number"`
+	Tickets []Rejection       `json:"tickets"`
+	// Cut is set when older rejections were dropped at the bound; Dropped counts
+	// them since the start.
+	Cut     bool  `json:"cut"`
+	Dropped int64 `json:"dropped"`
+}
+
+// States of an upstream.
+const (
+	StateCold         = "cold"
+	StateWarming      = "warming"
+	StateWarm         = "warm"
+	StateLeaving      = "leaving"
+	StateOut          = "out"
+	StateSilent       = "silent"
+	StateUnknown      = "unknown"
+	StateRevalidating = "revalidating"
+)
+
+// Upstream is a router's view of one upstream. Limit, Flight and Queued are from
+// the agent's last report; Own counts this router's calls under way.
+type Upstream struct {
+	Upstream wire.UpstreamID   `json:"upstream"`
+	Pool     wire.PoolID       `json:"pool"`
+	Centre   wire.DataCentreID `json:"centre"`
+	State    string            `json:"state"`
+	Eligible bool              `json:"eligible"`
+	Reason   string            `json:"reason"`
+	Warmth   wire.Warmth       `json:"warmth"`
+	Limit    wire.Slots        `json:"limit"`
+	Flight   wire.Slots        `json:"flight"`
+	Queued   wire.Slots        `json:"queued"`
+	Own      int64             `json:"own"`
+}
+
+// Upstreams is the answer of /v1/upstreams. It lists the upstreams that the
+// router holds sessions to; Roster counts those in force.
+type Upstreams struct {
+	Head
+	Roster    int        `json:"roster"`
+	Upstreams []Upstream `json:"upstreams"`
+	Page
+}
+
+// TeamPool is a team's part of one pool.
+type TeamPool struct {
+	Pool        wire.PoolID `json:"pool"`
+	Interactive wire.Slots  `json:"interactive"`
+	Batch       wire.Slots  `json:"batch"`
+	Served      int64       `json:"served"`
+}
+
+// Team is a team with its share of the fleet and what it was served here.
+type Team struct {
+	Team   wire.TeamID       `json:"team"`
+	Number wire.TicketNumber `json:"number"`
+	Weight int               `json:"weight"`
+	// Share is the team's part of the sum of all weights.
+	Share  float64    `json:"share"`
+	Queue  int        `json:"queue"`
+	Queued wire.Slots `json:"queued"`
+	Served int64      `json:"served"`
+	Pools  []TeamPool `json:"pools"`
+}
+
+// NewTeamPool returns the state of a team in a pool's queue.
+func NewTeamPool(p wire.PoolID, v *share.TeamView) TeamPool {
+	return TeamPool{p, v.Interactive, v.Batch, v.Served}
+}
+
+// Teams is the answer of /v1/teams.
+type Teams struct {
+	Head
+	Teams []Team `json:"teams"`
+	Page
+}
+
+// Quarantines is the answer of /v1/quarantines.
+type Quarantines struct {
+	Head
+	Marks []wire.Mark `json:"marks"`
+	Page
+}
+
+// Centre is the answer of /v1/centres/{name}.
+type Centre struct {
+	Head
+	Centre wire.DataCentreID `json:"centre"`
+	Region wire.RegionID     `json:"region"`
+	State  wire.CentreState  `json:"state"`
+	Number wire.TicketNumber `json:"number"`
+	// Eligible counts the upstreams that may get new work from this router.
+	Eligible int `json:"eligible"`
+	// Own counts this router's calls under way there; Flight those of all routers,
+	// as the agents last reported.
+	Own       int64      `json:"own"`
+	Flight    wire.Slots `json:"flight"`
+	Upstreams []Upstream `json:"upstreams"`
+	Page
+}
+
+// Quiet reports whether the data centre is out and has no work of this router.
+func (c *Centre) Quiet() bool {
+	return c.State == wire.CentreStateOut && c.Eligible == 0 && c.Own == 0
+}
+
+// Counts is the answer of /v1/counts. The sets of names and reasons are bounded;
+// events beyond the bound are counted as other.
+type Counts struct {
+	Head
+	Counts []meter.Total `json:"counts"`
+	Cut    bool          `json:"cut"`
+	Totals acct.Totals   `json:"totals"`
+}
+
+// Report is the answer of an agent's /v1/report.
+type Report struct {
+	Head
+	Report *wire.Report `json:"report"`
+}
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -12,9 +12,12 @@
 )
 
 // maxEvents bounds the distinct pairs of name and reason; further ones are
-// counted under the name "other".
+// counted under the name Other.
 const maxEvents = 512
 
+// Other is the name of all events beyond the bound.
+const Other = "other"
+
 // Event names what is counted.
 type Event struct {
 	Name   string      `json:"name"`
@@ -50,7 +53,7 @@
 	}
 	e := Event{name, reason}
 	if _, ok := c.n[e]; !ok && len(c.n) >= maxEvents {
-		e = Event{Name: "other"}
+		e = Event{Name: Other}
 	}
 	c.n[e]++
 	scope := c.scope
--- a/demo/local/fleet.go
+++ b/demo/local/fleet.go
@@ -18,10 +18,12 @@
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/agent"
+	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/certs"
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/link"
 	"hornbeamcove.example/core/plat"
+	"hornbeamcove.example/core/proc"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes"
 	"hornbeamcove.example/router"
@@ -67,6 +69,7 @@
 	Pipelines map[wire.PipelineID]wire.Pipeline
 	Routers   int
 	Log       *log.Logger
+	Admin     *Admin // nil for none
 }
 
 // Upstream is one upstream with its agent.
@@ -76,6 +79,7 @@
 	Engine *fakes.Engine  // for engines
 	Plain  *fakes.Service // for all other kinds
 	Agent  *agent.Agent
+	Admin  wire.Address // of its administration listener, or empty
 	cancel context.CancelFunc
 	link   *link.QUIC
 }
@@ -100,6 +104,7 @@
 type Router struct {
 	*router.Router
 	URL    string
+	Admin  wire.Address // of its administration listener, or empty
 	Name   wire.HostID
 	app    *fiber.App
 	cancel context.CancelFunc
@@ -216,10 +221,21 @@
 		return err
 	}
 	u.Object.Agent = u.link.Addr()
+	logger := f.Spec.Log.With("process", name)
+	book := acct.NewBook(acct.WithLogger(logger))
 	u.Agent = agent.New(agent.Config{
 		Name: name, Upstream: u.ID, Centre: u.Object.Centre, Kind: u.Object.Kind,
 		Bounds: limit.Bounds{Warm: wire.Slots(u.Object.Limit), Cold: wire.Slots(u.Object.Cold)},
-	}, up, u.link, agent.WithLogger(f.Spec.Log.With("process", name)), agent.WithIncarnation(inc))
+	}, up, u.link, agent.WithLogger(logger), agent.WithIncarnation(inc), agent.WithAccounts(book))
+	u.Admin, err = f.process(name, wire.RoleAgent, u.Agent, func(p *proc.Process, app fiber.Router) {
+		p.AddDumper("accounts", book)
+		u.Agent.Export(p.Scope())
+		u.Agent.Routes(app)
+	})
+	if err != nil {
+		return err
+	}
+	f.accounts(book.Run)
 	ctx, cancel := context.WithCancel(f.ctx)
 	u.cancel = cancel
 	f.wg.Go(func() { f.note(u.Agent.Run(ctx, drainLimit)) })
@@ -266,10 +282,21 @@
 		return err
 	}
 	p := platform{plat.NewClient(f.Config.URL()), plat.NewClient(f.Hosts.URL())}
+	logger := f.Spec.Log.With("process", name)
+	book := acct.NewBook(acct.WithLogger(logger))
 	rt := &Router{Name: name, done: make(chan struct{}), Router: router.New(
 		router.Config{Name: name, Centre: c.Name, Region: c.Region}, q, q,
-		router.WithIncarnation(inc), router.WithPlatform(p), router.WithLogger(f.Spec.Log.With("process", name)))}
+		router.WithIncarnation(inc), router.WithPlatform(p), router.WithLogger(logger), router.WithAccounts(book))}
 	rt.app = rt.App()
+	rt.Admin, err = f.process(name, wire.RoleRouter, rt.Router, func(p *proc.Process, app fiber.Router) {
+		p.AddDumper("accounts", book)
+		rt.Export(p.Scope())
+		rt.Routes(app)
+	})
+	if err != nil {
+		return err
+	}
+	f.accounts(book.Run)
 	ln, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return err
--- a/router/admin.go
+++ b/router/admin.go
@@ -1,8 +1,283 @@
 package router
 
-import "github.com/gofiber/fiber/v3"
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"hornbeamcove.example/core/admin"
+	"hornbeamcove.example/core/member"
+	"hornbeamcove.example/core/meter"
+	"hornbeamcove.example/core/ticket"
+	"hornbeamcove.example/core/wire"
+)
 
 // Routes adds the administration API to the administration listener.
 func (r *Router) Routes(app fiber.Router) {
-	app.Get("/v1/members", func(c fiber.Ctx) error { return c.JSON(r.Members()) })
+	app.Get("/v1/objects", r.getObjects)
+	app.Get("/v1/tickets", r.getTickets)
+	app.Get("/v1/upstreams", r.getUpstreams)
+	app.Get("/v1/teams", r.getTeams)
+	app.Get("/v1/quarantines", r.getQuarantines)
+	app.Get("/v1/centres/:name", r.getCentre)
+	app.Get("/v1/counts", r.getCounts)
+	app.Get("/v1/accounts/refusals", r.getAccounts(admin.Refusals))
+	app.Get("/v1/accounts/costs", r.getAccounts(admin.Costs))
+	app.Post("/v1/check", r.postCheck)
+}
+
+func (r *Router) head() admin.Head { return admin.Head{Process: r.cfg.Name, At: time.Now().UTC()} }
+
+// badQuery turns an error of a parameter into status 400.
+func badQuery(err error) error { return fiber.NewError(fiber.StatusBadRequest, err.Error()) }
+
+// query reads parameters of a request; the values are valid until its handler
+// returns.
+func query(c fiber.Ctx) admin.Query { return func(name string) string { return c.Query(name) } }
+
+var objectKinds = []wire.ObjectKind{
+	wire.ObjectKindCentre, wire.ObjectKindKey, wire.ObjectKindModel,
+	wire.ObjectKindPipeline, wire.ObjectKindTeam, wire.ObjectKindUpstream,
+}
+
+func (r *Router) getObjects(c fiber.Ctx) error {
+	rg, err := admin.ParseRange(query(c))
+	if err != nil {
+		return badQuery(err)
+	}
+	kinds := objectKinds
+	if k := c.Query("kind"); k != "" {
+		i := slices.Index(kinds, wire.ObjectKind(k))
+		if i < 0 {
+			return badQuery(&admin.QueryError{Name: "kind", Value: k, Want: "centre, key, model, pipeline, team or upstream"})
+		}
+		kinds = kinds[i : i+1]
+	}
+	store := r.snap.Load().store
+	found := objects(store, kinds, c.Query("deleted") == "true")
+	prefix := c.Query("prefix")
+	found = slices.DeleteFunc(found, func(o *wire.Object) bool { return !strings.HasPrefix(o.Name, prefix) })
+	part, page := admin.Cut(found, rg, func(o **wire.Object) string { return string((*o).Kind) + "/" + (*o).Name })
+	out := admin.Objects{Head: r.head(), Number: store.Head(), Objects: make([]admin.Object, len(part)), Page: page}
+	for i, o := range part {
+		out.Objects[i] = *admin.NewObject(o)
+	}
+	return c.JSON(out)
+}
+
+// objects lists objects of some kinds, with tombstones when deleted is set.
+func objects(s *ticket.Store, kinds []wire.ObjectKind, deleted bool) (out []*wire.Object) {
+	for _, k := range kinds {
+		out = append(out, s.List(k)...)
+	}
+	for i := 0; deleted && i < ticket.Buckets; i++ {
+		for _, o := range s.Bucket(i) {
+			if o.Deleted && slices.Contains(kinds, o.Kind) {
+				out = append(out, &o)
+			}
+		}
+	}
+	return out
+}
+
+func (r *Router) getTickets(c fiber.Ctx) error {
+	s := r.snap.Load()
+	out := admin.Tickets{Head: r.head(), Number: s.store.Head(), Tickets: make([]admin.Rejection, len(s.rejected))}
+	for i, rej := range s.rejected {
+		out.Tickets[i] = admin.Rejection(rej)
+	}
+	out.Dropped = r.Count("rejection_dropped", "")
+	out.Cut = out.Dropped > 0
+	return c.JSON(out)
+}
+
+// upstreams returns this router's view of its upstreams that keep takes, with
+// figures of this moment.
+func (s *snapshot) upstreams(keep func(*Member) bool) (out []admin.Upstream) {
+	out = []admin.Upstream{}
+	for _, m := range s.members {
+		if !keep(&m) {
+			continue
+		}
+		if l := s.links[m.Upstream]; l != nil {
+			m.Own = l.own.Load()
+			if rep := l.report.Load(); rep != nil {
+				m.Warmth, m.Limit, m.Flight, m.Queued = rep.Warmth, rep.Limit, rep.Flight, rep.Queued
+			}
+		}
+		out = append(out, admin.Upstream{
+			Upstream: m.Upstream, Pool: m.Pool, Centre: m.Centre, State: stateOf(&m), Eligible: m.Eligible, Reason: m.Reason,
+			Warmth: m.Warmth, Limit: m.Limit, Flight: m.Flight, Queued: m.Queued, Own: m.Own,
+		})
+	}
+	return out
+}
+
+// stateOf sums up a verdict in one word.
+func stateOf(m *Member) string {
+	switch m.Reason {
+	case member.ReasonEligible:
+		return string(m.Warmth)
+	case member.ReasonDrain, member.ReasonGoodbye, member.ReasonListLeaving:
+		return admin.StateLeaving
+	case member.ReasonOut, member.ReasonAgentOut:
+		return admin.StateOut
+	case member.ReasonSilent:
+		return admin.StateSilent
+	case reasonRevalidating:
+		return admin.StateRevalidating
+	default:
+		return admin.StateUnknown
+	}
+}
+
+func upstreamKey(u *admin.Upstream) string { return string(u.Upstream) }
+
+func (r *Router) getUpstreams(c fiber.Ctx) error {
+	rg, err := admin.ParseRange(query(c))
+	if err != nil {
+		return badQuery(err)
+	}
+	s := r.snap.Load()
+	pool, centre, state := wire.PoolID(c.Query("pool")), wire.DataCentreID(c.Query("centre")), c.Query("state")
+	list := s.upstreams(func(m *Member) bool {
+		return (pool == "" || m.Pool == pool) && (centre == "" || m.Centre == centre)
+	})
+	list = slices.DeleteFunc(list, func(u admin.Upstream) bool { return state != "" && u.State != state })
+	out := admin.Upstreams{Head: r.head(), Roster: len(s.store.Upstreams())}
+	out.Upstreams, out.Page = admin.Cut(list, rg, upstreamKey)
+	return c.JSON(out)
+}
+
+func (r *Router) getTeams(c fiber.Ctx) error {
+	rg, err := admin.ParseRange(query(c))
+	if err != nil {
+		return badQuery(err)
+	}
+	out := admin.Teams{Head: r.head()}
+	out.Teams, out.Page = admin.Cut(teams(r.snap.Load()), rg, func(t *admin.Team) string { return string(t.Team) })
+	return c.JSON(out)
+}
+
+func teams(s *snapshot) []admin.Team {
+	list := s.store.List(wire.ObjectKindTeam)
+	out := make([]admin.Team, len(list))
+	at := make(map[wire.TeamID]int, len(list))
+	sum := 0
+	for i, o := range list {
+		out[i] = admin.Team{Team: wire.TeamID(o.Name), Number: o.Number, Weight: o.Team.Weight, Queue: o.Team.Queue, Pools: []admin.TeamPool{}}
+		at[out[i].Team] = i
+		sum += o.Team.Weight
+	}
+	for _, id := range s.poolNames() {
+		for _, v := range s.pools[id].queue.View() {
+			i, ok := at[v.Team]
+			if !ok {
+				continue
+			}
+			t := &out[i]
+			t.Queued += v.Interactive + v.Batch
+			t.Served += v.Served
+			t.Pools = append(t.Pools, admin.NewTeamPool(id, &v))
+		}
+	}
+	for i := range out {
+		out[i].Share = float64(out[i].Weight) / float64(max(1, sum))
+	}
+	return out
+}
+
+func (r *Router) getQuarantines(c fiber.Ctx) error {
+	rg, err := admin.ParseRange(query(c))
+	if err != nil {
+		return badQuery(err)
+	}
+	marks := r.crashes.Marks(time.Now())
+	if s := wire.MarkState(c.Query("state")); s != "" {
+		marks = slices.DeleteFunc(marks, func(m wire.Mark) bool { return m.State != s })
+	}
+	out := admin.Quarantines{Head: r.head()}
+	out.Marks, out.Page = admin.Cut(marks, rg, func(m *wire.Mark) string { return string(m.Print) })
+	return c.JSON(out)
+}
+
+func (r *Router) getCentre(c fiber.Ctx) error {
+	rg, err := admin.ParseRange(query(c))
+	if err != nil {
+		return badQuery(err)
+	}
+	s := r.snap.Load()
+	name := strings.Clone(c.Params("name"))
+	o, ok := s.store.Object(wire.ObjectKindCentre, name)
+	if !ok || o.Deleted {
+		return fiber.NewError(fiber.StatusNotFound, "no data centre of this name")
+	}
+	out := admin.Centre{
+		Head: r.head(), Centre: wire.DataCentreID(name), Region: o.Centre.Region, State: o.Centre.State, Number: o.Number,
+	}
+	list := s.upstreams(func(m *Member) bool { return m.Centre == out.Centre })
+	for i := range list {
+		if list[i].Eligible {
+			out.Eligible++
+		}
+		out.Own += list[i].Own
+		out.Flight += list[i].Flight
+	}
+	// Those with the most work come first, since they are what an operator waits for.
+	out.Upstreams, out.Page = admin.Cut(list, rg, upstreamKey)
+	slices.SortStableFunc(out.Upstreams, func(a, b admin.Upstream) int { return cmp.Compare(b.Own, a.Own) })
+	return c.JSON(out)
+}
+
+func (r *Router) getCounts(c fiber.Ctx) error {
+	out := admin.Counts{Head: r.head(), Counts: r.Totals(), Totals: r.book.Totals()}
+	out.Cut = slices.ContainsFunc(out.Counts, func(t meter.Total) bool { return t.Name == meter.Other })
+	return c.JSON(out)
+}
+
+func (r *Router) getAccounts(take func(*admin.Row) bool) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		sel, err := admin.ParseSelect(query(c))
+		if err != nil {
+			return badQuery(err)
+		}
+		return c.JSON(admin.NewAccounts(r.head(), r.book, &sel, take))
+	}
+}
+
+func (r *Router) postCheck(c fiber.Ctx) error {
+	if len(c.Body()) == 0 {
+		return badQuery(errors.New("want the JSON text of a ticket as the body"))
+	}
+	out := admin.CheckTicket(r.snap.Load().store, c.Body())
+	out.Head = r.head()
+	return c.JSON(out)
+}
+
+// getTeamAccounts answers a team's own key with that team's accounts.
+func (r *Router) getTeamAccounts(c fiber.Ctx) error {
+	s := &serving{r: r, req: &Request{}, id: r.newID()}
+	var ok bool
+	if s.req.Team, ok = r.authenticate(c); !ok {
+		return writeRefusal(c, s.refuse(wire.ReasonUnauthorised, ""))
+	}
+	sel, err := admin.ParseSelect(query(c))
+	if err != nil {
+		return writeRefusal(c, s.refuse(wire.ReasonMalformed, ""))
+	}
+	// A query reads the whole book, so callers get few of them at once.
+	select {
+	case r.queries <- struct{}{}:
+		defer func() { <-r.queries }()
+	default:
+		return writeRefusal(c, s.refuse(wire.ReasonBusy, ""))
+	}
+	sel.Filter.Team = s.req.Team
+	out := admin.NewAccounts(r.head(), r.book, &sel, admin.All)
+	out.Team = s.req.Team
+	return c.JSON(out)
 }
--- /dev/null
+++ b/router/admin_test.go
@@ -0,0 +1,248 @@
+package router_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/admin"
+	"hornbeamcove.example/core/proc"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/demo/local"
+	"hornbeamcove.example/fakes"
+)
+
+const credential = "MARK-credential"
+
+// buffer is a log that several goroutines write.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func small(t *testing.T, out io.Writer) *local.Fleet {
+	t.Helper()
+	spec := local.Today(time.Millisecond)
+	spec.Centres = spec.Centres[:2]
+	for i := range spec.Pools {
+		spec.Pools[i].Each = 1
+		spec.Pools[i].Opts = append(spec.Pools[i].Opts[:len(spec.Pools[i].Opts):len(spec.Pools[i].Opts)], fakes.WithPoison("poison"))
+	}
+	spec.Teams[0].Key = "MARK-key"
+	spec.Admin = &local.Admin{Credential: credential, Out: out}
+	l, err := proc.NewLogger(out, "debug")
+	assert.NilError(t, err)
+	l.SetLevel(log.DebugLevel)
+	spec.Log = l
+	f, err := local.Start(t.Context(), spec)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, f.Close()) })
+	return f
+}
+
+func send(t *testing.T, method, url, key, body string) (status int, text string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(data)
+}
+
+func get(t *testing.T, addr wire.Address, path string, v any) {
+	t.Helper()
+	status, text := send(t, http.MethodGet, "http://"+string(addr)+path, credential, "")
+	assert.Equal(t, status, http.StatusOK, text)
+	assert.NilError(t, json.Unmarshal([]byte(text), v), text)
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// TestNoSecrets guards against a team's key, its hash, the operator's credential,
+// a prompt or an answer in an answer of the administration API, a dump or a log
+// line.
+func TestNoSecrets(t *testing.T) {
+	var out buffer
+	f := small(t, &out)
+	marks := []string{"MARK", hash("MARK-key"), hash("installers-key"), strings.ToUpper(hash("MARK-other"))}
+	post := func(key, prompt string, stream bool) *local.Reply {
+		rep, err := local.Post(t.Context(), f.Routers[0].URL, local.Call{
+			Key: key, Pipeline: local.FoldPlan, Stream: stream, Body: map[string]any{"prompt": prompt, "max_tokens": 8},
+		})
+		assert.NilError(t, err)
+		return rep
+	}
+	for _, stream := range []bool{false, true} {
+		rep := post("MARK-key", "MARK-prompt", stream)
+		assert.Assert(t, rep.Answer != nil, "%v", rep.Refusal)
+		var made struct{ Text string }
+		assert.NilError(t, json.Unmarshal(rep.Answer.Output, &made))
+		assert.Assert(t, len(made.Text) > 8)
+		marks = append(marks, made.Text)
+	}
+	post("MARK-wrong", "MARK-prompt", false)
+	post("MARK-key", "MARK-prompt poison", false)
+	everything := 1.0
+	for _, u := range f.Upstreams {
+		if u.Plain != nil {
+			_ = u.Plain.Apply(fakes.Fault{Fail: &everything})
+		}
+	}
+	post("MARK-key", "MARK-prompt refused", false)
+	bad := wire.Object{Kind: wire.ObjectKindKey, Name: "bad", Key: &wire.Key{Team: local.Folder, Hash: wire.KeyHash(marks[3])}}
+	number, err := f.Publish(bad)
+	assert.NilError(t, err)
+	good := fmt.Sprintf(`{"number":%d,"objects":[{"kind":"key","name":"folders-1","key":{"team":"folders","hash":%q}},
+		{"kind":"key","name":"folders-2","key":{"team":"folders","hash":%q}}]}`, number+1, hash("MARK-new"), hash("MARK-key"))
+	marks = append(marks, hash("MARK-new"))
+	assert.NilError(t, f.Await(t.Context(), func() error {
+		var ts admin.Tickets
+		get(t, f.Routers[0].Admin, "/v1/tickets", &ts)
+		if len(ts.Tickets) == 0 {
+			return fmt.Errorf("no rejected ticket")
+		}
+		return nil
+	}))
+
+	var texts strings.Builder
+	read := func(method, addr, path, key, body string) {
+		status, text := send(t, method, addr+path, key, body)
+		assert.Assert(t, status < 500, "%s %s: %d", method, path, status)
+		fmt.Fprintln(&texts, path, text)
+	}
+	addr := "http://" + string(f.Routers[0].Admin)
+	for _, path := range []string{
+		"/state", "/metrics", "/healthz", "/readyz", "/v1/objects?deleted=true", "/v1/objects?kind=key", "/v1/tickets", "/v1/upstreams",
+		"/v1/teams", "/v1/quarantines", "/v1/centres/palermo", "/v1/counts", "/v1/accounts/refusals", "/v1/accounts/costs", "/v1/unknown",
+	} {
+		read("GET", addr, path, credential, "")
+	}
+	read("GET", addr, "/state", "MARK-nobody", "")
+	read("POST", addr, "/v1/check", credential, good)
+	read("POST", addr, "/v1/check", credential, strings.Replace(good, hash("MARK-new"), marks[3], 1))
+	read("GET", f.Routers[0].URL, "/v1/accounts", "MARK-key", "")
+	for _, u := range f.Upstreams {
+		for _, path := range []string{"/state", "/v1/report", "/v1/accounts/costs"} {
+			read("GET", "http://"+string(u.Admin), path, credential, "")
+		}
+	}
+	assert.Assert(t, strings.Contains(out.String(), "request refused") && strings.Contains(out.String(), "stage failed"))
+	for _, where := range []struct{ name, text string }{{"answers", texts.String()}, {"log", out.String()}} {
+		for _, m := range marks {
+			at := strings.Index(where.text, m)
+			if at >= 0 {
+				t.Errorf("%s hold %q: ...%.300s", where.name, m, where.text[max(0, at-200):])
+			}
+		}
+	}
+}
+
+// TestRoutes guards against lists without an end, a check that applies or
+// misstates a ticket, and a team that sees the accounts of another.
+func TestRoutes(t *testing.T) {
+	f := small(t, io.Discard)
+	r := f.Routers[0]
+	for _, key := range []string{"MARK-key", "installers-key", "nobody"} {
+		_, err := local.Post(t.Context(), r.URL, local.Call{Key: key, Pipeline: local.FoldPlan, Body: map[string]any{"prompt": "p", "max_tokens": 2}})
+		assert.NilError(t, err)
+	}
+	t.Run("pages", func(t *testing.T) {
+		seen, after := map[string]bool{}, ""
+		for {
+			var page admin.Objects
+			get(t, r.Admin, "/v1/objects?limit=3&after="+url.QueryEscape(after), &page)
+			for _, o := range page.Objects {
+				assert.Assert(t, !seen[string(o.Kind)+o.Name] && o.Number == 1)
+				seen[string(o.Kind)+o.Name] = true
+			}
+			if after = page.Next; !page.Cut {
+				assert.Equal(t, len(seen), page.Total)
+				break
+			}
+		}
+		status, _ := send(t, "GET", "http://"+string(r.Admin)+"/v1/objects?limit=1001", credential, "")
+		assert.Equal(t, status, http.StatusBadRequest)
+	})
+	t.Run("check", func(t *testing.T) {
+		body := `{"number":9,"objects":[{"kind":"team","name":"folders","team":{"weight":7,"queue":64}}]}`
+		_, text := send(t, "POST", "http://"+string(r.Admin)+"/v1/check", credential, body)
+		var c admin.Check
+		assert.NilError(t, json.Unmarshal([]byte(text), &c))
+		assert.Assert(t, c.Valid && len(c.Changes) == 1 && c.Changes[0].Old.Team.Weight == 3 && c.Changes[0].New.Team.Weight == 7)
+		assert.DeepEqual(t, c.Changes[0].Fields, []string{"weight"})
+		var objs admin.Objects
+		get(t, r.Admin, "/v1/objects?kind=team&prefix=fold", &objs)
+		assert.Assert(t, len(objs.Objects) == 1 && objs.Objects[0].Team.Weight == 3 && objs.Number == 1)
+	})
+	t.Run("accounts", func(t *testing.T) {
+		var a admin.Accounts
+		status, text := send(t, "GET", r.URL+"/v1/accounts?team=installers", "MARK-key", "")
+		assert.NilError(t, json.Unmarshal([]byte(text), &a))
+		assert.Assert(t, status == http.StatusOK && len(a.Rows) == 4)
+		for _, row := range a.Rows {
+			assert.Assert(t, row.Team == local.Folder && row.Useful.Runs == 1)
+		}
+		status, _ = send(t, "GET", r.URL+"/v1/accounts", "nobody", "")
+		assert.Equal(t, status, http.StatusUnauthorized)
+		get(t, r.Admin, "/v1/accounts/costs?by=team", &a)
+		assert.Equal(t, len(a.Rows), 2)
+		get(t, r.Admin, "/v1/accounts/refusals?reason=unauthorised&by=reason", &a)
+		assert.Assert(t, len(a.Rows) == 1 && a.Rows[0].Refused.None == 2)
+		runs := uint64(0)
+		for _, u := range f.Upstreams {
+			get(t, u.Admin, "/v1/accounts/costs?by=team", &a)
+			for _, row := range a.Rows {
+				runs += row.Useful.Runs
+			}
+		}
+		assert.Equal(t, runs, uint64(8))
+	})
+	t.Run("centre", func(t *testing.T) {
+		_, err := f.Publish(f.CentreObject("palermo", wire.CentreStateOut))
+		assert.NilError(t, err)
+		assert.NilError(t, f.Await(t.Context(), func() error {
+			var c admin.Centre
+			get(t, r.Admin, "/v1/centres/palermo", &c)
+			if !c.Quiet() || len(c.Upstreams) == 0 || c.Upstreams[0].State != admin.StateOut {
+				return fmt.Errorf("%+v", c)
+			}
+			return nil
+		}))
+		var us admin.Upstreams
+		get(t, r.Admin, "/v1/upstreams?state=out", &us)
+		assert.Equal(t, us.Total, 5)
+		status, _ := send(t, "GET", "http://"+string(r.Admin)+"/v1/centres/nowhere", credential, "")
+		assert.Equal(t, status, http.StatusNotFound)
+	})
+}
--- a/router/cmd/hbrouter/main.go
+++ b/router/cmd/hbrouter/main.go
@@ -13,6 +13,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
 
+	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/certs"
 	"hornbeamcove.example/core/conf"
 	"hornbeamcove.example/core/link"
@@ -69,13 +70,16 @@
 		return err
 	}
 	client := plat.NewClient(cfg.Platform)
+	book := acct.NewBook(acct.WithLogger(p.Log()), acct.WithScope(p.Scope()))
 	r := router.New(router.Config{
 		Name: cfg.Name, Centre: cfg.Centre, Region: cfg.Region, Peers: peers, Flight: int(cfg.Flight), Queue: cfg.Queue,
-	}, q, q, router.WithPlatform(client), router.WithLogger(p.Log()), router.WithIncarnation(inc))
-	r.Export(p.Scope())
+	}, q, q, router.WithPlatform(client), router.WithLogger(p.Log()), router.WithIncarnation(inc),
+		router.WithAccounts(book), router.WithScope(p.Scope()))
 	r.Routes(p.Admin())
 	p.AddReady("router", r.Ready)
 	p.AddDumper("router", r)
+	p.AddDumper("accounts", book)
+	p.Go("accounts", book.Run)
 	p.Go("certificates", func(ctx context.Context) error { return src.Watch(ctx, files, p.Rotated) })
 	return serve(p, r, client, cfg)
 }
--- a/router/control.go
+++ b/router/control.go
@@ -27,6 +27,10 @@
 	// the platform and all peers may be down.
 	revalidateLimit = time.Second
 	submitQueue     = 256
+
+	// reasonRevalidating is the reason of a verdict while configuration is read
+	// again after a pause.
+	reasonRevalidating = "revalidating"
 )
 
 // snapshot is an immutable view of the control state for the traffic path.
@@ -458,7 +462,7 @@
 
 func (c *control) verdict(l *heldLink, now time.Time) member.Verdict {
 	if now.Before(c.validating) {
-		return member.Verdict{Reason: "revalidating"}
+		return member.Verdict{Reason: reasonRevalidating}
 	}
 	u, ok := c.store.Upstream(l.up)
 	centre, known := c.store.Centre(u.Centre)
--- a/router/http.go
+++ b/router/http.go
@@ -46,6 +46,7 @@
 	})
 	app.Post("/v1/pipelines/:name", r.postRequest)
 	app.Post("/v1/pipelines/:name/reservations", r.postReservation)
+	app.Get("/v1/accounts", r.getTeamAccounts)
 	return app
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/clock"
@@ -41,6 +42,7 @@
 	defaultFlight = 4096
 	defaultQueue  = 1024
 	maxSuspects   = 1024
+	maxQueries    = 2
 	drainPoll     = 20 * time.Millisecond
 )
 
@@ -55,8 +57,10 @@
 	plat Platform
 	book *acct.Book
 
+	scope     tally.Scope
 	crashes   *crash.Book
 	announced chan struct{}
+	queries   chan struct{} // callers' queries of accounts under way
 	snap      atomic.Pointer[snapshot]
 	ctl       *control
 	watcher   *plat.Watcher
@@ -83,6 +87,9 @@
 // WithAccounts sets the book of refusals and costs.
 func WithAccounts(b *acct.Book) Option { return func(r *Router) { r.book = b } }
 
+// WithScope sets the metrics scope.
+func WithScope(s tally.Scope) Option { return func(r *Router) { r.scope = s } }
+
 // New returns a Router that reaches agents and other routers through dial and
 // accepts other routers from ln, which may be nil.
 func New(cfg Config, dial link.Dialer, ln link.Listener, opts ...Option) *Router {
@@ -98,9 +105,11 @@
 		dial:      dial,
 		ln:        ln,
 		log:       log.New(io.Discard),
+		scope:     tally.NoopScope,
 		tick:      clock.New(),
 		crashes:   crash.NewBook(maxSuspects),
 		announced: make(chan struct{}, 1),
+		queries:   make(chan struct{}, maxQueries),
 		newID:     func() wire.RequestID { return wire.RequestID(uuid.NewString()) },
 	}
 	for _, o := range opts {
@@ -109,10 +118,11 @@
 	if r.book == nil {
 		r.book = acct.NewBook()
 	}
+	r.Export(r.scope)
 	r.ctl = newControl(r)
 	r.snap.Store(emptySnapshot())
 	if r.plat != nil {
-		r.watcher = plat.NewWatcher(r.plat, r.takeTickets, plat.WithLogger(r.log))
+		r.watcher = plat.NewWatcher(r.plat, r.takeTickets, plat.WithLogger(r.log), plat.WithScope(r.scope))
 	}
 	return r
 }
