--- a/agent/cmd/hbagent/main.go
+++ b/agent/cmd/hbagent/main.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	p.Log().Info("listening", "routers", ln.Addr())
 	book := acct.NewBook(acct.WithLogger(p.Log()), acct.WithScope(p.Scope()))
 	a := agent.New(agent.Config{
 		Name: cfg.Name, Upstream: cfg.Upstream, Centre: cfg.Centre, Kind: cfg.Kind, Bounds: firstBounds,
