router, agent: log and count each retry, discard and state change

Cause: several refusals of an agent, discards and changes of state had a counter without a log line or neither. The test that compares both found two faults of the data path. A repeatable call whose idle connection was reset because the upstream crashed under it was sent again, and the refused second connection made it "unavailable", executed "none": a false "none", and a crash that nobody learnt of. And a failed stage was offered to the same upstream until its deadline, since the upstreams to avoid were never recorded.

Change: note logs one line and counts one event in router and agent; crash marks, verdicts on upstreams, offers after a refusal, lost sessions, dropped tickets, hosts, frames and results go through it. The watcher's line on a faulty ticket has a text of its own, so that a refused ticket is one line. A connection that cannot be opened after the call was sent counts as reset, for resumed streams too. A stage avoids the upstreams on which it failed.

Conclusion: log lines and counters agree for the events that the test covers.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -184,7 +184,7 @@
 			}
 			a.pollOnce(ctx)
 			if n := a.held.Expire(time.Now()); n > 0 {
-				a.log.Debug("results expired", "count", n)
+				a.note(log.InfoLevel, "discarded", wire.ReasonDeadline, "held results expired", "results", n)
 			}
 		case <-ctx.Done():
 			return
--- a/agent/conns.go
+++ b/agent/conns.go
@@ -129,8 +129,11 @@
 // roundTrip makes one call whose whole answer is read into memory. A repeatable
 // call that found its idle connection closed is sent once more on a new one.
 func (p *conns) roundTrip(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, once bool) (err error) {
-	for {
+	for sent := false; ; sent = true {
 		c, err := p.get(ctx, once)
+		if err != nil && sent {
+			return sentBefore(err)
+		}
 		if err != nil {
 			return err
 		}
@@ -147,6 +150,16 @@
 	}
 }
 
+// sentBefore marks the error of a connection that could not be opened again after
+// the call was sent: the upstream may have run the call and died of it.
+func sentBefore(err error) error {
+	var ue *UpstreamError
+	if !errors.As(err, &ue) || ue.Sent {
+		return err
+	}
+	return &UpstreamError{Sent: true, Reset: true, Err: ue.Err}
+}
+
 // statusError returns an error unless resp has status 200.
 func statusError(resp *fasthttp.Response) error {
 	if s := resp.StatusCode(); s != fasthttp.StatusOK {
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -110,7 +110,7 @@
 	err = s.follow(ctx, req)
 	for err != nil && s.resumable(ctx, err) {
 		again := h.request(fasthttp.MethodGet, fmt.Sprintf("/v1/completions/%s?after=%d", s.id, s.after), nil)
-		err = s.follow(ctx, again)
+		err = sentBefore(s.follow(ctx, again))
 		fasthttp.ReleaseRequest(again)
 	}
 	if err != nil && !s.usage && s.id != "" {
--- a/agent/run.go
+++ b/agent/run.go
@@ -149,10 +149,9 @@
 }
 
 func (a *Agent) refuse(r *run, reason wire.Reason, ex wire.Executed) {
-	r.refuse = a.refusal(r.call.Ref, reason, ex)
+	r.refuse = a.noteRefusal(a.refusal(r.call.Ref, reason, ex))
 	a.held.Ack(r.call.Ref)
 	close(r.decided)
-	a.Inc("refused", reason)
 }
 
 func (a *Agent) refusal(ref wire.Ref, reason wire.Reason, ex wire.Executed) *wire.Refuse {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/link"
@@ -42,7 +43,7 @@
 		}
 		s := &session{Session: ls}
 		if !a.replace(s) {
-			a.Inc("session_refused", "")
+			a.note(log.InfoLevel, "session_refused", "", "session refused", "router", s.Peer().Name, "epoch", s.Peer().Epoch)
 			s.Close("a newer session is open, or too many are")
 			continue
 		}
@@ -110,7 +111,7 @@
 			return
 		}
 		if f.Sync == nil || len(f.Sync.Objects) > maxObjects {
-			a.Inc("discarded", wire.ReasonMalformed)
+			a.discard("control frame")
 			continue
 		}
 		a.submit(merge{objects: f.Sync.Objects, change: func(st *state) { st.confirmed = time.Now() }})
@@ -172,7 +173,7 @@
 	case f.Reserve != nil:
 		a.serveReserve(st)
 	default:
-		a.Inc("discarded", wire.ReasonMalformed)
+		a.discard("first frame of a stream")
 		st.Reset()
 	}
 }
@@ -181,7 +182,7 @@
 	defer func() { _ = st.Close() }()
 	if reason := shutReason(a.state.Load()); reason != "" {
 		ref := wire.Ref{Request: "reservation", Stage: "reservation", Attempt: 1}
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(ref, reason, wire.ExecutedNone)})
+		_ = st.Send(&wire.Frame{Refuse: a.noteRefusal(a.refusal(ref, reason, wire.ExecutedNone))})
 		return
 	}
 	_ = st.Send(&wire.Frame{Reserved: &wire.Reserved{Token: a.spent.Reserve()}})
@@ -202,8 +203,7 @@
 	r, reason := a.start(c)
 	s.gate.RUnlock()
 	if r == nil {
-		a.Inc("refused", reason)
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(c.Ref, reason, unasked(c))})
+		_ = st.Send(&wire.Frame{Refuse: a.noteRefusal(a.refusal(c.Ref, reason, unasked(c)))})
 		_ = st.Close()
 		return
 	}
@@ -226,7 +226,7 @@
 		a.stream(ctx, st, r, q.Next)
 		return
 	}
-	_ = st.Send(&wire.Frame{Refuse: a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone)})
+	_ = st.Send(&wire.Frame{Refuse: a.noteRefusal(a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone))})
 	_ = st.Close()
 }
 
@@ -291,7 +291,7 @@
 			a.held.Ack(f.Ack.Ref)
 			return
 		}
-		a.Inc("discarded", wire.ReasonMalformed)
+		a.discard("frame of a call")
 	}
 }
 
--- a/agent/state.go
+++ b/agent/state.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/wire"
 )
@@ -105,14 +107,14 @@
 	case o.Kind == wire.ObjectKindModel && (o.Deleted || o.Model != nil):
 		slot = &s.model
 	default:
-		a.Inc("discarded", wire.ReasonMalformed)
+		a.discard("object")
 		return
 	}
 	if *slot != nil && (*slot).Number >= o.Number && (*slot).Name == o.Name {
 		return
 	}
 	*slot = o
-	a.log.Info("object in force", "kind", o.Kind, "name", o.Name, "ticket", o.Number)
+	a.note(log.InfoLevel, "object_in_force", "", "object in force", "kind", o.Kind, "name", o.Name, "ticket", o.Number)
 }
 
 // react opens or shuts the gate after a change of state and tells routers.
@@ -130,7 +132,7 @@
 		a.gate.chill()
 	}
 	a.gate.shut(is)
-	a.log.Info("admission changed", "reason", is, "ticket", now.ticket())
+	a.note(log.InfoLevel, "admission_changed", is, "admission changed", "ticket", now.ticket())
 	a.broadcast()
 }
 
--- a/core/plat/watcher.go
+++ b/core/plat/watcher.go
@@ -192,7 +192,7 @@
 		return Entry{Index: raw.Index, Ticket: t}
 	}
 	w.count("bad", &w.status.Counters.Bad)
-	w.log.Warn("ticket refused", "index", raw.Index, "error", err)
+	w.log.Warn("faulty ticket read", "index", raw.Index, "error", err)
 	bad := new(ticket.BadTicket)
 	if !errors.As(err, &bad) {
 		bad = &ticket.BadTicket{Field: "document", Problem: err.Error()}
--- a/router/admin_test.go
+++ b/router/admin_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"hornbeamcove.example/core/admin"
+	"hornbeamcove.example/core/meter"
 	"hornbeamcove.example/core/proc"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/demo/local"
@@ -112,7 +113,8 @@
 		marks = append(marks, made.Text)
 	}
 	post("MARK-wrong", "MARK-prompt", false)
-	post("MARK-key", "MARK-prompt poison", false)
+	rep := post("MARK-key", "MARK-prompt poison", false)
+	assert.Assert(t, rep.Refusal != nil && rep.Refusal.Reason == wire.ReasonQuarantined && rep.Refusal.Executed == wire.ExecutedSome, "%v", rep.Refusal)
 	everything := 1.0
 	for _, u := range f.Upstreams {
 		if u.Plain != nil {
@@ -158,6 +160,9 @@
 		}
 	}
 	assert.Assert(t, strings.Contains(out.String(), "request refused") && strings.Contains(out.String(), "stage failed"))
+	var counts admin.Counts
+	get(t, f.Routers[0].Admin, "/v1/counts", &counts)
+	logged(t, out.String(), string(f.Routers[0].Name), counts.Counts)
 	for _, where := range []struct{ name, text string }{{"answers", texts.String()}, {"log", out.String()}} {
 		for _, m := range marks {
 			at := strings.Index(where.text, m)
@@ -168,6 +173,29 @@
 	}
 }
 
+// logged checks that the log of a process has a line for each event counted.
+func logged(t *testing.T, text, process string, counts []meter.Total) {
+	t.Helper()
+	lines, events := map[string]int64{}, map[string]int64{}
+	for line := range strings.Lines(text) {
+		var l struct{ Process, Msg string }
+		assert.NilError(t, json.Unmarshal([]byte(line), &l), line)
+		if l.Process == process {
+			lines[l.Msg]++
+		}
+	}
+	for _, c := range counts {
+		events[c.Name] += c.Count
+	}
+	for event, msg := range map[string]string{
+		"refused": "request refused", "retried": "stage retried", "offered_again": "stage offered again", "mark_changed": "crash mark changed",
+		"upstream_changed": "upstream changed", "object_in_force": "object in force", "ticket_refused": "ticket refused", "crashed": "upstream crashed under a request",
+	} {
+		assert.Equal(t, lines[msg], events[event], event)
+	}
+	assert.Assert(t, events["refused"] > 0 && events["crashed"] > 0 && events["mark_changed"] > 0 && events["upstream_changed"] > 0, "%v", events)
+}
+
 // TestRoutes guards against lists without an end, a check that applies or
 // misstates a ticket, and a team that sees the accounts of another.
 func TestRoutes(t *testing.T) {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/link"
 	"hornbeamcove.example/core/wire"
 )
@@ -24,6 +26,7 @@
 	reason   wire.Reason  // empty when done
 	executed wire.Executed
 	report   *wire.Report
+	upstream wire.UpstreamID
 }
 
 func (o *outcome) done() bool { return o.reason == "" }
@@ -66,7 +69,7 @@
 			return out
 		}
 		sess.Close("no answer on an open call")
-		r.Inc("session_lost", "")
+		r.note(log.WarnLevel, "session_lost", "", "session lost under a call", "upstream", l.up, "request", c.Ref.Request, "stage", c.Ref.Stage)
 		if sess, err = l.await(ctx, sess); err != nil {
 			return a.unknown(ctx)
 		}
@@ -154,8 +157,7 @@
 		_ = st.Close()
 		return a.finished(f.Result), true, nil
 	default:
-		a.r.Inc("discarded", wire.ReasonMismatch)
-		a.r.log.Warn("frame of another call dropped", "request", a.call.Ref.Request, "stage", a.call.Ref.Stage)
+		a.r.note(log.WarnLevel, "discarded", wire.ReasonMismatch, "frame dropped", "upstream", a.link.up, "request", a.call.Ref.Request, "stage", a.call.Ref.Stage)
 	}
 	return o, false, nil
 }
--- a/router/control.go
+++ b/router/control.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/member"
@@ -100,7 +101,8 @@
 	cancel context.CancelFunc
 	// extra is the time until which a link outside the subset stays, for a call
 	// that is bound to its upstream by a reservation.
-	extra time.Time
+	extra   time.Time
+	verdict string // reason of the last verdict
 }
 
 func newControl(r *Router) *control {
@@ -214,6 +216,7 @@
 		c.pending = slices.DeleteFunc(c.pending, func(x wire.Ticket) bool { return x.Number == t.Number })
 		c.pending = append(c.pending, t)
 		if len(c.pending) > maxRejected {
+			c.r.note(log.WarnLevel, "pending_dropped", "", "waiting ticket dropped", "ticket", c.pending[0].Number)
 			c.pending = c.pending[1:]
 		}
 	}
@@ -250,6 +253,7 @@
 	c.r.Inc("ticket_refused", "")
 	c.rejected = append(c.rejected, rej)
 	if len(c.rejected) > maxRejected {
+		c.r.note(log.InfoLevel, "rejection_dropped", "", "record of a refused ticket dropped", "ticket", c.rejected[0].Number)
 		c.rejected = c.rejected[1:]
 	}
 }
@@ -271,7 +275,7 @@
 	}
 	c.store = next
 	for _, ch := range changes {
-		c.r.log.Info("object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
+		c.r.note(log.InfoLevel, "object_in_force", "", "object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
 		if ch.Kind == wire.ObjectKindUpstream || ch.Kind == wire.ObjectKindCentre {
 			c.resubset = true
 		}
@@ -328,7 +332,9 @@
 	}
 	for id, l := range c.links {
 		snap.links[id] = l.agentLink
-		snap.members = append(snap.members, l.view(c.verdict(l, now)))
+		v := c.verdict(l, now)
+		l.observed(v)
+		snap.members = append(snap.members, l.view(v))
 	}
 	slices.SortFunc(snap.members, func(a, b Member) int { return compare(wire.HostID(a.Upstream), wire.HostID(b.Upstream)) })
 	c.r.snap.Store(snap)
--- /dev/null
+++ b/router/event.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"github.com/charmbracelet/log"
+
+	"hornbeamcove.example/core/member"
+	"hornbeamcove.example/core/wire"
+)
+
+// note logs one line and counts one event. Each retry, discard and change of
+// state goes through it, so that the log and the counters agree.
+func (r *Router) note(level log.Level, event string, reason wire.Reason, msg string, keyvals ...any) {
+	r.Inc(event, reason)
+	r.log.Log(level, msg, append(keyvals, "reason", reason)...)
+}
+
+// observed notes a change of the verdict on an upstream.
+func (l *heldLink) observed(v member.Verdict) {
+	if v.Reason == l.verdict {
+		return
+	}
+	l.r.note(log.InfoLevel, "upstream_changed", wire.Reason(v.Reason), "upstream changed", "upstream", l.up, "pool", l.pool.id,
+		"before", l.verdict, "eligible", v.Eligible)
+	l.verdict = v.Reason
+}
+
+// noteMark notes a change of what is known of a fingerprint.
+func (r *Router) noteMark(p wire.Fingerprint, team wire.TeamID, pl wire.PipelineID, before, after wire.MarkState, from string) {
+	if before == after {
+		return
+	}
+	r.note(log.WarnLevel, "mark_changed", wire.Reason(after), "crash mark changed", "print", p, "team", team, "pipeline", pl,
+		"before", before, "from", from)
+}
--- a/router/links.go
+++ b/router/links.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/link"
@@ -122,6 +123,8 @@
 			l.observe(f.Report)
 		case f.Sync != nil:
 			l.sendSlice(true)
+		default:
+			l.r.note(log.WarnLevel, "discarded", wire.ReasonMismatch, "control frame dropped", "upstream", l.up)
 		}
 	}
 }
@@ -129,7 +132,11 @@
 // observe takes in a report, wakes the pool's queue, and tells control when the
 // upstream's eligibility may have changed.
 func (l *agentLink) observe(rep *wire.Report) {
-	if rep == nil || rep.Upstream != l.up {
+	if rep == nil {
+		return
+	}
+	if rep.Upstream != l.up {
+		l.r.note(log.WarnLevel, "discarded", wire.ReasonMismatch, "report of another upstream dropped", "upstream", l.up, "got", rep.Upstream)
 		return
 	}
 	before := l.report.Swap(&seenReport{*rep, l.own.Load()})
--- a/router/peers.go
+++ b/router/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/link"
@@ -245,6 +246,7 @@
 			return
 		}
 		if s.Peer().Role != wire.RoleRouter {
+			r.note(log.WarnLevel, "session_refused", wire.ReasonMismatch, "session refused", "peer", s.Peer().Name, "role", s.Peer().Role)
 			s.Close("not a router")
 			continue
 		}
@@ -310,6 +312,14 @@
 
 func (r *Router) mergeMarks(ms []wire.Mark) {
 	if len(ms) > 0 {
-		r.crashes.Merge(time.Now(), ms)
+		now := time.Now()
+		before := make([]wire.MarkState, len(ms))
+		for i := range ms {
+			before[i] = r.crashes.State(now, ms[i].Print)
+		}
+		r.crashes.Merge(now, ms)
+		for i := range ms {
+			r.noteMark(ms[i].Print, ms[i].Team, ms[i].Pipeline, before[i], r.crashes.State(now, ms[i].Print), "peer")
+		}
 	}
 }
--- a/router/platform.go
+++ b/router/platform.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/plat"
+	"hornbeamcove.example/core/wire"
 )
 
 // Platform is what a router reads: tickets and the host list.
@@ -31,7 +34,7 @@
 func (r *Router) takeTickets(entries []plat.Entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), submitLimit)
 	defer cancel()
-	_ = r.ctl.do(ctx, func() {
+	err := r.ctl.do(ctx, func() {
 		for _, e := range entries {
 			if e.Bad != nil {
 				r.ctl.reject(e.Bad.Number, e.Bad)
@@ -41,12 +44,18 @@
 		}
 		r.ctl.confirmed()
 	})
+	if err != nil {
+		r.note(log.ErrorLevel, "discarded", wire.ReasonOverload, "tickets not taken, peers will send their objects", "tickets", len(entries), "err", err)
+	}
 }
 
 // watchHosts reads the host list again and again.
 func (r *Router) watchHosts(ctx context.Context) {
 	for {
-		hosts, _, err := r.plat.Hosts(ctx)
+		hosts, dropped, err := r.plat.Hosts(ctx)
+		if dropped > 0 {
+			r.note(log.WarnLevel, "discarded", wire.ReasonMalformed, "entries of the host list dropped", "hosts", dropped)
+		}
 		if err == nil {
 			_ = r.ctl.do(ctx, func() { r.ctl.setHosts(hosts) })
 		}
--- a/router/serve.go
+++ b/router/serve.go
@@ -6,6 +6,8 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/budget"
 	"hornbeamcove.example/core/crash"
@@ -194,6 +196,7 @@
 		if o.done() {
 			return s.output(o.result), ""
 		}
+		s.avoid[o.upstream] = true
 		if !s.again(ctx, p, n, &o) {
 			return nil, o.reason
 		}
@@ -222,7 +225,9 @@
 	if !ok {
 		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
 	}
-	return s.call(ctx, l, n, input, left)
+	o := s.call(ctx, l, n, input, left)
+	o.upstream = l.up
+	return o
 }
 
 func (s *stageRun) place(ctx context.Context, p *pool, input []byte, latest time.Time) (*agentLink, wire.Reason) {
@@ -304,11 +309,15 @@
 	}
 	switch {
 	case o.reason == wire.ReasonCrashed:
+		before := s.r.crashes.State(now, s.print)
 		state := s.r.crashes.Crashed(now, s.print, s.req.Team, s.req.Pipeline, c.Solo)
-		s.r.log.Warn("upstream crashed under a request", "request", s.id, "upstream", l.up, "print", s.print, "state", state)
+		s.r.note(log.WarnLevel, "crashed", o.reason, "upstream crashed under a request", "request", s.id, "upstream", l.up, "print", s.print, "state", state)
+		s.r.noteMark(s.print, s.req.Team, s.req.Pipeline, before, state, "own")
 		s.r.announce()
 	case o.done() && c.Solo:
+		before := s.r.crashes.State(now, s.print)
 		s.r.crashes.Survived(now, s.print)
+		s.r.noteMark(s.print, s.req.Team, s.req.Pipeline, before, s.r.crashes.State(now, s.print), "own")
 		s.r.announce()
 	}
 }
@@ -330,11 +339,13 @@
 			return false
 		}
 		if _, ok := p.retry.Allow(n, left, expect); !ok {
-			s.r.Inc("retry_denied", o.reason)
+			s.r.note(log.InfoLevel, "retry_denied", o.reason, "retry denied", "request", s.id, "stage", s.stage.Name, "attempt", n)
 			return false
 		}
-		s.r.Inc("retried", o.reason)
-		s.r.log.Info("stage retried", "request", s.id, "stage", s.stage.Name, "attempt", n, "reason", o.reason)
+		s.r.note(log.InfoLevel, "retried", o.reason, "stage retried", "request", s.id, "stage", s.stage.Name, "attempt", n)
+	} else {
+		// Nothing ran, so this costs no retry budget.
+		s.r.note(log.InfoLevel, "offered_again", o.reason, "stage offered again", "request", s.id, "stage", s.stage.Name, "attempt", n)
 	}
 	return sleep(ctx, min(budget.Backoff(p.random(), n), max(0, left-expect)))
 }
