--- a/agent/run.go
+++ b/agent/run.go
@@ -153,10 +153,9 @@
 }
 
 func (a *Agent) refuse(r *run, reason wire.Reason, ex wire.Executed) {
-	r.refuse = a.refusal(r.call.Ref, reason, ex)
+	r.refuse = a.noteRefusal(a.refusal(r.call.Ref, reason, ex))
 	a.held.Ack(r.call.Ref)
 	close(r.decided)
-	a.Inc("refused", reason)
 }
 
 func (a *Agent) refusal(ref wire.Ref, reason wire.Reason, ex wire.Executed) *wire.Refuse {
@@ -190,7 +189,7 @@
 	}
 	res.Report = a.report()
 	r.entry.Finish(res)
-	a.account(r.call, res)
+	a.account(r.call, res, sample.Latency)
 }
 
 // units is the work by which the limiter compares calls: generated tokens, since
--- a/agent/state.go
+++ b/agent/state.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/wire"
 )
@@ -124,7 +126,7 @@
 	case o.Kind == wire.ObjectKindModel && (o.Deleted || o.Model != nil) && (s.models[o.Name] != nil || len(s.models) < maxModels):
 		old = s.models[o.Name]
 	default:
-		a.Inc("discarded", wire.ReasonMalformed)
+		a.discard("object")
 		return
 	}
 	if old != nil && old.Number >= o.Number {
@@ -142,7 +144,7 @@
 		}
 		s.models[o.Name] = o
 	}
-	a.log.Info("object in force", "kind", o.Kind, "name", o.Name, "ticket", o.Number)
+	a.note(log.InfoLevel, "object_in_force", "", "object in force", "kind", o.Kind, "name", o.Name, "ticket", o.Number)
 }
 
 // react opens or shuts the gate after a change of state and tells routers.
@@ -160,7 +162,7 @@
 		a.gate.chill()
 	}
 	a.gate.shut(is)
-	a.log.Info("admission changed", "reason", is, "ticket", now.ticket())
+	a.note(log.InfoLevel, "admission_changed", is, "admission changed", "ticket", now.ticket())
 	a.broadcast()
 }
 
--- a/router/control.go
+++ b/router/control.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/member"
@@ -29,6 +30,10 @@
 	// the platform and all peers may be down.
 	revalidateLimit = time.Second
 	submitQueue     = 256
+
+	// reasonRevalidating is the reason of a verdict while configuration is read
+	// again after a pause.
+	reasonRevalidating = "revalidating"
 )
 
 // snapshot is an immutable view of the control state for the traffic path.
@@ -109,7 +114,8 @@
 	cancel context.CancelFunc
 	// extra is the time until which a link outside the subset stays, for a call
 	// that is bound to its upstream by a reservation.
-	extra time.Time
+	extra   time.Time
+	verdict string // reason of the last verdict
 }
 
 func newControl(r *Router) *control {
@@ -225,6 +231,7 @@
 		c.pending = slices.DeleteFunc(c.pending, func(x wire.Ticket) bool { return x.Number == t.Number })
 		c.pending = append(c.pending, t)
 		if len(c.pending) > maxRejected {
+			c.r.note(log.WarnLevel, "pending_dropped", "", "waiting ticket dropped", "ticket", c.pending[0].Number)
 			c.pending = c.pending[1:]
 		}
 	}
@@ -261,6 +268,7 @@
 	c.r.Inc("ticket_refused", "")
 	c.rejected = append(c.rejected, rej)
 	if len(c.rejected) > maxRejected {
+		c.r.note(log.InfoLevel, "rejection_dropped", "", "record of a refused ticket dropped", "ticket", c.rejected[0].Number)
 		c.rejected = c.rejected[1:]
 	}
 }
@@ -282,7 +290,7 @@
 	}
 	c.store = next
 	for _, ch := range changes {
-		c.r.log.Info("object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
+		c.r.note(log.InfoLevel, "object_in_force", "", "object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
 		if ch.Kind == wire.ObjectKindUpstream || ch.Kind == wire.ObjectKindCentre {
 			c.resubset = true
 		}
@@ -341,7 +349,9 @@
 	}
 	for id, l := range c.links {
 		snap.links[id] = l.agentLink
-		snap.members = append(snap.members, memberView{l.agentLink, c.verdict(l, now)})
+		v := c.verdict(l, now)
+		l.observed(v)
+		snap.members = append(snap.members, memberView{l.agentLink, v})
 	}
 	slices.SortFunc(snap.members, func(a, b memberView) int { return cmp.Compare(a.link.up, b.link.up) })
 	c.r.snap.Store(snap)
@@ -486,7 +496,7 @@
 
 func (c *control) verdict(l *heldLink, now time.Time) member.Verdict {
 	if now.Before(c.validating) {
-		return member.Verdict{Reason: "revalidating"}
+		return member.Verdict{Reason: reasonRevalidating}
 	}
 	u, ok := c.store.Upstream(l.up)
 	centre, known := c.store.Centre(u.Centre)
