agent: test calls, tokens and objects in virtual time; fix a race on results

Cause: the agent's rules had no tests of their own. The first run found a data race: a result was recorded under its token before its report was filled in, so a joined call copied it while it changed.

Change: TestCalls and TestObjects speak to an agent as a router does, over the in-memory link. The report is filled in first.

Figures: go test -race ./agent failed with the race in "a token joins its running call" before; go test -race -count=5 ./agent passes now.

--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,378 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/wire"
+)
+
+// stub is an upstream whose calls end when the test says so.
+type stub struct {
+	boot   wire.BootID
+	have   atomic.Pointer[Loaded]
+	calls  chan *wire.Call
+	ends   chan error
+	orders chan Order
+}
+
+func newStub() *stub {
+	s := &stub{boot: "b1", calls: make(chan *wire.Call, 64), ends: make(chan error, 64), orders: make(chan Order, 64)}
+	s.have.Store(&Loaded{})
+	return s
+}
+
+func (s *stub) Run(ctx context.Context, c *wire.Call, emit func([]byte) error) (Answer, error) {
+	s.calls <- c
+	if c.Stream {
+		_ = emit([]byte("one "))
+	}
+	select {
+	case err := <-s.ends:
+		return Answer{Output: []byte(`"done"`), Cost: wire.Cost{Calls: 1}}, err
+	case <-ctx.Done():
+		return Answer{}, ctx.Err()
+	}
+}
+
+func (s *stub) Load(context.Context) (limit.Evidence, Loaded, error) {
+	return limit.Evidence{Boot: s.boot}, *s.have.Load(), nil
+}
+
+func (s *stub) Order(_ context.Context, o Order) error {
+	s.orders <- o
+	s.have.Store(&o.Loaded)
+	return nil
+}
+
+func (s *stub) Prefixes() []wire.Fingerprint { return nil }
+
+// rig is an agent with one router's session, in virtual time.
+type rig struct {
+	t    *testing.T
+	net  *link.Net
+	a    *Agent
+	up   *stub
+	sess link.Session
+	stop context.CancelFunc
+	done chan error
+}
+
+const address wire.Address = "10.0.0.1:1"
+
+func hello(role wire.Role, name wire.HostID, inc wire.Incarnation, epoch wire.Epoch) wire.Hello {
+	return wire.Hello{Role: role, Name: name, Centre: "palermo", Incarnation: inc, Epoch: epoch, Version: 1}
+}
+
+// inBubble runs f with an agent whose upstream bears two calls at once.
+func inBubble(t *testing.T, f func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{t: t, net: link.NewNet(), up: newStub(), done: make(chan error, 1)}
+		ln := r.net.Listen(address, hello(wire.RoleAgent, "u1", "a1", 0))
+		r.a = New(Config{Name: "u1", Upstream: "u1", Centre: "palermo", Kind: wire.KindPlain, Bounds: limit.Bounds{Warm: 2, Cold: 2}}, r.up, ln, WithIncarnation("a1"))
+		ctx, stop := context.WithCancel(t.Context())
+		r.stop = stop
+		go func() { r.done <- r.a.Run(ctx, time.Minute) }()
+		r.dial(1)
+		f(r)
+		for range cap(r.up.ends) - len(r.up.ends) {
+			r.up.ends <- nil
+		}
+		stop()
+		assert.NilError(t, <-r.done)
+	})
+}
+
+func (r *rig) dial(epoch wire.Epoch) {
+	s, err := r.net.Dial(r.t.Context(), address, hello(wire.RoleRouter, "r1", "r1", epoch))
+	assert.NilError(r.t, err)
+	f, err := s.Control().Recv(r.t.Context())
+	assert.NilError(r.t, err)
+	assert.Assert(r.t, f.Report != nil)
+	r.sess = s
+}
+
+func call(id wire.RequestID, token wire.Token) *wire.Call {
+	return &wire.Call{
+		Ref: wire.Ref{Request: id, Stage: "s", Attempt: 1}, Team: "t", Pipeline: "p", Kind: wire.KindPlain, Rank: wire.RankInteractive,
+		Weight: 1, Left: 3000, Once: token != "", Token: token, Print: "f", Input: []byte("{}"),
+	}
+}
+
+// send opens a stream with one frame.
+func (r *rig) send(f *wire.Frame) link.Stream {
+	st, err := r.sess.Open(r.t.Context())
+	assert.NilError(r.t, err)
+	assert.NilError(r.t, st.Send(f))
+	return st
+}
+
+// expect reads frames until one is not a report, and returns its kind.
+func (r *rig) expect(st link.Stream, want string) *wire.Frame {
+	r.t.Helper()
+	for {
+		ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
+		f, err := st.Recv(ctx)
+		cancel()
+		assert.NilError(r.t, err)
+		if f.Report != nil {
+			continue
+		}
+		got := "other"
+		switch {
+		case f.Accept != nil:
+			got = "accept"
+		case f.Refuse != nil:
+			got = "refuse " + string(f.Refuse.Reason) + " " + string(f.Refuse.Executed)
+		case f.Chunk != nil:
+			got = "chunk " + string(f.Chunk.Data)
+		case f.Result != nil:
+			got = "result " + string(f.Result.Outcome) + " " + string(f.Result.Executed)
+		case f.Reserved != nil:
+			got = "reserved"
+		}
+		assert.Equal(r.t, got, want)
+		return f
+	}
+}
+
+func (r *rig) reserve() wire.Token {
+	return r.expect(r.send(&wire.Frame{Reserve: &wire.Reserve{Team: "t", Pipeline: "p"}}), "reserved").Reserved.Token
+}
+
+func (r *rig) begun() int { return len(r.up.calls) }
+
+// TestCalls guards the agent's word on what became of a call: each script would
+// lose, double or misreport one without the rule that it names.
+func TestCalls(t *testing.T) {
+	for name, f := range map[string]func(r *rig){
+		"doubled call joins the run": func(r *rig) {
+			first := r.send(&wire.Frame{Call: call("1", "")})
+			r.expect(first, "accept")
+			again := r.send(&wire.Frame{Call: call("1", "")})
+			r.expect(again, "accept")
+			r.up.ends <- nil
+			r.expect(first, "result done some")
+			r.expect(again, "result done some")
+			assert.Equal(r.t, r.begun(), 1)
+		},
+		"doubled call after the end gets the held result": func(r *rig) {
+			r.up.ends <- nil
+			first := r.send(&wire.Frame{Call: call("1", "")})
+			r.expect(first, "accept")
+			r.expect(first, "result done some")
+			again := r.send(&wire.Frame{Call: call("1", "")})
+			r.expect(again, "accept")
+			r.expect(again, "result done some")
+			assert.Equal(r.t, r.begun(), 1)
+		},
+		"a stream resumes at the next chunk": func(r *rig) {
+			c := call("1", "")
+			c.Stream = true
+			first := r.send(&wire.Frame{Call: c})
+			r.expect(first, "accept")
+			r.expect(first, "chunk one ")
+			r.dial(2)
+			again := r.send(&wire.Frame{Query: &wire.Query{Ref: c.Ref, Next: 1}})
+			r.expect(again, "accept")
+			r.up.ends <- nil
+			r.expect(again, "result done some")
+		},
+		"a call of a replaced session never starts": func(r *rig) {
+			old := r.sess
+			r.dial(2)
+			st, err := old.Open(r.t.Context())
+			if err == nil {
+				_ = st.Send(&wire.Frame{Call: call("1", "")})
+			}
+			r.expect(r.send(&wire.Frame{Query: &wire.Query{Ref: call("1", "").Ref}}), "refuse absent none")
+			synctest.Wait()
+			assert.Equal(r.t, r.begun(), 0)
+		},
+		"a token runs once": func(r *rig) {
+			tok := r.reserve()
+			r.up.ends <- nil
+			st := r.send(&wire.Frame{Call: call("1", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result done some")
+			st = r.send(&wire.Frame{Call: call("2", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result done some")
+			assert.Equal(r.t, r.begun(), 1)
+		},
+		"a token joins its running call": func(r *rig) {
+			tok := r.reserve()
+			first := r.send(&wire.Frame{Call: call("1", tok)})
+			r.expect(first, "accept")
+			second := r.send(&wire.Frame{Call: call("2", tok)})
+			synctest.Wait()
+			r.up.ends <- nil
+			r.expect(first, "result done some")
+			r.expect(second, "accept")
+			r.expect(second, "result done some")
+			assert.Equal(r.t, r.begun(), 1)
+		},
+		"a failed token stays spent": func(r *rig) {
+			tok := r.reserve()
+			r.up.ends <- &UpstreamError{Sent: true, Err: errors.New("broken")}
+			st := r.send(&wire.Frame{Call: call("1", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result failed unknown")
+			r.expect(r.send(&wire.Frame{Call: call("2", tok)}), "refuse spent unknown")
+			assert.Equal(r.t, r.begun(), 1)
+		},
+		"a token that was not sent can be used again": func(r *rig) {
+			tok := r.reserve()
+			r.up.ends <- &UpstreamError{Err: errors.New("connection refused")}
+			st := r.send(&wire.Frame{Call: call("1", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result failed none")
+			r.up.ends <- nil
+			st = r.send(&wire.Frame{Call: call("2", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result done some")
+		},
+		"a token of another body says unknown": func(r *rig) {
+			tok := r.reserve()
+			r.up.ends <- nil
+			st := r.send(&wire.Frame{Call: call("1", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result done some")
+			c := call("2", tok)
+			c.Print = "g"
+			r.expect(r.send(&wire.Frame{Call: c}), "refuse mismatch unknown")
+		},
+		"a token of another run is unknown": func(r *rig) {
+			r.expect(r.send(&wire.Frame{Call: call("1", "u1:a0:1")}), "refuse spent unknown")
+		},
+		"the limit holds over calls and queue": func(r *rig) {
+			for _, id := range []wire.RequestID{"1", "2"} {
+				r.expect(r.send(&wire.Frame{Call: call(id, "")}), "accept")
+			}
+			third := r.send(&wire.Frame{Call: call("3", "")})
+			time.Sleep(time.Second)
+			assert.Equal(r.t, r.begun(), 2)
+			r.up.ends <- nil
+			r.expect(third, "accept")
+		},
+		"a queued call that runs out of time was not run": func(r *rig) {
+			for _, id := range []wire.RequestID{"1", "2"} {
+				r.expect(r.send(&wire.Frame{Call: call(id, "")}), "accept")
+			}
+			c := call("3", "")
+			c.Left = 100
+			r.expect(r.send(&wire.Frame{Call: c}), "refuse deadline none")
+		},
+		"a reset cancels the call": func(r *rig) {
+			st := r.send(&wire.Frame{Call: call("1", "")})
+			r.expect(st, "accept")
+			st.Reset()
+			synctest.Wait()
+			assert.Equal(r.t, r.a.Count("failed", wire.ReasonCancelled), int64(1))
+		},
+		"a lost router's call is cancelled, a reserved one runs on": func(r *rig) {
+			tok := r.reserve()
+			r.expect(r.send(&wire.Frame{Call: call("1", "")}), "accept")
+			r.expect(r.send(&wire.Frame{Call: call("2", tok)}), "accept")
+			r.net.Kill("r1")
+			time.Sleep(orphanLimit + time.Second/2)
+			synctest.Wait()
+			assert.Equal(r.t, r.a.Count("failed", wire.ReasonCancelled), int64(1))
+			r.up.ends <- nil
+			r.dial(2)
+			st := r.send(&wire.Frame{Call: call("3", tok)})
+			r.expect(st, "accept")
+			r.expect(st, "result done some")
+			assert.Equal(r.t, r.begun(), 2)
+		},
+		"a drain refuses new work and finishes old": func(r *rig) {
+			st := r.send(&wire.Frame{Call: call("1", "")})
+			r.expect(st, "accept")
+			r.stop()
+			synctest.Wait()
+			r.expect(r.send(&wire.Frame{Call: call("2", "")}), "refuse leaving none")
+			r.up.ends <- nil
+			r.expect(st, "result done some")
+			assert.NilError(r.t, st.Send(&wire.Frame{Ack: &wire.Ack{Ref: call("1", "").Ref}}))
+		},
+	} {
+		t.Run(name, func(t *testing.T) { inBubble(t, f) })
+	}
+}
+
+func object(n wire.TicketNumber, o wire.Object) wire.Object {
+	o.Number = n
+	return o
+}
+
+func upstream(state wire.UpstreamState, fencing bool) wire.Object {
+	return wire.Object{Kind: wire.ObjectKindUpstream, Name: "u1", Upstream: &wire.Upstream{
+		Pool: "p", Kind: wire.KindGenerate, Centre: "palermo", Limit: 2, Cold: 2, State: state, Model: "m", Fencing: fencing,
+	}}
+}
+
+func model(version wire.Version) wire.Object {
+	return wire.Object{Kind: wire.ObjectKindModel, Name: "m", Model: &wire.Model{Version: version}}
+}
+
+func centre(state wire.CentreState) wire.Object {
+	return wire.Object{Kind: wire.ObjectKindCentre, Name: "palermo", Centre: &wire.Centre{Region: "sicily", State: state}}
+}
+
+func (r *rig) sync(objs ...wire.Object) {
+	assert.NilError(r.t, r.sess.Control().Send(&wire.Frame{Sync: &wire.Sync{Objects: objs}}))
+	synctest.Wait()
+}
+
+// TestObjects guards against an agent that goes back to an older ticket, admits
+// work in a data centre that is out, or gives an engine an old order.
+func TestObjects(t *testing.T) {
+	for name, f := range map[string]func(r *rig){
+		"out refuses, an older in does not revert it": func(r *rig) {
+			r.sync(object(7, centre(wire.CentreStateOut)))
+			r.sync(object(6, centre(wire.CentreStateIn)))
+			r.expect(r.send(&wire.Frame{Call: call("1", "")}), "refuse out none")
+			r.sync(object(8, centre(wire.CentreStateIn)))
+			r.expect(r.send(&wire.Frame{Call: call("2", "")}), "accept")
+		},
+		"queued work is refused when the drain begins": func(r *rig) {
+			for _, id := range []wire.RequestID{"1", "2"} {
+				r.expect(r.send(&wire.Frame{Call: call(id, "")}), "accept")
+			}
+			st := r.send(&wire.Frame{Call: call("3", "")})
+			synctest.Wait()
+			r.sync(object(3, upstream(wire.UpstreamStateDrain, true)))
+			r.expect(st, "refuse leaving none")
+		},
+		"orders follow the newest ticket": func(r *rig) {
+			r.sync(object(5, upstream(wire.UpstreamStateServe, true)), object(5, model(2)))
+			time.Sleep(forceLimit + 2*time.Second)
+			r.sync(object(4, model(1)))
+			time.Sleep(5 * time.Second)
+			assert.Equal(r.t, len(r.up.orders), 1)
+			o := <-r.up.orders
+			assert.Equal(r.t, o.Version, wire.Version(2))
+			assert.Equal(r.t, o.Fence, wire.TicketNumber(5))
+		},
+		"no order without fencing while no router confirms": func(r *rig) {
+			r.sync(object(5, upstream(wire.UpstreamStateServe, false)), object(5, model(2)))
+			r.net.Kill("r1")
+			time.Sleep(20 * time.Second)
+			assert.Equal(r.t, len(r.up.orders), 0)
+			r.dial(2)
+			r.sync(object(5, upstream(wire.UpstreamStateServe, false)))
+			time.Sleep(time.Second)
+			assert.Equal(r.t, len(r.up.orders), 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) { inBubble(t, f) })
+	}
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -184,10 +184,11 @@
 	}
 	a.gate.charge(r.call, estimate, res.Cost)
 	a.gate.leave(sample)
+	res.Report = a.report()
+	// From here on other goroutines read res.
 	if r.call.Once {
 		a.settle(r.call.Token, res)
 	}
-	res.Report = a.report()
 	r.entry.Finish(res)
 	a.account(r.call, res, sample.Latency)
 }
