--- a/router/attempt.go
+++ b/router/attempt.go
@@ -180,8 +180,12 @@
 	o := outcome{reason: f.Reason, executed: f.Executed, report: f.Report}
 	// The agent forgets a call some time after its deadline; from then on
 	// "absent" proves nothing.
-	if f.Reason == wire.ReasonAbsent && (a.accepted || time.Now().After(a.until)) {
-		o.executed = wire.ExecutedUnknown
+	switch {
+	case f.Reason != wire.ReasonAbsent:
+	case a.accepted || time.Now().After(a.until):
+		o.reason, o.executed = wire.ReasonUnknown, wire.ExecutedUnknown
+	default:
+		o.reason = wire.ReasonUnavailable
 	}
 	return o
 }
