router: choose the fallback of a placement before popping the queue

Cause: dispatch looked for any upstream with room, popped a stage, and looked again for one that the stage does not avoid. Control replaces the members, and reports change, without the pool's lock, so the last look could find nothing and the router died of a nil pointer.

Change: the first choice is kept as the fallback.

Conclusion: a stage whose only upstream goes away at that moment is sent there and refused by the agent, or fails as unavailable.

--- a/router/pool.go
+++ b/router/pool.go
@@ -124,7 +124,8 @@
 // dispatch places stages in the queue's order. The caller holds mu.
 func (p *pool) dispatch(now time.Time) {
 	for p.queue.Len() > 0 {
-		if _, ok := p.pick(nil); !ok {
+		fallback, ok := p.pick(nil)
+		if !ok {
 			return
 		}
 		e, late, ok := p.queue.Pop(now)
@@ -138,8 +139,9 @@
 		l, ok := p.pick(w)
 		if !ok {
 			// Only avoided replicas have room; a second failure there is better
-			// than none trying.
-			l, _ = p.pick(nil)
+			// than none trying. Members change without the lock, so a new choice
+			// could find none.
+			l = fallback
 		}
 		l.own.Add(1)
 		w.settle(l, "")
