router, agent: let the timer service be injected

Cause: a test in virtual time can't pause a process as a whole. The timer service is what notices a pause, and it was created inside New.

Change: WithTicks sets the service. Without it nothing changes.

Ran: go test -race ./router ./agent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,6 +82,10 @@
 // WithResults calls f for each call that the upstream was given, after it ended.
 func WithResults(f func(*wire.Call, *wire.Result)) Option { return func(a *Agent) { a.onResult = f } }
 
+// WithTicks sets the timer service, which Run runs; without it the process has
+// one on the system's clock.
+func WithTicks(s *clock.Service) Option { return func(a *Agent) { a.tick = s } }
+
 // WithIncarnation sets the identity of this run, which the hello of the agent's
 // listener carries too.
 func WithIncarnation(i wire.Incarnation) Option { return func(a *Agent) { a.inc = i } }
--- a/router/router.go
+++ b/router/router.go
@@ -76,6 +76,10 @@
 // WithPlatform sets the source of tickets and of the host list.
 func WithPlatform(c Platform) Option { return func(r *Router) { r.plat = c } }
 
+// WithTicks sets the timer service, which Run runs; without it the process has
+// one on the system's clock.
+func WithTicks(s *clock.Service) Option { return func(r *Router) { r.tick = s } }
+
 // WithIncarnation sets the identity of this run, which the hello of the
 // router's own listener carries too.
 func WithIncarnation(i wire.Incarnation) Option { return func(r *Router) { r.inc = i } }
