--- a/agent/agent.go
+++ b/agent/agent.go
@@ -90,6 +90,10 @@
 	return func(a *Agent) { a.onResult = f }
 }
 
+// WithTicks sets the timer service, which Run runs; without it the process has
+// one on the system's clock.
+func WithTicks(s *clock.Service) Option { return func(a *Agent) { a.tick = s } }
+
 // WithIncarnation sets the identity of this run, which the hello of the agent's
 // listener carries too.
 func WithIncarnation(i wire.Incarnation) Option { return func(a *Agent) { a.inc = i } }
--- a/router/pool.go
+++ b/router/pool.go
@@ -163,7 +163,8 @@
 			l, ok = p.pick(w)
 		}
 		if !ok {
-			// The replicas with room lack the stage's model; it comes back later.
+			// The replicas with room lack the stage's model, or control has just
+			// taken them away; the stage comes back later.
 			w.settle(nil, wire.ReasonBusy)
 			continue
 		}
--- a/router/serve.go
+++ b/router/serve.go
@@ -308,9 +308,6 @@
 		s.ran.token = false
 	}
 	s.ran.add(o.executed)
-	if !o.done() {
-		s.avoid[l.up] = true
-	}
 	now := time.Now()
 	if o.result != nil {
 		s.charge(l.pool, &o.result.Cost)
