--- a/router/admin.go
+++ b/router/admin.go
@@ -99,16 +99,11 @@
 // figures of this moment.
 func (s *snapshot) upstreams(keep func(*Member) bool) (out []admin.Upstream) {
 	out = []admin.Upstream{}
-	for _, m := range s.members {
+	for _, v := range s.members {
+		m := v.view(s.store)
 		if !keep(&m) {
 			continue
 		}
-		if l := s.links[m.Upstream]; l != nil {
-			m.Own = l.own.Load()
-			if rep := l.report.Load(); rep != nil {
-				m.Warmth, m.Limit, m.Flight, m.Queued = rep.Warmth, rep.Limit, rep.Flight, rep.Queued
-			}
-		}
 		out = append(out, admin.Upstream{
 			Upstream: m.Upstream, Pool: m.Pool, Centre: m.Centre, State: stateOf(&m), Eligible: m.Eligible, Reason: m.Reason,
 			Warmth: m.Warmth, Limit: m.Limit, Flight: m.Flight, Queued: m.Queued, Own: m.Own,
