--- a/agent/run.go
+++ b/agent/run.go
@@ -132,6 +132,10 @@
 }
 
 func (a *Agent) admit(ctx context.Context, r *run) {
+	if !a.loaded(r.call) {
+		a.refuse(r, wire.ReasonUnavailable, wire.ExecutedNone)
+		return
+	}
 	estimate, reason := a.gate.enter(ctx, r.call, r.deadline)
 	if reason == "" && !time.Now().Before(r.deadline) {
 		a.gate.leave(limit.Sample{Failed: true})
@@ -180,10 +184,11 @@
 	}
 	a.gate.charge(r.call, estimate, res.Cost)
 	a.gate.leave(sample)
+	res.Report = a.report()
+	// From here on other goroutines read res.
 	if r.call.Once {
 		a.settle(r.call.Token, res)
 	}
-	res.Report = a.report()
 	r.entry.Finish(res)
 	a.account(r.call, res, sample.Latency)
 }
--- a/router/links.go
+++ b/router/links.go
@@ -139,7 +139,12 @@
 		l.r.note(log.WarnLevel, "discarded", wire.ReasonMismatch, "report of another upstream dropped", "upstream", l.up, "got", rep.Upstream)
 		return
 	}
-	before := l.report.Swap(&seenReport{*rep, l.own.Load()})
+	next := &seenReport{*rep, l.own.Load()}
+	before := l.report.Load()
+	if rep.Brief && before != nil {
+		next.Prefixes = before.Prefixes
+	}
+	l.report.Store(next)
 	if before == nil || before.Leaving != rep.Leaving || before.Out != rep.Out || before.Incarnation != rep.Incarnation {
 		l.r.ctl.wake()
 	}
