agent, router: end the entry of a refused call

Cause: an acknowledged entry of hold ends only with its result, and a refused call has none. Its entry took one of 1,024 places until 5 s after the call's deadline and delayed a planned stop of the agent for as long. Besides, "absent" for a non-repeatable call was taken as "none" although an earlier request may have run under the same token.

Change: refuse finishes the entry after it acknowledged it. A router answers "unknown" for an absent non-repeatable call.

The change for absent calls has no test of its own.

Conclusion: refused calls leave nothing behind in an agent.

--- a/agent/run.go
+++ b/agent/run.go
@@ -154,7 +154,10 @@
 
 func (a *Agent) refuse(r *run, reason wire.Reason, ex wire.Executed) {
 	r.refuse = a.noteRefusal(a.refusal(r.call.Ref, reason, ex))
+	// An acknowledged entry ends at its result; without one it would take up the
+	// table and delay a planned stop until after the call's deadline.
 	a.held.Ack(r.call.Ref)
+	r.entry.Finish(&wire.Result{Ref: r.call.Ref, Outcome: wire.OutcomeFailed, Executed: ex, Reason: reason})
 	close(r.decided)
 }
 
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -179,10 +179,11 @@
 	a.link.observe(f.Report)
 	o := outcome{reason: f.Reason, executed: f.Executed, report: f.Report}
 	// The agent forgets a call some time after its deadline; from then on
-	// "absent" proves nothing.
+	// "absent" proves nothing. Of a non-repeatable call it says that this request
+	// did not run, not that nothing ran under its token.
 	switch {
 	case f.Reason != wire.ReasonAbsent:
-	case a.accepted || time.Now().After(a.until):
+	case a.accepted || a.call.Once || time.Now().After(a.until):
 		o.reason, o.executed = wire.ReasonUnknown, wire.ExecutedUnknown
 	default:
 		o.reason = wire.ReasonUnavailable
