cove: add the operator's command

Cause: operators had to read the administration API by hand and router by router.

Change: package cove and cove/cmd/cove with check, list, dump, refusals, costs and drain over the administration API. Accounts are summed over all routers given; processes that could not be asked are named and the exit code is then 3. The credential comes from a file or COVE_CREDENTIAL. Fleets of demo/local can have administration listeners that stop with their process.

--- /dev/null
+++ b/cove/cmd/cove/main.go
@@ -0,0 +1,19 @@
+// Command cove shows operators what routers and agents do.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"hornbeamcove.example/cove"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return cove.Run(ctx, os.Args[1:], cove.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+}
--- /dev/null
+++ b/cove/drain.go
@@ -0,0 +1,176 @@
+package cove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"hornbeamcove.example/core/admin"
+)
+
+const (
+	drainLimit = 10 * time.Minute
+	drainEvery = 500 * time.Millisecond
+	drainAsk   = 3 * time.Second // for one round, so that a silent router does not hide the others
+	// quietRounds is the number of rounds in a row in which no router may have
+	// work: a stage that was placed just before the change may not be counted yet.
+	quietRounds = 2
+)
+
+const drainHelp = `Follows a data centre that a ticket has taken out, until it has no work and gets no
+new work on any router given. It takes nothing out by itself: publish a ticket
+with the centre's state "out" first. A router that still has the centre in counts
+as not done.
+
+OWN counts a router's calls under way there; FLIGHT those of all routers, as the
+agents last reported, at most 15 s ago.
+
+A line is printed for each change. Exits with 0 when all routers are done, with 3
+when the time is over and the routers not done could not be reached, with 5 when
+the time is over and work was still under way.`
+
+func (a *app) drainCommand(usage io.Writer) *ffcli.Command {
+	return a.command(a.flagSet("drain", usage), []string{"CENTRE"}, drainLimit, "follow a data centre until no work is under way there", drainHelp, a.drain)
+}
+
+// drainState is what one router last said, or why it said nothing.
+type drainState struct {
+	Router   string `json:"router"`
+	Centre   string `json:"state"` // in or out
+	Eligible int    `json:"eligible"`
+	Own      int64  `json:"own"`
+	Flight   int64  `json:"flight"`
+	Quiet    bool   `json:"quiet"`
+	Error    string `json:"error,omitempty"`
+}
+
+// drained is the output for scripts.
+type drained struct {
+	Centre  string       `json:"centre"`
+	Done    bool         `json:"done"`
+	Millis  int64        `json:"millis"`
+	Routers []drainState `json:"routers"`
+}
+
+func (a *app) drain(ctx context.Context, args []string) error {
+	begun := time.Now()
+	out := drained{Centre: args[0]}
+	tick := time.NewTicker(drainEvery)
+	defer tick.Stop()
+	for quiet := 0; ; {
+		now, known := a.drainRound(ctx, args[0])
+		if ctx.Err() == nil || out.Routers == nil {
+			a.showDrain(begun, out.Routers, now)
+			out.Routers = now
+		}
+		if !known {
+			return fail(ExitError, "no router knows data centre %q", args[0])
+		}
+		if quiet++; !allQuiet(now) {
+			quiet = 0
+		}
+		out.Done = quiet >= quietRounds
+		if !out.Done {
+			select {
+			case <-tick.C:
+				continue
+			case <-ctx.Done():
+			}
+		}
+		out.Millis = time.Since(begun).Milliseconds()
+		return a.endDrain(&out)
+	}
+}
+
+// drainRound asks all routers once. known is false when each of them says that
+// there is no such data centre.
+func (a *app) drainRound(ctx context.Context, name string) (states []drainState, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, drainAsk)
+	defer cancel()
+	got, failed := ask(ctx, a, func(ctx context.Context, c *client) (v admin.Centre, err error) {
+		err = c.get(ctx, "/v1/centres/"+url.PathEscape(name), url.Values{"limit": {"1"}}, &v)
+		return v, err
+	})
+	known = len(got) > 0
+	for _, g := range got {
+		v := &g.Answer
+		states = append(states, drainState{
+			Router: g.Router, Centre: string(v.State), Eligible: v.Eligible, Own: v.Own, Flight: int64(v.Flight), Quiet: v.Quiet(),
+		})
+	}
+	for _, f := range failed {
+		var se *statusError
+		if !errors.As(f.err, &se) || se.status != http.StatusNotFound {
+			known = true
+		}
+		states = append(states, drainState{Router: f.Router, Error: f.Error})
+	}
+	return states, known
+}
+
+func allQuiet(states []drainState) bool {
+	for i := range states {
+		if !states[i].Quiet {
+			return false
+		}
+	}
+	return true
+}
+
+// showDrain prints the routers whose state changed since the last round.
+func (a *app) showDrain(begun time.Time, before, now []drainState) {
+	if a.output == "json" {
+		return
+	}
+	last := make(map[string]drainState, len(before))
+	for _, s := range before {
+		last[s.Router] = s
+	}
+	for _, s := range now {
+		if old, ok := last[s.Router]; ok && old == s {
+			continue
+		}
+		at := time.Since(begun).Round(100 * time.Millisecond)
+		switch {
+		case s.Error != "":
+			fmt.Fprintf(a.Out, "%-6s  %s  not asked: %s\n", at, s.Router, s.Error)
+		case s.Quiet:
+			fmt.Fprintf(a.Out, "%-6s  %s  out, no work (flight %d)\n", at, s.Router, s.Flight)
+		default:
+			fmt.Fprintf(a.Out, "%-6s  %s  %s, eligible %d, own %d, flight %d\n", at, s.Router, s.Centre, s.Eligible, s.Own, s.Flight)
+		}
+	}
+}
+
+func (a *app) endDrain(out *drained) error {
+	if a.output == "json" {
+		if err := a.json(out); err != nil {
+			return err
+		}
+	}
+	if out.Done {
+		if a.output != "json" {
+			fmt.Fprintf(a.Out, "%s has no work on %d routers\n", clean(out.Centre), len(out.Routers))
+		}
+		return nil
+	}
+	busy, lost := 0, 0
+	for _, s := range out.Routers {
+		switch {
+		case s.Error != "":
+			lost++
+		case !s.Quiet:
+			busy++
+		}
+	}
+	if busy == 0 && lost > 0 && lost < len(out.Routers) {
+		return fail(ExitPartial, "%s has no work on %d routers; %d could not be asked", clean(out.Centre), len(out.Routers)-lost, lost)
+	}
+	return fail(ExitTimeout, "not done after %s: %d routers with work or not yet out, %d not asked", time.Duration(out.Millis)*time.Millisecond, busy, lost)
+}
--- /dev/null
+++ b/cove/list.go
@@ -0,0 +1,168 @@
+package cove
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"hornbeamcove.example/core/admin"
+	"hornbeamcove.example/core/wire"
+)
+
+const listHelp = `Lists one kind of thing as each router sees it. Configuration is the same on all
+routers a few seconds after a ticket; upstreams, tickets and quarantines are
+each router's own view.
+
+  teams        weight, share of all weights, bound of a queue, waiting, cost served
+  pipelines    deadline in ms, rank, stages and teams
+  upstreams    state (warm, warming, cold, leaving, out, silent) and the reason
+  centres      region and state
+  models       version and adapters
+  tickets      refused tickets with the field at fault; pending ones are tried again
+  quarantines  fingerprints of requests that crashed upstreams`
+
+// listing is a list from one router.
+type listing struct {
+	Process wire.HostID `json:"process"`
+	Rows    any         `json:"rows"`
+	Cut     bool        `json:"cut"`
+	cells   [][]any
+}
+
+// lister reads one kind of list.
+type lister struct {
+	head []string
+	read func(context.Context, *client) (listing, error)
+}
+
+func newListing[R any](h admin.Head, rows []R, cut bool, cells func(*R) []any) listing {
+	l := listing{Process: h.Process, Rows: rows, Cut: cut}
+	if rows == nil {
+		l.Rows = []R{}
+	}
+	for i := range rows {
+		l.cells = append(l.cells, cells(&rows[i]))
+	}
+	return l
+}
+
+// paged returns a lister of a list that is read page by page.
+func paged[A, R any](path string, q url.Values, rows func(*A) (admin.Head, []R, admin.Page), cells func(*R) []any, head ...string) lister {
+	return lister{head, func(ctx context.Context, c *client) (listing, error) {
+		last, all, cut, err := pages(ctx, c, path, maps.Clone(q), func(a *A) ([]R, admin.Page) {
+			_, part, page := rows(a)
+			return part, page
+		})
+		h, _, _ := rows(&last)
+		return newListing(h, all, cut, cells), err
+	}}
+}
+
+// objects returns a lister of configuration objects of one kind.
+func objects(kind wire.ObjectKind, cells func(*admin.Object) []any, head ...string) lister {
+	return paged("/v1/objects", url.Values{"kind": {string(kind)}}, func(a *admin.Objects) (admin.Head, []admin.Object, admin.Page) {
+		return a.Head, a.Objects, a.Page
+	}, cells, head...)
+}
+
+var listers = map[string]lister{
+	"teams": paged("/v1/teams", nil, func(a *admin.Teams) (admin.Head, []admin.Team, admin.Page) { return a.Head, a.Teams, a.Page },
+		func(t *admin.Team) []any {
+			return []any{t.Team, t.Number, t.Weight, fmt.Sprintf("%.1f%%", 100*t.Share), t.Queue, t.Queued, t.Served}
+		}, "TEAM", "TICKET", "WEIGHT", "SHARE", "QUEUE", "WAITING", "SERVED"),
+	"pipelines": objects(wire.ObjectKindPipeline, func(o *admin.Object) []any {
+		return []any{o.Name, o.Number, o.Pipeline.Deadline, o.Pipeline.Rank, stages(o.Pipeline), join(o.Pipeline.Teams)}
+	}, "PIPELINE", "TICKET", "DEADLINE", "RANK", "STAGES", "TEAMS"),
+	"upstreams": paged("/v1/upstreams", nil, func(a *admin.Upstreams) (admin.Head, []admin.Upstream, admin.Page) {
+		return a.Head, a.Upstreams, a.Page
+	}, func(u *admin.Upstream) []any {
+		return []any{u.Upstream, u.Pool, u.Centre, u.State, u.Reason, u.Own, u.Flight, u.Queued, u.Limit}
+	}, "UPSTREAM", "POOL", "CENTRE", "STATE", "REASON", "OWN", "FLIGHT", "QUEUED", "LIMIT"),
+	"centres": objects(wire.ObjectKindCentre, func(o *admin.Object) []any {
+		return []any{o.Name, o.Number, o.Centre.Region, o.Centre.State}
+	}, "CENTRE", "TICKET", "REGION", "STATE"),
+	"models": objects(wire.ObjectKindModel, func(o *admin.Object) []any {
+		return []any{o.Name, o.Number, o.Model.Version, join(o.Model.Adapters)}
+	}, "MODEL", "TICKET", "VERSION", "ADAPTERS"),
+	"tickets": {[]string{"TICKET", "FIELD", "PROBLEM", "PENDING", "AT"}, readTickets},
+	"quarantines": paged("/v1/quarantines", nil, func(a *admin.Quarantines) (admin.Head, []wire.Mark, admin.Page) {
+		return a.Head, a.Marks, a.Page
+	}, func(m *wire.Mark) []any {
+		return []any{m.Print, m.State, m.Team, m.Pipeline, time.Duration(m.Left) * time.Millisecond}
+	}, "FINGERPRINT", "STATE", "TEAM", "PIPELINE", "LEFT"),
+}
+
+func readTickets(ctx context.Context, c *client) (l listing, err error) {
+	var ts admin.Tickets
+	if err = c.get(ctx, "/v1/tickets", nil, &ts); err != nil {
+		return l, err
+	}
+	return newListing(ts.Head, ts.Tickets, ts.Cut, func(r *admin.Rejection) []any {
+		return []any{r.Number, r.Field, r.Problem, r.Pending, r.At.Format(time.RFC3339)}
+	}), nil
+}
+
+func join[T ~string](xs []T) string {
+	out := make([]string, len(xs))
+	for i, x := range xs {
+		out[i] = string(x)
+	}
+	return strings.Join(out, ",")
+}
+
+func stages(p *wire.Pipeline) string {
+	out := make([]string, len(p.Stages))
+	for i, s := range p.Stages {
+		out[i] = string(s.Name)
+		if s.Once {
+			out[i] += "(once)"
+		}
+	}
+	return strings.Join(out, ">")
+}
+
+func (a *app) listCommand(usage io.Writer) *ffcli.Command {
+	kinds := strings.Join(slices.Sorted(maps.Keys(listers)), "|")
+	return a.command(a.flagSet("list", usage), []string{kinds}, runLimit, "list "+kinds, listHelp, a.list)
+}
+
+func (a *app) list(ctx context.Context, args []string) error {
+	l, ok := listers[args[0]]
+	if !ok {
+		return fail(ExitUsage, "list %q: want one of %s", args[0], strings.Join(slices.Sorted(maps.Keys(listers)), ", "))
+	}
+	got, failed := ask(ctx, a, l.read)
+	if err := a.writeList(&l, got, failed); err != nil {
+		return err
+	}
+	return a.missing(len(got), failed)
+}
+
+func (a *app) writeList(l *lister, got []answer[listing], failed []failure) error {
+	if a.output == "json" {
+		return a.json(struct {
+			Answers []answer[listing] `json:"answers"`
+			Failed  []failure         `json:"failed,omitempty"`
+		}{got, failed})
+	}
+	if len(got) == 0 {
+		return nil
+	}
+	t := table{head: append([]string{"ROUTER"}, l.head...)}
+	for _, g := range got {
+		for _, cells := range g.Answer.cells {
+			t.add(append([]any{g.Answer.Process}, cells...)...)
+		}
+		if g.Answer.Cut {
+			fmt.Fprintf(a.Err, "cove: the list of %s was cut\n", g.Router)
+		}
+	}
+	return t.write(a.Out)
+}
--- /dev/null
+++ b/cove/output.go
@@ -0,0 +1,53 @@
+package cove
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+)
+
+// table is text output with aligned columns.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = clean(fmt.Sprint(c))
+	}
+	t.rows = append(t.rows, row)
+}
+
+func (t *table) write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]string{t.head}, t.rows...) {
+		if _, err := fmt.Fprintln(tw, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return tw.Flush()
+}
+
+// clean quotes text that a terminal could take for commands, since some names
+// come from callers.
+func clean(s string) string {
+	if s == "" {
+		return "-"
+	}
+	if strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(s)
+	}
+	return s
+}
+
+func (a *app) json(v any) error {
+	enc := json.NewEncoder(a.Out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/cove/run.go
@@ -0,0 +1,144 @@
+package cove
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Streams are the standard streams of the command.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+// app is one run of the command.
+type app struct {
+	Streams
+	options
+	clients []*client
+}
+
+const runLimit = 30 * time.Second
+
+const longHelp = `cove asks the administration listeners of routers (and, for dump, agents) and
+prints what they say. It changes nothing: a fleet is changed by publishing a
+ticket, which "cove check" shows the effect of beforehand.
+
+Start here:
+
+  export COVE_ROUTER=10.0.0.1:7012,10.0.0.2:7012   # one or more routers
+  export COVE_CREDENTIAL_FILE=~/.cove-credential   # or COVE_CREDENTIAL
+  cove list upstreams          # what can each router use, and why not
+  cove refusals -since 15m     # who was refused what
+  cove check change.json       # what would this ticket change
+  cove drain palermo           # wait until a data centre has no work
+
+Each flag below can be set by an environment variable too: COVE_ROUTER,
+COVE_CREDENTIAL_FILE, COVE_O and COVE_TIMEOUT. Flags come before names and files.
+
+EXIT CODES
+  0  done
+  1  error; no router answered
+  2  wrong usage
+  3  partial: some routers were not reached, which ones is on standard error
+  4  the ticket has errors
+  5  the time was over before the end`
+
+// Run runs the command with its arguments and returns its exit code.
+func Run(ctx context.Context, args []string, s Streams) int {
+	a := &app{Streams: s, options: options{output: "text"}}
+	var usage bytes.Buffer
+	root := a.commands(&usage)
+	err := root.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		_, _ = s.Out.Write(usage.Bytes())
+		return ExitDone
+	case err != nil:
+		fmt.Fprintf(s.Err, "cove: %v\nRun cove --help for help.\n", err)
+		return ExitUsage
+	}
+	if err = root.Run(ctx); err != nil {
+		fmt.Fprintln(s.Err, "cove:", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) commands(usage io.Writer) *ffcli.Command {
+	root := &ffcli.Command{
+		Name: "cove", ShortUsage: "cove [flags] COMMAND [flags] [NAME|FILE]", ShortHelp: "Show what a fleet's routers and agents do.",
+		LongHelp: longHelp, FlagSet: a.flagSet("cove", usage), Options: []ff.Option{ff.WithEnvVarPrefix("COVE")},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return fail(ExitUsage, "no command given; run cove --help for help")
+			}
+			return fail(ExitUsage, "unknown command %q; run cove --help for help", args[0])
+		},
+	}
+	root.Subcommands = []*ffcli.Command{
+		a.checkCommand(usage), a.listCommand(usage), a.dumpCommand(usage),
+		a.accountsCommand(usage, refusals), a.accountsCommand(usage, costs), a.drainCommand(usage),
+	}
+	return root
+}
+
+func (a *app) flagSet(name string, usage io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(usage)
+	a.register(fs)
+	return fs
+}
+
+// command returns a command that takes a fixed number of arguments and has the
+// routers' clients ready.
+func (a *app) command(fs *flag.FlagSet, args []string, limit time.Duration, short, long string, exec func(context.Context, []string) error) *ffcli.Command {
+	shape := strings.TrimSpace(fmt.Sprintf("cove %s [flags] %s", fs.Name(), strings.Join(args, " ")))
+	return &ffcli.Command{
+		Name: fs.Name(), ShortUsage: shape, ShortHelp: short, LongHelp: long, FlagSet: fs,
+		Exec: func(ctx context.Context, got []string) error {
+			if len(got) > len(args) && slices.ContainsFunc(got, func(s string) bool { return strings.HasPrefix(s, "-") }) {
+				return fail(ExitUsage, "flags come before other arguments: %s", shape)
+			}
+			if len(got) != len(args) {
+				return fail(ExitUsage, "got %d arguments, want %d: %s", len(got), len(args), shape)
+			}
+			if err := a.connect(); err != nil {
+				return err
+			}
+			if a.timeout > 0 {
+				limit = a.timeout
+			}
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			err := exec(ctx, got)
+			if err != nil && exitCode(err) == ExitError && ctx.Err() == context.DeadlineExceeded {
+				return fail(ExitTimeout, "not done in %s: %w", limit, err)
+			}
+			return err
+		},
+	}
+}
+
+func (a *app) connect() error {
+	if len(a.routers) == 0 {
+		return fail(ExitUsage, "no router: set -router or COVE_ROUTER")
+	}
+	credential, err := a.credential()
+	if err != nil {
+		return err
+	}
+	for _, addr := range a.routers {
+		a.clients = append(a.clients, newClient(addr, credential))
+	}
+	return nil
+}
--- a/demo/local/admin.go
+++ b/demo/local/admin.go
@@ -24,9 +24,9 @@
 
 const adminDrain = time.Second
 
-// process returns a process whose administration listener is served until the
-// fleet stops, or nil when the fleet has none. start adds its routes.
-func (f *Fleet) process(name wire.HostID, role wire.Role, d proc.Dumper, start func(*proc.Process, fiber.Router)) (wire.Address, error) {
+// process returns a process whose administration listener is served until ctx
+// ends, or no address when the fleet has none. start adds its routes.
+func (f *Fleet) process(ctx context.Context, name wire.HostID, role wire.Role, d proc.Dumper, start func(*proc.Process, fiber.Router)) (wire.Address, error) {
 	a := f.Spec.Admin
 	if a == nil {
 		return "", nil
@@ -46,7 +46,7 @@
 	p.AddDumper(string(role), d)
 	start(p, p.Admin())
 	addr := wire.Address(p.Addr().String())
-	f.wg.Go(func() { f.note(p.Run(f.ctx)) })
+	f.wg.Go(func() { f.note(p.Run(ctx)) })
 	return addr, nil
 }
 
--- a/demo/local/fleet.go
+++ b/demo/local/fleet.go
@@ -227,7 +227,9 @@
 		Name: name, Upstream: u.ID, Centre: u.Object.Centre, Kind: u.Object.Kind,
 		Bounds: limit.Bounds{Warm: wire.Slots(u.Object.Limit), Cold: wire.Slots(u.Object.Cold)},
 	}, up, u.link, agent.WithLogger(logger), agent.WithIncarnation(inc), agent.WithAccounts(book))
-	u.Admin, err = f.process(name, wire.RoleAgent, u.Agent, func(p *proc.Process, app fiber.Router) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	u.cancel = cancel
+	u.Admin, err = f.process(ctx, name, wire.RoleAgent, u.Agent, func(p *proc.Process, app fiber.Router) {
 		p.AddDumper("accounts", book)
 		u.Agent.Export(p.Scope())
 		u.Agent.Routes(app)
@@ -236,8 +238,6 @@
 		return err
 	}
 	f.accounts(book.Run)
-	ctx, cancel := context.WithCancel(f.ctx)
-	u.cancel = cancel
 	f.wg.Go(func() { f.note(u.Agent.Run(ctx, drainLimit)) })
 	return nil
 }
@@ -288,7 +288,9 @@
 		router.Config{Name: name, Centre: c.Name, Region: c.Region}, q, q,
 		router.WithIncarnation(inc), router.WithPlatform(p), router.WithLogger(logger), router.WithAccounts(book))}
 	rt.app = rt.App()
-	rt.Admin, err = f.process(name, wire.RoleRouter, rt.Router, func(p *proc.Process, app fiber.Router) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	rt.cancel = cancel
+	rt.Admin, err = f.process(ctx, name, wire.RoleRouter, rt.Router, func(p *proc.Process, app fiber.Router) {
 		p.AddDumper("accounts", book)
 		rt.Export(p.Scope())
 		rt.Routes(app)
@@ -302,8 +304,6 @@
 		return err
 	}
 	rt.URL = "http://" + ln.Addr().String()
-	ctx, cancel := context.WithCancel(f.ctx)
-	rt.cancel = cancel
 	f.wg.Go(func() { f.note(rt.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})) })
 	f.wg.Go(func() {
 		defer close(rt.done)
