router: exchange the newest objects instead of whole buckets

Two routers whose roots differed sent each other all objects of every bucket that differed, a 64th of the configuration a changed object.

Routers now keep the last 256 objects that came in force and send, with the roots, those with a higher ticket than the peer's highest and those younger than 1 s. Whole buckets follow only where that was not enough. The first message and the first answer carry no bucket hashes. The design's message types stay as they are; a router of the older build that answers with buckets but without objects is served by the last step.

--- a/router/control.go
+++ b/router/control.go
@@ -44,6 +44,7 @@
 	members  []memberView
 	routers  []peerHost
 	rejected []Rejection
+	recent   recent
 }
 
 func emptySnapshot() *snapshot { return &snapshot{store: new(ticket.Store)} }
@@ -97,6 +98,8 @@
 	life       context.Context // of the links
 	validating time.Time       // end of the wait after a pause, or zero
 	work       atomic.Pointer[Work]
+	recent     recent
+	changed    bool // the store has changed since the last snapshot
 }
 
 // Work is what the control goroutine has done so far. Its state dump shows
@@ -296,7 +299,8 @@
 		}
 	}
 	c.r.Inc("ticket_applied", "")
-	c.r.announce()
+	c.recent = c.recent.with(changes)
+	c.changed = true
 }
 
 // setHosts takes in the platform's host list.
@@ -342,7 +346,7 @@
 	c.openLinks(ctx)
 	c.closeLinks(now)
 	views := c.judge(now)
-	snap := &snapshot{store: c.store, routers: c.peerHosts(), rejected: slices.Clone(c.rejected), pools: make(map[wire.PoolID]*pool, len(c.pools)), links: make(map[wire.UpstreamID]*agentLink, len(c.links))}
+	snap := &snapshot{store: c.store, routers: c.peerHosts(), rejected: slices.Clone(c.rejected), recent: c.recent, pools: make(map[wire.PoolID]*pool, len(c.pools)), links: make(map[wire.UpstreamID]*agentLink, len(c.links))}
 	for id, p := range c.pools {
 		snap.pools[id] = p
 		p.members.Store(views[id])
@@ -355,6 +359,11 @@
 	}
 	slices.SortFunc(snap.members, func(a, b memberView) int { return cmp.Compare(a.link.up, b.link.up) })
 	c.r.snap.Store(snap)
+	if c.changed {
+		// Peers compare what the snapshot holds, so it comes first.
+		c.changed = false
+		c.r.announce()
+	}
 	for _, l := range c.links {
 		l.nudge()
 	}
--- a/router/peers.go
+++ b/router/peers.go
@@ -151,8 +151,10 @@
 	return s, err
 }
 
-// exchange compares digests with one peer and, where they differ, exchanges the
-// objects of the buckets that differ.
+// exchange brings this router and one peer to the same configuration. In the
+// usual case they differ by the newest tickets, which travel with the roots.
+// Only where that is not enough do they exchange whole buckets, which grow with
+// the fleet.
 func (p *peering) exchange(ctx context.Context, addr wire.Address) error {
 	s, err := p.session(ctx, addr)
 	if err != nil {
@@ -163,31 +165,110 @@
 		return err
 	}
 	defer st.Reset()
-	own := p.r.snap.Load().store
-	root := own.Digest()
-	root.Buckets = nil
-	theirs, err := ask(ctx, st, &wire.Sync{Head: root, Marks: p.r.marks()})
-	if err != nil {
+	own := p.r.snap.Load()
+	now, theirs, err := p.swap(ctx, st, &wire.Sync{Head: root(own.store), Marks: p.r.marks()})
+	if err != nil || theirs.Root == now.Root {
 		return err
 	}
-	p.r.mergeMarks(theirs.Marks)
-	if theirs.Head.Root == root.Root {
-		return p.r.ctl.do(ctx, p.r.ctl.confirmed)
+	if ahead := own.recent.after(theirs.Head); len(ahead) > 0 {
+		now.Buckets = nil
+		now, theirs, err = p.swap(ctx, st, &wire.Sync{Head: now, Objects: ahead})
+		if err != nil || theirs.Root == now.Root {
+			return err
+		}
+	}
+	if now, theirs, err = p.swap(ctx, st, &wire.Sync{Head: now}); err != nil {
+		return err
 	}
-	want := differing(own.Digest(), theirs.Head)
-	for _, part := range parts(own, want) {
-		theirs, err = ask(ctx, st, part)
+	return p.exchangeBuckets(ctx, st, differing(now, theirs))
+}
+
+// swap sends one message, takes what the answer brings, and returns the digests
+// of both ends after that.
+func (p *peering) swap(ctx context.Context, st link.Stream, s *wire.Sync) (own, theirs wire.Digest, err error) {
+	in, err := ask(ctx, st, s)
+	if err != nil {
+		return own, theirs, err
+	}
+	p.r.mergeMarks(in.Marks)
+	own, err = p.r.take(ctx, in.Objects)
+	return own, in.Head, err
+}
+
+func (p *peering) exchangeBuckets(ctx context.Context, st link.Stream, want []int) error {
+	for _, part := range parts(p.r.snap.Load().store, want) {
+		theirs, err := ask(ctx, st, part)
 		if err != nil {
 			return err
 		}
-		objs := theirs.Objects
-		if err = p.r.ctl.do(ctx, func() { p.r.ctl.merge(objs); p.r.ctl.confirmed() }); err != nil {
+		if _, err = p.r.take(ctx, theirs.Objects); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// take merges objects that a peer sent and returns the digest after that.
+func (r *Router) take(ctx context.Context, objs []wire.Object) (d wire.Digest, err error) {
+	var store *ticket.Store
+	err = r.ctl.do(ctx, func() {
+		if len(objs) > 0 {
+			r.ctl.merge(objs)
+		}
+		r.ctl.confirmed()
+		store = r.ctl.store
+	})
+	if err != nil {
+		return d, err
+	}
+	return store.Digest(), nil
+}
+
+// root returns a store's digest without its buckets.
+func root(s *ticket.Store) wire.Digest {
+	d := s.Digest()
+	d.Buckets = nil
+	return d
+}
+
+const (
+	// maxRecent covers the tickets of a partition of a quarter of an hour at
+	// 21,000 a day, so that its end costs no whole buckets.
+	maxRecent = 256
+	// recentAge is the time for which a change is sent to a peer that has a
+	// higher ticket but may lack this one.
+	recentAge = time.Second
+)
+
+// recent holds the last objects that came in force, oldest first. It is never
+// changed in place.
+type recent []recentObject
+
+type recentObject struct {
+	obj *wire.Object
+	at  time.Time
+}
+
+func (r recent) with(changes []ticket.Change) recent {
+	next := slices.Clone(r)
+	now := time.Now()
+	for _, ch := range changes[max(0, len(changes)-maxRecent):] {
+		next = append(next, recentObject{ch.New, now})
+	}
+	return next[max(0, len(next)-maxRecent):]
+}
+
+// after returns the objects that a peer lacks whose highest ticket is head, and
+// those that are so new that it may lack them all the same.
+func (r recent) after(head wire.TicketNumber) (out []wire.Object) {
+	for _, o := range r {
+		if o.obj.Number > head || time.Since(o.at) < recentAge {
+			out = append(out, *o.obj)
+		}
+	}
+	return out
+}
+
 func ask(ctx context.Context, st link.Stream, s *wire.Sync) (*wire.Sync, error) {
 	if err := st.Send(&wire.Frame{Sync: s}); err != nil {
 		return nil, err
@@ -284,24 +365,33 @@
 }
 
 func (r *Router) answerSync(ctx context.Context, in *wire.Sync) (*wire.Sync, error) {
-	store := r.snap.Load().store
-	if len(in.Want) == 0 {
-		r.mergeMarks(in.Marks)
-		d := store.Digest()
-		if d.Root == in.Head.Root {
-			d.Buckets = nil
-			if err := r.ctl.do(ctx, r.ctl.confirmed); err != nil {
-				return nil, err
-			}
-		}
-		return &wire.Sync{Head: d, Marks: r.marks()}, nil
+	now, err := r.take(ctx, in.Objects)
+	if err != nil {
+		return nil, err
+	}
+	if len(in.Want) > 0 {
+		return r.answerBuckets(in), nil
+	}
+	r.mergeMarks(in.Marks)
+	out := &wire.Sync{Head: now, Marks: r.marks()}
+	if now.Root != in.Head.Root {
+		out.Objects = r.snap.Load().recent.after(in.Head.Head)
 	}
+	// The peer sends its buckets when the newest objects were not enough.
+	if now.Root == in.Head.Root || len(in.Head.Buckets) == 0 {
+		out.Head.Buckets = nil
+	}
+	return out, nil
+}
+
+// answerBuckets returns the objects of the buckets that a peer wants.
+func (r *Router) answerBuckets(in *wire.Sync) *wire.Sync {
+	store := r.snap.Load().store
 	out := &wire.Sync{Head: wire.Digest{Head: store.Head()}}
 	for _, b := range in.Want {
 		out.Objects = append(out.Objects, store.Bucket(b)...)
 	}
-	err := r.ctl.do(ctx, func() { r.ctl.merge(in.Objects); r.ctl.confirmed() })
-	return out, err
+	return out
 }
 
 const maxMarks = 256
