agent: send the first report before anything else on a session

The senders also shared one loop, so a router that had stopped reading could delay the goodbye to the others by the send limit of 5 s, over the 4 s in which a leaving upstream must stop receiving work.

Change: each session has a writer of its own, which starts with the report and then sends what is due.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -26,7 +27,11 @@
 // session is one router's connection.
 type session struct {
 	link.Session
-	send sync.Mutex // guards the sending side of the control stream
+	// due holds what the session's writer has to send: a report, a question for
+	// the configuration, or both. A router that stopped reading delays no other.
+	due    chan struct{}
+	report atomic.Bool
+	ask    atomic.Bool
 	// closed is set under admit's read lock before the session is replaced, so
 	// that no call of a replaced session starts afterwards.
 	gate   sync.RWMutex
@@ -41,7 +46,7 @@
 		if err != nil {
 			return
 		}
-		s := &session{Session: ls}
+		s := &session{Session: ls, due: make(chan struct{}, 1)}
 		if !a.replace(s) {
 			a.note(log.InfoLevel, "session_refused", "", "session refused", "router", s.Peer().Name, "epoch", s.Peer().Epoch)
 			s.Close("a newer session is open, or too many are")
@@ -89,7 +94,10 @@
 		a.mu.Unlock()
 		wg.Wait()
 	}()
-	a.sendControl(s, &wire.Frame{Report: a.report()})
+	wg.Go(func() {
+		a.writeControl(s)
+		s.Close("control stream broken")
+	})
 	wg.Go(func() {
 		a.readControl(ctx, s)
 		s.Close("control stream ended")
@@ -118,11 +126,30 @@
 	}
 }
 
-func (a *Agent) sendControl(s *session, f *wire.Frame) {
-	s.send.Lock()
-	defer s.send.Unlock()
-	if err := s.Control().Send(f); err != nil {
-		s.Close("control stream broken")
+// writeControl sends the first report, which opens the session for work, and then
+// what is due.
+func (a *Agent) writeControl(s *session) {
+	err := s.Control().Send(&wire.Frame{Report: a.report()})
+	for err == nil {
+		select {
+		case <-s.due:
+		case <-s.Done():
+			return
+		}
+		if s.ask.Swap(false) {
+			err = s.Control().Send(&wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
+		}
+		if err == nil && s.report.Swap(false) {
+			err = s.Control().Send(&wire.Frame{Report: a.report()})
+		}
+	}
+}
+
+// wake lets the session's writer run.
+func (s *session) wake() {
+	select {
+	case s.due <- struct{}{}:
+	default:
 	}
 }
 
@@ -137,16 +164,17 @@
 
 // broadcast sends the report to all routers.
 func (a *Agent) broadcast() {
-	f := &wire.Frame{Report: a.report()}
 	for _, s := range a.openSessions() {
-		a.sendControl(s, f)
+		s.report.Store(true)
+		s.wake()
 	}
 }
 
 // confirm asks one router for the slice of the configuration.
 func (a *Agent) confirm() {
 	for _, s := range a.openSessions() {
-		a.sendControl(s, &wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
+		s.ask.Store(true)
+		s.wake()
 		return
 	}
 }
