cove: take flags after names too

Cause: "cove list upstreams -router A" was refused, although it is what an operator types who adds a router to an earlier command.

Change: flags may stand before or after names and files.

Figures: go test -race -run 'TestScripts/(usage|list)' ./cove passes.

Conclusion: only unknown flags and wrong numbers of names are wrong usage.

--- a/cove/run.go
+++ b/cove/run.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 	"time"
 
@@ -44,7 +43,7 @@
   cove drain palermo           # wait until a data centre has no work
 
 Each flag below can be set by an environment variable too: COVE_ROUTER,
-COVE_CREDENTIAL_FILE, COVE_O and COVE_TIMEOUT. Flags come before names and files.
+COVE_CREDENTIAL_FILE, COVE_O and COVE_TIMEOUT.
 
 EXIT CODES
   0  done
@@ -68,7 +67,12 @@
 		fmt.Fprintf(s.Err, "cove: %v\nRun cove --help for help.\n", err)
 		return ExitUsage
 	}
-	if err = root.Run(ctx); err != nil {
+	err = root.Run(ctx)
+	if errors.Is(err, flag.ErrHelp) {
+		_, _ = s.Out.Write(usage.Bytes())
+		return ExitDone
+	}
+	if err != nil {
 		fmt.Fprintln(s.Err, "cove:", err)
 	}
 	return exitCode(err)
@@ -106,13 +110,14 @@
 	return &ffcli.Command{
 		Name: fs.Name(), ShortUsage: shape, ShortHelp: short, LongHelp: long, FlagSet: fs,
 		Exec: func(ctx context.Context, got []string) error {
-			if len(got) > len(args) && slices.ContainsFunc(got, func(s string) bool { return strings.HasPrefix(s, "-") }) {
-				return fail(ExitUsage, "flags come before other arguments: %s", shape)
+			got, err := interleaved(fs, got)
+			if err != nil {
+				return err
 			}
 			if len(got) != len(args) {
 				return fail(ExitUsage, "got %d arguments, want %d: %s", len(got), len(args), shape)
 			}
-			if err := a.connect(); err != nil {
+			if err = a.connect(); err != nil {
 				return err
 			}
 			if a.timeout > 0 {
@@ -120,7 +125,7 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
-			err := exec(ctx, got)
+			err = exec(ctx, got)
 			if err != nil && exitCode(err) == ExitError && ctx.Err() == context.DeadlineExceeded {
 				return fail(ExitTimeout, "not done in %s: %w", limit, err)
 			}
@@ -129,6 +134,26 @@
 	}
 }
 
+// interleaved parses flags that stand after other arguments, and returns those
+// arguments. A lone "-" is an argument.
+func interleaved(fs *flag.FlagSet, args []string) (names []string, err error) {
+	for len(args) > 0 {
+		if len(args[0]) < 2 || args[0][0] != '-' {
+			names, args = append(names, args[0]), args[1:]
+			continue
+		}
+		err = fs.Parse(args)
+		if errors.Is(err, flag.ErrHelp) {
+			return nil, err
+		}
+		if err != nil {
+			return nil, fail(ExitUsage, "%w", err)
+		}
+		args = fs.Args()
+	}
+	return names, nil
+}
+
 func (a *app) connect() error {
 	if len(a.routers) == 0 {
 		return fail(ExitUsage, "no router: set -router or COVE_ROUTER")
