--- a/router/admin_test.go
+++ b/router/admin_test.go
@@ -9,12 +9,14 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/gofiber/fiber/v3"
 	"gotest.tools/v3/assert"
 
 	"hornbeamcove.example/core/admin"
@@ -23,6 +25,7 @@
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/demo/local"
 	"hornbeamcove.example/fakes"
+	"hornbeamcove.example/router"
 )
 
 const credential = "MARK-credential"
@@ -196,6 +199,22 @@
 	assert.Assert(t, events["refused"] > 0 && events["crashed"] > 0 && events["mark_changed"] > 0 && events["upstream_changed"] > 0, "%v", events)
 }
 
+// TestDocumented guards against a route that docs/api.md leaves out.
+func TestDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/api.md")
+	assert.NilError(t, err)
+	r := router.New(router.Config{Name: "r"}, nil, nil)
+	own := fiber.New()
+	r.Routes(own)
+	for _, rt := range append(own.GetRoutes(true), r.App().GetRoutes(true)...) {
+		if rt.Method == fiber.MethodHead {
+			continue
+		}
+		path := strings.ReplaceAll(rt.Path, ":name", "{name}")
+		assert.Assert(t, strings.Contains(string(page), rt.Method+" "+path+"`"), "%s %s", rt.Method, path)
+	}
+}
+
 // TestRoutes guards against lists without an end, a check that applies or
 // misstates a ticket, and a team that sees the accounts of another.
 func TestRoutes(t *testing.T) {
