limit: don't take a call with few units for a slow upstream

Cause: the latency of a unit divides the whole latency by the units, so a call that was cancelled after its prompt and first tokens, or a short answer, looked several times as slow as the average and sent a warm upstream to its cold bound. Under overload calls end at their deadlines all the time: the capacity falls, more calls are cancelled, and the fleet stays there after the load has gone.

Change: a call counts as at least a quarter of the average call's units. Calls of equal size (services) are judged as before.

An upstream that slows down five times or hangs is still noticed (TestUnits).

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -24,10 +24,16 @@
 	// goodFactor is the multiple of the average latency up to which a
 	// completion counts towards growth.
 	goodFactor = 2
+	// leastPart is the part of an average call, as 1/leastPart, that a call counts
+	// as at least. A call that is cancelled after its first tokens, or has a short
+	// answer, spent its time on the prompt and is not slow by the token.
+	leastPart = 4
 	// averageWeight is the divisor of a new sample in the moving average.
 	averageWeight = 8
 	// maxSlots bounds each count of a report, so that sums can't overflow.
 	maxSlots wire.Slots = 1 << 16
+	// maxUnits bounds the units of a call for the same reason.
+	maxUnits = 1 << 32
 )
 
 // Bounds are the concurrent calls that the upstream can hold when warm and in a
@@ -62,7 +68,13 @@
 	Failed, Reset bool
 }
 
-func (s Sample) pace() time.Duration { return s.Latency / time.Duration(max(s.Units, 1)) }
+// pace is the latency of a unit, where a call of fewer than least units counts
+// as one of least.
+func (s Sample) pace(least int64) time.Duration {
+	return s.Latency / time.Duration(max(s.Units, least, 1))
+}
+
+func (s Sample) units() int64 { return min(max(s.Units, 0), maxUnits) }
 
 // Decision is the answer to one request for admission. Reason is empty when OK
 // is true; Limit is the limit that applied.
@@ -95,6 +107,7 @@
 	// restarted is the time of the last report with a new boot id.
 	restarted time.Time
 	average   time.Duration // of latency; 0 before the first success
+	size      int64         // average units of a success, times averageWeight
 }
 
 // New returns a cold limiter.
@@ -141,7 +154,7 @@
 func (l *Limiter) Done(now time.Time, s Sample) {
 	began := now.Add(-s.Latency)
 	l.release(began)
-	pace := s.pace()
+	pace := s.pace(l.least())
 	if s.Reset || l.spike(pace) {
 		l.learn(s)
 		l.Chill(now)
@@ -182,13 +195,18 @@
 	switch {
 	case s.Failed || s.Reset:
 	case l.average == 0:
-		l.average = max(s.pace(), 1)
+		l.average = max(s.pace(0), 1)
+		l.size = averageWeight * s.units()
 	default:
-		capped := min(s.pace(), spikeFactor*l.average)
+		capped := min(s.pace(l.least()), spikeFactor*l.average)
 		l.average = max(l.average+(capped-l.average)/averageWeight, 1)
+		l.size += s.units() - l.size/averageWeight
 	}
 }
 
+// least is the number of units below which a call isn't compared by its units.
+func (l *Limiter) least() int64 { return l.size / averageWeight / leastPart }
+
 func (l *Limiter) grow(now time.Time) {
 	if l.said || !l.fresh(now) {
 		return
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -164,6 +165,42 @@
 	})
 }
 
+// TestUnits guards against a warm upstream taken for a cold one because a call
+// was cancelled after its first tokens or had a short answer, and against an
+// upstream that slows down or hangs unseen. The average call has 75 units at 11 ms.
+func TestUnits(t *testing.T) {
+	for name, c := range map[string]struct {
+		s    Sample
+		warm bool
+	}{
+		"cancelled at the first token":  {Sample{300 * time.Millisecond, 0, true, false}, true},
+		"short answer":                  {Sample{360 * time.Millisecond, 3, false, false}, true},
+		"long answer":                   {Sample{4 * time.Second, 300, false, false}, true},
+		"units beyond any":              {Sample{825 * time.Millisecond, math.MaxInt64, false, false}, true},
+		"slow at the average length":    {Sample{4 * time.Second, 75, false, false}, false},
+		"slow and cancelled":            {Sample{2500 * time.Millisecond, 20, true, false}, false},
+		"no token until the deadline":   {Sample{2 * time.Second, 0, true, false}, false},
+		"short and slow":                {Sample{900 * time.Millisecond, 3, false, false}, false},
+		"negative units, long duration": {Sample{2 * time.Second, -1, true, false}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, now := New(Bounds{Warm: 4, Cold: 1}), time.Unix(1_000, 0)
+			for range 40 {
+				l.Observe(now, Evidence{Boot: "a"})
+				l.Admit(now, false)
+				now = now.Add(825 * time.Millisecond)
+				l.Observe(now, Evidence{Boot: "a", Flight: 1})
+				l.Done(now, Sample{Latency: 825 * time.Millisecond, Units: 75})
+			}
+			l.Observe(now, Evidence{Boot: "a"})
+			l.Admit(now, false)
+			l.Done(now, c.s)
+			w, _, _ := l.View(now)
+			assert.Equal(t, w == wire.WarmthWarm, c.warm, "%s", w)
+		})
+	}
+}
+
 func BenchmarkAdmitDone(b *testing.B) {
 	l, now := New(Bounds{Warm: 64, Cold: 4}), time.Unix(1_000, 0)
 	l.Observe(now, Evidence{Boot: "a"})
