bench/policy: measure admission, fairness and cost

Cause: admission by deadline split, the fair queue and the estimates that they rely on had no figures.

--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -50,3 +50,11 @@
 		}
 	}
 }
+
+// TestFairShares guards against shares that exceed a demand or leave room unused.
+func TestFairShares(t *testing.T) {
+	f := &fleet{teams: []teamSpec{{weight: 3}, {weight: 1}, {weight: 1}}}
+	s := time.Second
+	assert.DeepEqual(t, f.fairShares([]time.Duration{60 * s, 60 * s, 5 * s}, []time.Duration{20 * s, 20 * s, 5 * s}), []float64{30, 10, 5})
+	assert.DeepEqual(t, f.fairShares([]time.Duration{20 * s, 60 * s, 5 * s}, []time.Duration{20 * s, 20 * s, 5 * s}), []float64{20, 20, 5})
+}
--- a/bench/policy/sim.go
+++ b/bench/policy/sim.go
@@ -53,7 +53,8 @@
 	seconds  []tally // by second of arrival, over the whole run
 	useful   []time.Duration
 	wasted   []time.Duration
-	served   []time.Duration // engine time in the window by team, useful or not
+	served   []time.Duration // engine time of interactive requests by team, useful or not
+	demand   []time.Duration // engine time by team that all these requests need
 	reasons  map[wire.Reason]int
 	feasible int // refused though feasible
 	latency  []time.Duration
@@ -81,7 +82,8 @@
 	}
 	s.out = outcome{
 		teams: make([]tally, len(f.teams)), pipes: make([]tally, len(f.pipes)), useful: make([]time.Duration, len(f.pools)),
-		wasted: make([]time.Duration, len(f.pools)), served: make([]time.Duration, len(f.teams)), reasons: map[wire.Reason]int{},
+		wasted: make([]time.Duration, len(f.pools)), served: make([]time.Duration, len(f.teams)),
+		demand: make([]time.Duration, len(f.teams)), reasons: map[wire.Reason]int{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -169,13 +171,16 @@
 	s.out.pipes[q.pipe].add(met)
 	for i, pool := range s.fleet.pipes[q.pipe].stages {
 		s.out.wasted[pool] += q.waste[i]
+		if pool == 0 && s.fleet.pipes[q.pipe].rank == wire.RankInteractive {
+			s.out.served[q.team] += q.cost[i] + q.waste[i]
+			s.out.demand[q.team] += q.work[i].least() + prefillTime - cachedTime
+		}
 		if !met {
 			s.out.wasted[pool] += q.cost[i]
 			continue
 		}
 		s.out.useful[pool] += q.cost[i]
 		if pool == 0 {
-			s.out.served[q.team] += q.cost[i]
 			s.out.engine++
 			if q.cost[i] == q.work[i].least() {
 				s.out.hits++
