--- /dev/null
+++ b/matrix/gate_test.go
@@ -0,0 +1,218 @@
+package matrix
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamcove.example/core/clock"
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/wire"
+)
+
+// process is one run of a router, an agent or the naive version. All that it
+// receives and sends passes through it, so that it can be paused and killed.
+//
+// A pause stops every frame, call of Do, platform read, upstream event and tick
+// of the timer service at the boundary of the process and lets them go on in
+// order at its end. Deadlines that the process set itself expire on time within
+// it, but what follows from them leaves the process only after the pause.
+type process struct {
+	w    *world
+	name wire.HostID
+	inc  wire.Incarnation
+	dead chan struct{}
+	halt context.CancelFunc // planned stop
+	gone chan struct{}      // closed when Run has returned
+	// ticks is the timer service, which stands still during a pause.
+	ticks *clock.Service
+
+	mu      sync.Mutex
+	resumed chan struct{} // set while paused
+	stopped time.Time     // start of the pause
+	later   []func()      // sends that wait for the end of the pause
+
+	born, stopAt, killAt, goneAt time.Time // guarded by w.mu
+	runErr                       error     // guarded by w.mu
+}
+
+// wait blocks while the process is paused.
+func (p *process) wait() {
+	for {
+		p.mu.Lock()
+		ch := p.resumed
+		p.mu.Unlock()
+		if ch == nil {
+			return
+		}
+		select {
+		case <-ch:
+		case <-p.dead:
+			return
+		}
+	}
+}
+
+// out runs a send now, or at the end of the pause. A dead process sends nothing.
+func (p *process) out(f func()) {
+	p.mu.Lock()
+	if p.resumed != nil {
+		p.later = append(p.later, f)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	if !p.isDead() {
+		f()
+	}
+}
+
+func (p *process) isDead() bool {
+	select {
+	case <-p.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *process) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resumed == nil {
+		p.resumed, p.stopped = make(chan struct{}), time.Now()
+	}
+}
+
+func (p *process) resume() {
+	if p.goOn() {
+		// A new subscription makes the service look at the time at once.
+		p.ticks.Subscribe(time.Hour, "resumed")
+	}
+}
+
+func (p *process) goOn() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resumed == nil {
+		return false
+	}
+	for _, f := range p.later {
+		if !p.isDead() {
+			f()
+		}
+	}
+	close(p.resumed)
+	p.resumed, p.later = nil, nil
+	return true
+}
+
+// slack is the part of a pause by which the stopped time lies before its start,
+// so that the timer service does not spin on a tick that was due just after it.
+const slack = 10 * time.Millisecond
+
+// now is the time of the process's timer service. It stands still during a pause.
+func (p *process) now() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resumed != nil {
+		return p.stopped.Add(-slack)
+	}
+	return time.Now()
+}
+
+// gateDialer, gateListener, gateSession and gateStream put a process between the
+// code under test and the network.
+type gateDialer struct{ *process }
+
+func (d gateDialer) Dial(ctx context.Context, addr wire.Address, hello wire.Hello) (link.Session, error) {
+	d.wait()
+	if d.isDead() {
+		return nil, link.ErrClosed
+	}
+	s, err := d.w.net.Dial(ctx, addr, hello)
+	d.wait()
+	if err != nil {
+		return nil, err
+	}
+	return newGateSession(d.process, s)
+}
+
+type gateListener struct {
+	link.Listener
+	p *process
+}
+
+func (l gateListener) Accept(ctx context.Context) (link.Session, error) {
+	s, err := l.Listener.Accept(ctx)
+	l.p.wait()
+	if err != nil {
+		return nil, err
+	}
+	return newGateSession(l.p, s)
+}
+
+type gateSession struct {
+	link.Session
+	p    *process
+	ctrl link.Stream
+}
+
+// newGateSession ends a session that a process opened while it was killed.
+func newGateSession(p *process, s link.Session) (link.Session, error) {
+	if p.isDead() {
+		s.Close("process is dead")
+		return nil, link.ErrClosed
+	}
+	return &gateSession{s, p, &gateStream{s.Control(), p}}, nil
+}
+
+func (s *gateSession) Control() link.Stream { return s.ctrl }
+
+func (s *gateSession) Open(ctx context.Context) (link.Stream, error) {
+	st, err := s.Session.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &gateStream{st, s.p}, nil
+}
+
+func (s *gateSession) Accept(ctx context.Context) (link.Stream, error) {
+	st, err := s.Session.Accept(ctx)
+	s.p.wait()
+	if err != nil {
+		return nil, err
+	}
+	return &gateStream{st, s.p}, nil
+}
+
+func (s *gateSession) Close(reason string) { s.p.out(func() { s.Session.Close(reason) }) }
+
+type gateStream struct {
+	link.Stream
+	p *process
+}
+
+func (s *gateStream) Send(f *wire.Frame) (err error) {
+	if s.p.isDead() {
+		return link.ErrClosed
+	}
+	s.p.out(func() { err = s.Stream.Send(f) })
+	return err
+}
+
+func (s *gateStream) Recv(ctx context.Context) (*wire.Frame, error) {
+	f, err := s.Stream.Recv(ctx)
+	s.p.wait()
+	if s.p.isDead() {
+		return nil, link.ErrClosed
+	}
+	return f, err
+}
+
+func (s *gateStream) Close() (err error) {
+	s.p.out(func() { err = s.Stream.Close() })
+	return err
+}
+
+func (s *gateStream) Reset() { s.p.out(s.Stream.Reset) }
