matrix: start no process at the end of a cell

Cause: a planned stop that lasted beyond the cell's end started a process that nothing ended, and the cell never returned (agent paused/execute with -race). Change: a world that closes starts no process. Ran: go test -race ./matrix; the cell returns.

--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hornbeamcove.example/agent"
@@ -64,6 +65,8 @@
 	ups   map[wire.UpstreamID]*upstream
 	plat  *platform
 	wire  wiring
+	// closing is set at the end of the cell; no process starts after it.
+	closing atomic.Bool
 
 	mu       sync.Mutex
 	step     string // that fires the fault
@@ -222,6 +225,9 @@
 
 // boot starts a process on a host.
 func (w *world) boot(h *host) {
+	if w.closing.Load() {
+		return
+	}
 	ctx, halt := context.WithCancel(context.Background())
 	p := &process{
 		w: w, name: h.name, inc: agent.NewIncarnation(), dead: make(chan struct{}), halt: halt,
@@ -484,6 +490,7 @@
 
 // stopAll ends the world: every process makes a planned stop, routers first.
 func (w *world) stopAll() {
+	w.closing.Store(true)
 	for _, role := range []wire.Role{wire.RoleRouter, wire.RoleAgent} {
 		for _, h := range w.hosts {
 			if h.role == role && w.process(h.name) != nil {
