--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/hold"
 	"hornbeamcove.example/core/limit"
@@ -58,11 +59,14 @@
 	held  *hold.Table
 	spent *once.Book
 	boot  atomic.Pointer[wire.BootID]
+	have  atomic.Pointer[Loaded]
+	order atomic.Bool // an order is under way
 	state atomic.Pointer[state]
 
 	work     context.Context // ends after the drain
 	stopWork context.CancelFunc
 	wg       conc.WaitGroup // runs
+	orders   conc.WaitGroup
 
 	mu       sync.Mutex
 	runs     map[wire.Ref]*run
@@ -70,7 +74,8 @@
 	stopped  bool
 	merges   chan merge
 	meter.Counters
-	onResult func(*wire.Call, *wire.Result)
+	book     *acct.Book // may be nil
+	onResult func(c *wire.Call, res *wire.Result, took time.Duration)
 }
 
 // Option changes an Agent before it runs.
@@ -79,8 +84,11 @@
 // WithLogger sets the log; without it nothing is logged.
 func WithLogger(l *log.Logger) Option { return func(a *Agent) { a.log = l } }
 
-// WithResults calls f for each call that the upstream was given, after it ended.
-func WithResults(f func(*wire.Call, *wire.Result)) Option { return func(a *Agent) { a.onResult = f } }
+// WithResults calls f for each call that the upstream was given, after it ended,
+// with the time that it took there.
+func WithResults(f func(c *wire.Call, res *wire.Result, took time.Duration)) Option {
+	return func(a *Agent) { a.onResult = f }
+}
 
 // WithTicks sets the timer service, which Run runs; without it the process has
 // one on the system's clock.
@@ -106,7 +114,8 @@
 		merges:   make(chan merge),
 	}
 	a.work, a.stopWork = context.WithCancel(context.Background())
-	a.state.Store(&state{})
+	// A fresh agent may hear from a router with old objects first.
+	a.state.Store(&state{orderAt: time.Now().Add(forceLimit)})
 	for _, o := range opts {
 		o(a)
 	}
@@ -138,6 +147,7 @@
 	_ = a.ln.Close()
 	a.closeSessions("agent stopped")
 	wg.Wait()
+	a.orders.Wait()
 	return err
 }
 
@@ -183,7 +193,7 @@
 			}
 			a.pollOnce(ctx)
 			if n := a.held.Expire(time.Now()); n > 0 {
-				a.log.Debug("results expired", "count", n)
+				a.note(log.InfoLevel, "discarded", wire.ReasonDeadline, "held results expired", "results", n)
 			}
 		case <-ctx.Done():
 			return
@@ -194,22 +204,25 @@
 func (a *Agent) pollOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollLimit)
 	defer cancel()
+	asked := time.Now()
 	ev, loaded, err := a.up.Load(ctx)
 	if err != nil {
 		return
 	}
-	a.observe(ev)
-	a.reconcile(ctx, loaded)
+	a.observe(asked, ev)
+	a.have.Store(&loaded)
+	a.reconcile(loaded)
 }
 
-// observe takes in the upstream's report and logs a restart.
-func (a *Agent) observe(ev limit.Evidence) {
+// observe takes in the upstream's report, which was asked for at asked, and logs
+// a restart.
+func (a *Agent) observe(asked time.Time, ev limit.Evidence) {
 	before := a.boot.Swap(&ev.Boot)
 	if before != nil && *before != ev.Boot {
 		a.log.Warn("upstream restarted", "upstream", a.cfg.Upstream, "boot", ev.Boot)
 		a.Inc("restarted", "")
 	}
-	a.gate.observe(ev)
+	a.gate.observe(asked, ev)
 }
 
 // resumed handles the end of a pause: what was known of the upstream and of the
@@ -221,9 +234,9 @@
 	a.update(func(s *state) { s.confirmed = time.Time{} })
 }
 
-func (a *Agent) account(c *wire.Call, res *wire.Result) {
+func (a *Agent) account(c *wire.Call, res *wire.Result, took time.Duration) {
 	if a.onResult != nil {
-		a.onResult(c, res)
+		a.onResult(c, res, took)
 	}
 }
 
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -110,7 +110,7 @@
 	err = s.follow(ctx, req)
 	for err != nil && s.resumable(ctx, err) {
 		again := h.request(fasthttp.MethodGet, fmt.Sprintf("/v1/completions/%s?after=%d", s.id, s.after), nil)
-		err = s.follow(ctx, again)
+		err = sentBefore(s.follow(ctx, again))
 		fasthttp.ReleaseRequest(again)
 	}
 	if err != nil && !s.usage && s.id != "" {
@@ -190,7 +190,8 @@
 		s.cost.Input, s.cost.Cached, s.cost.Output, s.cost.Busy = u.Prompt, min(u.Cached, u.Prompt), u.Output, u.Busy
 	}
 	if e.Error != "" {
-		return &UpstreamError{Sent: true, Err: errors.New(e.Error)}
+		// The engine's text may quote the prompt, so it does not go into the log.
+		return &UpstreamError{Sent: true, Err: errors.New("engine ended the stream with an error")}
 	}
 	for _, ch := range e.Choices {
 		if ch.Text == "" {
--- a/agent/run.go
+++ b/agent/run.go
@@ -63,16 +63,13 @@
 	})
 }
 
-// start registers a call and begins to execute it. A call that is already known
-// by its reference is joined, so that a doubled message runs once.
+// start registers a call and begins to execute it. Of two calls with one
+// reference that arrive at once the second is refused as malformed.
 func (a *Agent) start(c *wire.Call) (r *run, reason wire.Reason) {
 	now := time.Now()
 	deadline := now.Add(time.Duration(c.Left) * time.Millisecond)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r = a.runs[c.Ref]; r != nil {
-		return r, ""
-	}
 	if a.stopped {
 		return nil, wire.ReasonLeaving
 	}
@@ -135,7 +132,11 @@
 }
 
 func (a *Agent) admit(ctx context.Context, r *run) {
-	reason := a.gate.enter(ctx, r.call, r.deadline)
+	if !a.loaded(r.call) {
+		a.refuse(r, wire.ReasonUnavailable, wire.ExecutedNone)
+		return
+	}
+	estimate, reason := a.gate.enter(ctx, r.call, r.deadline)
 	if reason == "" && !time.Now().Before(r.deadline) {
 		a.gate.leave(limit.Sample{Failed: true})
 		reason = wire.ReasonDeadline
@@ -148,14 +149,16 @@
 		return
 	}
 	r.accept()
-	a.deliver(ctx, r)
+	a.deliver(ctx, r, estimate)
 }
 
 func (a *Agent) refuse(r *run, reason wire.Reason, ex wire.Executed) {
-	r.refuse = a.refusal(r.call.Ref, reason, ex)
+	r.refuse = a.noteRefusal(a.refusal(r.call.Ref, reason, ex))
+	// An acknowledged entry ends at its result; without one it would take up the
+	// table and delay a planned stop until after the call's deadline.
 	a.held.Ack(r.call.Ref)
+	r.entry.Finish(&wire.Result{Ref: r.call.Ref, Outcome: wire.OutcomeFailed, Executed: ex, Reason: reason})
 	close(r.decided)
-	a.Inc("refused", reason)
 }
 
 func (a *Agent) refusal(ref wire.Ref, reason wire.Reason, ex wire.Executed) *wire.Refuse {
@@ -163,7 +166,7 @@
 }
 
 // deliver gives an admitted call to the upstream and holds what comes back.
-func (a *Agent) deliver(ctx context.Context, r *run) {
+func (a *Agent) deliver(ctx context.Context, r *run, estimate int64) {
 	begun := time.Now()
 	n := 0
 	emit := func(text []byte) error {
@@ -176,19 +179,30 @@
 		Ref: r.call.Ref, Outcome: wire.OutcomeDone, Executed: wire.ExecutedSome, Reason: wire.ReasonUpstream,
 		Chunks: n, Output: ans.Output, Cost: ans.Cost,
 	}
-	sample := limit.Sample{Latency: time.Since(begun)}
+	sample := limit.Sample{Latency: time.Since(begun), Units: units(r.call, ans.Cost.Output)}
 	if err != nil {
 		a.failed(r.call, res, err)
 		sample.Failed = true
 		sample.Reset = res.Reason == wire.ReasonCrashed
 	}
+	a.gate.charge(r.call, estimate, res.Cost)
 	a.gate.leave(sample)
+	res.Report = a.report()
+	// From here on other goroutines read res.
 	if r.call.Once {
 		a.settle(r.call.Token, res)
 	}
-	res.Report = a.report()
 	r.entry.Finish(res)
-	a.account(r.call, res)
+	a.account(r.call, res, sample.Latency)
+}
+
+// units is the work by which the limiter compares calls: generated tokens, since
+// answers differ in length.
+func units(c *wire.Call, tokens wire.Tokens) int64 {
+	if c.Kind != wire.KindGenerate {
+		return 1
+	}
+	return int64(tokens)
 }
 
 // settle records the end of a non-repeatable call under its token.
@@ -237,11 +251,12 @@
 	ctx, cancel := context.WithTimeout(a.work, probeLimit)
 	defer cancel()
 	before := a.boot.Load()
+	asked := time.Now()
 	ev, _, err := a.up.Load(ctx)
 	if err != nil {
 		a.gate.chill()
 		return true
 	}
-	a.observe(ev)
+	a.observe(asked, ev)
 	return before != nil && *before != ev.Boot
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/link"
@@ -14,8 +16,8 @@
 
 const (
 	// beatPeriod is the longest time without a frame on the stream of an open
-	// call; a router treats 1,500 ms of silence as a lost session.
-	beatPeriod = 500 * time.Millisecond
+	// call; a router treats 800 ms of silence as a lost session.
+	beatPeriod = 250 * time.Millisecond
 	firstFrame = 2 * time.Second
 	ackLimit   = 5 * time.Second
 	// maxSessions bounds routers served at once; about 9 are expected.
@@ -25,7 +27,11 @@
 // session is one router's connection.
 type session struct {
 	link.Session
-	send sync.Mutex // guards the sending side of the control stream
+	// due holds what the session's writer has to send: a report, a question for
+	// the configuration, or both. A router that stopped reading delays no other.
+	due    chan struct{}
+	report atomic.Bool
+	ask    atomic.Bool
 	// closed is set under admit's read lock before the session is replaced, so
 	// that no call of a replaced session starts afterwards.
 	gate   sync.RWMutex
@@ -40,9 +46,9 @@
 		if err != nil {
 			return
 		}
-		s := &session{Session: ls}
+		s := &session{Session: ls, due: make(chan struct{}, 1)}
 		if !a.replace(s) {
-			a.Inc("session_refused", "")
+			a.note(log.InfoLevel, "session_refused", "", "session refused", "router", s.Peer().Name, "epoch", s.Peer().Epoch)
 			s.Close("a newer session is open, or too many are")
 			continue
 		}
@@ -88,7 +94,10 @@
 		a.mu.Unlock()
 		wg.Wait()
 	}()
-	a.sendControl(s, &wire.Frame{Report: a.report()})
+	wg.Go(func() {
+		a.writeControl(s)
+		s.Close("control stream broken")
+	})
 	wg.Go(func() {
 		a.readControl(ctx, s)
 		s.Close("control stream ended")
@@ -110,18 +119,37 @@
 			return
 		}
 		if f.Sync == nil || len(f.Sync.Objects) > maxObjects {
-			a.Inc("discarded", wire.ReasonMalformed)
+			a.discard("control frame")
 			continue
 		}
 		a.submit(merge{objects: f.Sync.Objects, change: func(st *state) { st.confirmed = time.Now() }})
 	}
 }
 
-func (a *Agent) sendControl(s *session, f *wire.Frame) {
-	s.send.Lock()
-	defer s.send.Unlock()
-	if err := s.Control().Send(f); err != nil {
-		s.Close("control stream broken")
+// writeControl sends the first report, which opens the session for work, and then
+// what is due.
+func (a *Agent) writeControl(s *session) {
+	err := s.Control().Send(&wire.Frame{Report: a.report()})
+	for err == nil {
+		select {
+		case <-s.due:
+		case <-s.Done():
+			return
+		}
+		if s.ask.Swap(false) {
+			err = s.Control().Send(&wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
+		}
+		if err == nil && s.report.Swap(false) {
+			err = s.Control().Send(&wire.Frame{Report: a.report()})
+		}
+	}
+}
+
+// wake lets the session's writer run.
+func (s *session) wake() {
+	select {
+	case s.due <- struct{}{}:
+	default:
 	}
 }
 
@@ -136,16 +164,17 @@
 
 // broadcast sends the report to all routers.
 func (a *Agent) broadcast() {
-	f := &wire.Frame{Report: a.report()}
 	for _, s := range a.openSessions() {
-		a.sendControl(s, f)
+		s.report.Store(true)
+		s.wake()
 	}
 }
 
 // confirm asks one router for the slice of the configuration.
-func (a *Agent) confirm(context.Context) {
+func (a *Agent) confirm() {
 	for _, s := range a.openSessions() {
-		a.sendControl(s, &wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
+		s.ask.Store(true)
+		s.wake()
 		return
 	}
 }
@@ -172,7 +201,7 @@
 	case f.Reserve != nil:
 		a.serveReserve(st)
 	default:
-		a.Inc("discarded", wire.ReasonMalformed)
+		a.discard("first frame of a stream")
 		st.Reset()
 	}
 }
@@ -181,7 +210,7 @@
 	defer func() { _ = st.Close() }()
 	if reason := shutReason(a.state.Load()); reason != "" {
 		ref := wire.Ref{Request: "reservation", Stage: "reservation", Attempt: 1}
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(ref, reason, wire.ExecutedNone)})
+		_ = st.Send(&wire.Frame{Refuse: a.noteRefusal(a.refusal(ref, reason, wire.ExecutedNone))})
 		return
 	}
 	_ = st.Send(&wire.Frame{Reserved: &wire.Reserved{Token: a.spent.Reserve()}})
@@ -194,11 +223,15 @@
 		st.Reset()
 		return
 	}
+	if e := a.known(c.Ref); e != nil {
+		s.gate.RUnlock()
+		a.stream(ctx, st, e, 0)
+		return
+	}
 	r, reason := a.start(c)
 	s.gate.RUnlock()
 	if r == nil {
-		a.Inc("refused", reason)
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(c.Ref, reason, unasked(c))})
+		_ = st.Send(&wire.Frame{Refuse: a.noteRefusal(a.refusal(c.Ref, reason, unasked(c)))})
 		_ = st.Close()
 		return
 	}
@@ -217,23 +250,29 @@
 // serveQuery answers what became of a call. Older sessions of the same router
 // are closed by now, so a call that is unknown here was never accepted.
 func (a *Agent) serveQuery(ctx context.Context, st link.Stream, q *wire.Query) {
-	a.mu.Lock()
-	r := a.runs[q.Ref]
-	a.mu.Unlock()
-	if r != nil {
+	if r := a.known(q.Ref); r != nil {
 		a.stream(ctx, st, r, q.Next)
 		return
 	}
-	e := a.held.Find(q.Ref)
+	_ = st.Send(&wire.Frame{Refuse: a.noteRefusal(a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone))})
+	_ = st.Close()
+}
+
+// known returns the run of a call that is under way or whose result is held, or
+// nil. A call that arrives twice joins its first run.
+func (a *Agent) known(ref wire.Ref) *run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r := a.runs[ref]; r != nil {
+		return r
+	}
+	e := a.held.Find(ref)
 	if e == nil {
-		_ = st.Send(&wire.Frame{Refuse: a.refusal(q.Ref, wire.ReasonAbsent, wire.ExecutedNone)})
-		_ = st.Close()
-		return
+		return nil
 	}
 	done := make(chan struct{})
 	close(done)
-	ended := &run{call: &wire.Call{Ref: q.Ref, Once: true}, entry: e, decided: done, cancel: func() {}}
-	a.stream(ctx, st, ended, q.Next)
+	return &run{call: &wire.Call{Ref: ref, Once: true}, entry: e, decided: done, cancel: func() {}}
 }
 
 // stream delivers a run to a router from chunk next on, until the router has
@@ -280,7 +319,7 @@
 			a.held.Ack(f.Ack.Ref)
 			return
 		}
-		a.Inc("discarded", wire.ReasonMalformed)
+		a.discard("frame of a call")
 	}
 }
 
@@ -295,13 +334,22 @@
 		case <-ctx.Done():
 			return false
 		case <-beat.C:
-			if st.Send(&wire.Frame{Report: a.report()}) != nil {
+			if st.Send(a.beat()) != nil {
 				return false
 			}
 		}
 	}
 }
 
+// beat shows a router that an open call is alive. It leaves out the cached
+// prefixes, which make up most of a report.
+func (a *Agent) beat() *wire.Frame {
+	rep := a.report()
+	rep.Prefixes = nil
+	rep.Brief = true
+	return &wire.Frame{Report: rep}
+}
+
 func (a *Agent) forward(ctx context.Context, st link.Stream, r *run, next int) bool {
 	for {
 		wait, cancel := context.WithTimeout(ctx, beatPeriod)
@@ -312,7 +360,7 @@
 		case ctx.Err() != nil:
 			return false
 		case err != nil:
-			f = &wire.Frame{Report: a.report()}
+			f = a.beat()
 		case c != nil:
 			f = &wire.Frame{Chunk: c}
 			next++
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -18,13 +18,22 @@
 	// spikeFactor is the multiple of the average latency above which the
 	// upstream is assumed cold.
 	spikeFactor = 4
+	// spikeFloor is the latency of a unit below which no rise counts: services
+	// that answer in a millisecond vary by more than spikeFactor on a busy host.
+	spikeFloor = 20 * time.Millisecond
 	// goodFactor is the multiple of the average latency up to which a
 	// completion counts towards growth.
 	goodFactor = 2
+	// leastPart is the part of an average call, as 1/leastPart, that a call counts
+	// as at least. A call that is cancelled after its first tokens, or has a short
+	// answer, spent its time on the prompt and is not slow by the token.
+	leastPart = 4
 	// averageWeight is the divisor of a new sample in the moving average.
 	averageWeight = 8
 	// maxSlots bounds each count of a report, so that sums can't overflow.
 	maxSlots wire.Slots = 1 << 16
+	// maxUnits bounds the units of a call for the same reason.
+	maxUnits = 1 << 32
 )
 
 // Bounds are the concurrent calls that the upstream can hold when warm and in a
@@ -50,12 +59,23 @@
 }
 
 // Sample describes the end of one call. Failed calls don't count towards growth.
-// Reset says that the connection to the upstream was lost.
+// Reset says that the connection to the upstream was lost. Units is the work of
+// the call, for instance its generated tokens; calls are compared by the latency
+// of a unit, since a long answer is not a slow upstream. 0 counts as 1.
 type Sample struct {
 	Latency       time.Duration
+	Units         int64
 	Failed, Reset bool
 }
 
+// pace is the latency of a unit, where a call of fewer than least units counts
+// as one of least.
+func (s Sample) pace(least int64) time.Duration {
+	return s.Latency / time.Duration(max(s.Units, least, 1))
+}
+
+func (s Sample) units() int64 { return min(max(s.Units, 0), maxUnits) }
+
 // Decision is the answer to one request for admission. Reason is empty when OK
 // is true; Limit is the limit that applied.
 type Decision struct {
@@ -87,6 +107,7 @@
 	// restarted is the time of the last report with a new boot id.
 	restarted time.Time
 	average   time.Duration // of latency; 0 before the first success
+	size      int64         // average units of a success, times averageWeight
 }
 
 // New returns a cold limiter.
@@ -133,12 +154,13 @@
 func (l *Limiter) Done(now time.Time, s Sample) {
 	began := now.Add(-s.Latency)
 	l.release(began)
-	if s.Reset || l.spike(s.Latency) {
+	pace := s.pace(l.least())
+	if s.Reset || l.spike(pace) {
 		l.learn(s)
 		l.Chill(now)
 		return
 	}
-	good := l.average == 0 || s.Latency <= goodFactor*l.average
+	good := l.average == 0 || pace <= goodFactor*l.average || pace < spikeFloor
 	l.learn(s)
 	// A call given to the upstream before it turned cold says nothing about
 	// what it can take now.
@@ -162,8 +184,8 @@
 	}
 }
 
-func (l *Limiter) spike(latency time.Duration) bool {
-	return l.average > 0 && latency > spikeFactor*l.average
+func (l *Limiter) spike(pace time.Duration) bool {
+	return l.average > 0 && pace > spikeFactor*l.average && pace >= spikeFloor
 }
 
 // learn moves the average towards s. The step is capped at the spike threshold:
@@ -173,13 +195,18 @@
 	switch {
 	case s.Failed || s.Reset:
 	case l.average == 0:
-		l.average = max(s.Latency, 1)
+		l.average = max(s.pace(0), 1)
+		l.size = averageWeight * s.units()
 	default:
-		capped := min(s.Latency, spikeFactor*l.average)
+		capped := min(s.pace(l.least()), spikeFactor*l.average)
 		l.average = max(l.average+(capped-l.average)/averageWeight, 1)
+		l.size += s.units() - l.size/averageWeight
 	}
 }
 
+// least is the number of units below which a call isn't compared by its units.
+func (l *Limiter) least() int64 { return l.size / averageWeight / leastPart }
+
 func (l *Limiter) grow(now time.Time) {
 	if l.said || !l.fresh(now) {
 		return
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -5,14 +5,19 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/link"
 	"hornbeamcove.example/core/wire"
 )
 
 const (
 	// silenceLimit is the time without a frame on an open call after which its
-	// session counts as lost; agents send one at least every 500 ms.
-	silenceLimit = 1500 * time.Millisecond
+	// session counts as lost; agents send one at least every 250 ms.
+	silenceLimit = 800 * time.Millisecond
+	// resumeLimit bounds the wait for a new session when the call may be run
+	// elsewhere instead; a dead host never opens one.
+	resumeLimit = 300 * time.Millisecond
 	// verdictGrace is the time beyond the stage's budget for which the router
 	// waits for the agent's own word on what became of the call.
 	verdictGrace = 250 * time.Millisecond
@@ -24,6 +29,7 @@
 	reason   wire.Reason  // empty when done
 	executed wire.Executed
 	report   *wire.Report
+	upstream wire.UpstreamID
 }
 
 func (o *outcome) done() bool { return o.reason == "" }
@@ -66,8 +72,8 @@
 			return out
 		}
 		sess.Close("no answer on an open call")
-		r.Inc("session_lost", "")
-		if sess, err = l.await(ctx, sess); err != nil {
+		r.note(log.WarnLevel, "session_lost", "", "session lost under a call", "upstream", l.up, "request", c.Ref.Request, "stage", c.Ref.Stage)
+		if sess, err = a.resume(ctx, sess); err != nil {
 			return a.unknown(ctx)
 		}
 		if sess.Peer().Incarnation != a.inc {
@@ -80,6 +86,16 @@
 	}
 }
 
+// resume waits for a new session to the agent.
+func (a *attempt) resume(ctx context.Context, old link.Session) (link.Session, error) {
+	if !a.call.Once {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, resumeLimit)
+		defer cancel()
+	}
+	return a.link.await(ctx, old)
+}
+
 // unknown is the outcome of a call that was sent and cannot be asked after.
 func (a *attempt) unknown(ctx context.Context) outcome {
 	o := outcome{reason: wire.ReasonUnknown, executed: wire.ExecutedUnknown}
@@ -154,8 +170,7 @@
 		_ = st.Close()
 		return a.finished(f.Result), true, nil
 	default:
-		a.r.Inc("discarded", wire.ReasonMismatch)
-		a.r.log.Warn("frame of another call dropped", "request", a.call.Ref.Request, "stage", a.call.Ref.Stage)
+		a.r.note(log.WarnLevel, "discarded", wire.ReasonMismatch, "frame dropped", "upstream", a.link.up, "request", a.call.Ref.Request, "stage", a.call.Ref.Stage)
 	}
 	return o, false, nil
 }
@@ -164,9 +179,14 @@
 	a.link.observe(f.Report)
 	o := outcome{reason: f.Reason, executed: f.Executed, report: f.Report}
 	// The agent forgets a call some time after its deadline; from then on
-	// "absent" proves nothing.
-	if f.Reason == wire.ReasonAbsent && (a.accepted || time.Now().After(a.until)) {
-		o.executed = wire.ExecutedUnknown
+	// "absent" proves nothing. Of a non-repeatable call it says that this request
+	// did not run, not that nothing ran under its token.
+	switch {
+	case f.Reason != wire.ReasonAbsent:
+	case a.accepted || a.call.Once || time.Now().After(a.until):
+		o.reason, o.executed = wire.ReasonUnknown, wire.ExecutedUnknown
+	default:
+		o.reason = wire.ReasonUnavailable
 	}
 	return o
 }
--- a/router/control.go
+++ b/router/control.go
@@ -1,12 +1,15 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"hornbeamcove.example/core/member"
@@ -27,6 +30,10 @@
 	// the platform and all peers may be down.
 	revalidateLimit = time.Second
 	submitQueue     = 256
+
+	// reasonRevalidating is the reason of a verdict while configuration is read
+	// again after a pause.
+	reasonRevalidating = "revalidating"
 )
 
 // snapshot is an immutable view of the control state for the traffic path.
@@ -34,7 +41,7 @@
 	store    *ticket.Store
 	pools    map[wire.PoolID]*pool
 	links    map[wire.UpstreamID]*agentLink
-	members  []Member
+	members  []memberView
 	routers  []peerHost
 	rejected []Rejection
 }
@@ -82,12 +89,23 @@
 	routers    []route.Router
 	subset     map[wire.UpstreamID]bool
 	links      map[wire.UpstreamID]*heldLink
+	retired    []*heldLink // replaced links with calls under way
 	pools      map[wire.PoolID]*pool
 	rejected   []Rejection
 	pending    []wire.Ticket
 	resubset   bool
 	life       context.Context // of the links
 	validating time.Time       // end of the wait after a pause, or zero
+	work       atomic.Pointer[Work]
+}
+
+// Work is what the control goroutine has done so far. Its state dump shows
+// whether it keeps up with changes.
+type Work struct {
+	Rebuilds int64         `json:"rebuilds"`
+	Rebuild  time.Duration `json:"rebuild"` // of the last one, in ns, without the choice of the subset
+	Choices  int64         `json:"choices"`
+	Choice   time.Duration `json:"choice"` // of the last one, in ns
 }
 
 // heldLink is a link with the means to end it.
@@ -96,11 +114,12 @@
 	cancel context.CancelFunc
 	// extra is the time until which a link outside the subset stays, for a call
 	// that is bound to its upstream by a reservation.
-	extra time.Time
+	extra   time.Time
+	verdict string // reason of the last verdict
 }
 
 func newControl(r *Router) *control {
-	return &control{
+	c := &control{
 		r:        r,
 		in:       make(chan func(), submitQueue),
 		woken:    make(chan struct{}, 1),
@@ -112,6 +131,8 @@
 		pools:    map[wire.PoolID]*pool{},
 		resubset: true,
 	}
+	c.work.Store(new(Work))
+	return c
 }
 
 // wake asks for a new snapshot; calls that come close together share one.
@@ -210,6 +231,7 @@
 		c.pending = slices.DeleteFunc(c.pending, func(x wire.Ticket) bool { return x.Number == t.Number })
 		c.pending = append(c.pending, t)
 		if len(c.pending) > maxRejected {
+			c.r.note(log.WarnLevel, "pending_dropped", "", "waiting ticket dropped", "ticket", c.pending[0].Number)
 			c.pending = c.pending[1:]
 		}
 	}
@@ -246,6 +268,7 @@
 	c.r.Inc("ticket_refused", "")
 	c.rejected = append(c.rejected, rej)
 	if len(c.rejected) > maxRejected {
+		c.r.note(log.InfoLevel, "rejection_dropped", "", "record of a refused ticket dropped", "ticket", c.rejected[0].Number)
 		c.rejected = c.rejected[1:]
 	}
 }
@@ -267,7 +290,7 @@
 	}
 	c.store = next
 	for _, ch := range changes {
-		c.r.log.Info("object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
+		c.r.note(log.InfoLevel, "object_in_force", "", "object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
 		if ch.Kind == wire.ObjectKindUpstream || ch.Kind == wire.ObjectKindCentre {
 			c.resubset = true
 		}
@@ -289,31 +312,33 @@
 			routers = append(routers, route.Router{Name: h.Name, Region: h.Region})
 		}
 	}
-	slices.SortFunc(routers, func(a, b route.Router) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(routers, func(a, b route.Router) int { return cmp.Compare(a.Name, b.Name) })
 	if !slices.Equal(routers, c.routers) {
 		c.routers = routers
 		c.resubset = true
 	}
 }
 
-func compare(a, b wire.HostID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // rebuild brings links and pools in line with the state and publishes a
 // snapshot.
 func (c *control) rebuild(ctx context.Context, now time.Time) {
+	work := *c.work.Load()
 	if c.resubset {
 		c.resubset = false
+		begun := time.Now()
 		c.choose()
+		work.Choice = time.Since(begun)
+		work.Choices++
 	}
+	begun := time.Now()
+	c.bring(ctx, now)
+	work.Rebuild = time.Since(begun)
+	work.Rebuilds++
+	c.work.Store(&work)
+}
+
+// bring opens and closes links and publishes a snapshot.
+func (c *control) bring(ctx context.Context, now time.Time) {
 	c.openLinks(ctx)
 	c.closeLinks(now)
 	views := c.judge(now)
@@ -324,9 +349,11 @@
 	}
 	for id, l := range c.links {
 		snap.links[id] = l.agentLink
-		snap.members = append(snap.members, l.view(c.verdict(l, now)))
+		v := c.verdict(l, now)
+		l.observed(v)
+		snap.members = append(snap.members, memberView{l.agentLink, v})
 	}
-	slices.SortFunc(snap.members, func(a, b Member) int { return compare(wire.HostID(a.Upstream), wire.HostID(b.Upstream)) })
+	slices.SortFunc(snap.members, func(a, b memberView) int { return cmp.Compare(a.link.up, b.link.up) })
 	c.r.snap.Store(snap)
 	for _, l := range c.links {
 		l.nudge()
@@ -336,6 +363,12 @@
 	}
 }
 
+// SubsetSize returns the number of replicas of each pool that a router aims to
+// hold sessions to when there are that many pools.
+func SubsetSize(pools int) int {
+	return max(1, min(subsetSize, maxLinks/max(pools, 1)))
+}
+
 // choose computes the subset of upstreams that this router holds sessions to.
 func (c *control) choose() {
 	byPool := map[wire.PoolID][]route.Replica{}
@@ -348,10 +381,7 @@
 	if len(routers) == 0 {
 		routers = []route.Router{{Name: c.r.cfg.Name, Region: c.r.cfg.Region}}
 	}
-	size := subsetSize
-	if len(byPool) > 0 {
-		size = max(1, min(subsetSize, maxLinks/len(byPool)))
-	}
+	size := SubsetSize(len(byPool))
 	c.subset = map[wire.UpstreamID]bool{}
 	for id, reps := range byPool {
 		for _, up := range route.Subset(c.r.cfg.Name, routers, reps, size) {
@@ -378,7 +408,8 @@
 		return l
 	}
 	if l != nil {
-		l.cancel()
+		// Calls under way finish on the old session.
+		c.retired = append(c.retired, l)
 	}
 	p := c.pools[u.Pool]
 	if p == nil {
@@ -395,6 +426,13 @@
 // closeLinks ends links to upstreams that left the subset, once their calls are
 // done.
 func (c *control) closeLinks(now time.Time) {
+	c.retired = slices.DeleteFunc(c.retired, func(l *heldLink) bool {
+		if l.own.Load() > 0 {
+			return false
+		}
+		l.cancel()
+		return true
+	})
 	for up, l := range c.links {
 		if c.subset[up] || l.own.Load() > 0 || now.Before(l.extra) {
 			continue
@@ -429,7 +467,7 @@
 	own, _ := c.store.Centre(c.r.cfg.Centre)
 	for up, l := range c.links {
 		u, ok := c.store.Upstream(up)
-		if !ok || !c.verdict(l, now).Eligible {
+		if !ok || !c.subset[up] || !c.verdict(l, now).Eligible {
 			continue
 		}
 		list := out[u.Pool]
@@ -439,7 +477,7 @@
 		*list = append(*list, poolMember{link: l.agentLink, distance: distance(own, c.r.cfg.Centre, u.Centre)})
 	}
 	for _, list := range out {
-		slices.SortFunc(*list, func(a, b poolMember) int { return compare(wire.HostID(a.link.up), wire.HostID(b.link.up)) })
+		slices.SortFunc(*list, func(a, b poolMember) int { return cmp.Compare(a.link.up, b.link.up) })
 	}
 	return out
 }
@@ -458,7 +496,7 @@
 
 func (c *control) verdict(l *heldLink, now time.Time) member.Verdict {
 	if now.Before(c.validating) {
-		return member.Verdict{Reason: "revalidating"}
+		return member.Verdict{Reason: reasonRevalidating}
 	}
 	u, ok := c.store.Upstream(l.up)
 	centre, known := c.store.Centre(u.Centre)
@@ -488,9 +526,26 @@
 	return l
 }
 
-func (l *heldLink) view(v member.Verdict) Member {
+// memberView is a link with the verdict on its upstream.
+type memberView struct {
+	link *agentLink
+	member.Verdict
+}
+
+// Members returns this router's view of the upstreams that it holds sessions to,
+// in name order.
+func (r *Router) Members() (out []Member) {
+	s := r.snap.Load()
+	for _, m := range s.members {
+		out = append(out, m.view(s.store))
+	}
+	return out
+}
+
+func (v memberView) view(s *ticket.Store) Member {
+	l := v.link
 	m := Member{Upstream: l.up, Pool: l.pool.id, Eligible: v.Eligible, Reason: v.Reason, Own: l.own.Load()}
-	if u, ok := l.r.snap.Load().store.Upstream(l.up); ok {
+	if u, ok := s.Upstream(l.up); ok {
 		m.Centre = u.Centre
 	}
 	if rep := l.report.Load(); rep != nil {
--- a/router/serve.go
+++ b/router/serve.go
@@ -6,6 +6,8 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"hornbeamcove.example/core/acct"
 	"hornbeamcove.example/core/budget"
 	"hornbeamcove.example/core/crash"
@@ -100,7 +102,7 @@
 	if s.r.crashes.State(time.Now(), s.print) == wire.MarkStateQuarantined {
 		return wire.ReasonQuarantined
 	}
-	if _, ok = budget.Split(s.limit(), expects(s.pl.Stages)); !ok {
+	if _, ok = budget.Split(s.limit(), s.needs(0)); !ok {
 		return wire.ReasonDeadline
 	}
 	return ""
@@ -125,10 +127,19 @@
 	return -1
 }
 
-func expects(stages []wire.Stage) []wire.Millis {
-	out := make([]wire.Millis, len(stages))
-	for i := range stages {
-		out[i] = wire.Millis(stages[i].Expect)
+// needs is the time that the stages from index on are expected to take: their
+// usual time and, for later ones, the present wait in their pools. A request whose
+// later stages are backed up is refused before it uses the earlier ones.
+func (s *serving) needs(from int) []wire.Millis {
+	pools := s.r.snap.Load().pools
+	out := make([]wire.Millis, 0, len(s.pl.Stages)-from)
+	for i := from; i < len(s.pl.Stages); i++ {
+		st := &s.pl.Stages[i]
+		n := wire.Millis(st.Expect)
+		if p := pools[st.Pool]; p != nil && i > from {
+			n += millis(p.wait(s.pl.Rank))
+		}
+		out = append(out, n)
 	}
 	return out
 }
@@ -167,6 +178,7 @@
 	index int
 	last  bool
 	text  []byte
+	cost  int64 // charged on placement, in microseconds of accelerator time
 	avoid map[wire.UpstreamID]bool
 }
 
@@ -194,6 +206,7 @@
 		if o.done() {
 			return s.output(o.result), ""
 		}
+		s.avoid[o.upstream] = true
 		if !s.again(ctx, p, n, &o) {
 			return nil, o.reason
 		}
@@ -208,7 +221,7 @@
 
 // attempt places the stage on an upstream and follows it there.
 func (s *stageRun) attempt(ctx context.Context, p *pool, n wire.Attempt, input []byte) outcome {
-	left, ok := budget.Split(time.Until(s.end), expects(s.pl.Stages[s.index:]))
+	left, ok := budget.Split(time.Until(s.end), s.needs(s.index))
 	if !ok {
 		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
 	}
@@ -218,20 +231,24 @@
 		return outcome{reason: reason, executed: wire.ExecutedNone}
 	}
 	defer l.pool.release(l)
-	left, ok = budget.Split(time.Until(s.end), expects(s.pl.Stages[s.index:]))
+	left, ok = budget.Split(time.Until(s.end), s.needs(s.index))
 	if !ok {
 		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
 	}
-	return s.call(ctx, l, n, input, left)
+	o := s.call(ctx, l, n, input, left)
+	o.upstream = l.up
+	return o
 }
 
 func (s *stageRun) place(ctx context.Context, p *pool, input []byte, latest time.Time) (*agentLink, wire.Reason) {
 	if s.stage.Once {
 		return s.placeReserved(ctx)
 	}
+	s.cost = p.mean.Estimate(int64(s.stage.Expect) * microsPerMilli)
 	return p.acquire(ctx, &placement{
 		team: s.req.Team, weight: s.team.Weight, bound: wire.Slots(s.team.Queue), rank: s.pl.Rank,
-		cost: 1 + int64(len(input))/4, latest: latest, prefix: s.prefix(), avoid: s.avoid,
+		cost: s.cost, latest: latest, prefix: s.prefix(), avoid: s.avoid,
+		model: s.stage.Model, adapter: s.stage.Adapter,
 	})
 }
 
@@ -293,6 +310,7 @@
 	s.ran.add(o.executed)
 	now := time.Now()
 	if o.result != nil {
+		s.charge(l.pool, &o.result.Cost)
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.up, Centre: s.centreOf(l.up), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
 		if o.done() {
 			s.stages = append(s.stages, run)
@@ -304,11 +322,15 @@
 	}
 	switch {
 	case o.reason == wire.ReasonCrashed:
+		before := s.r.crashes.State(now, s.print)
 		state := s.r.crashes.Crashed(now, s.print, s.req.Team, s.req.Pipeline, c.Solo)
-		s.r.log.Warn("upstream crashed under a request", "request", s.id, "upstream", l.up, "print", s.print, "state", state)
+		s.r.note(log.WarnLevel, "crashed", o.reason, "upstream crashed under a request", "request", s.id, "upstream", l.up, "print", s.print, "state", state)
+		s.r.noteMark(s.print, s.req.Team, s.req.Pipeline, before, state, "own")
 		s.r.announce()
 	case o.done() && c.Solo:
+		before := s.r.crashes.State(now, s.print)
 		s.r.crashes.Survived(now, s.print)
+		s.r.noteMark(s.print, s.req.Team, s.req.Pipeline, before, s.r.crashes.State(now, s.print), "own")
 		s.r.announce()
 	}
 }
@@ -318,6 +340,17 @@
 	return u.Centre
 }
 
+const microsPerMilli = 1000
+
+// charge corrects the team's account by what the attempt really cost, wasted
+// work included, so that shares follow cost and not the number of requests.
+func (s *stageRun) charge(p *pool, c *wire.Cost) {
+	p.mean.Learn(int64(c.Busy))
+	if !s.stage.Once {
+		p.queue.ChargeRank(s.req.Team, s.pl.Rank, int64(c.Busy)-s.cost)
+	}
+}
+
 // again decides whether the stage is tried once more, and waits for the back-off.
 func (s *stageRun) again(ctx context.Context, p *pool, n wire.Attempt, o *outcome) bool {
 	if ctx.Err() != nil || n >= maxPlacements || s.sent || final(o.reason) {
@@ -330,11 +363,13 @@
 			return false
 		}
 		if _, ok := p.retry.Allow(n, left, expect); !ok {
-			s.r.Inc("retry_denied", o.reason)
+			s.r.note(log.InfoLevel, "retry_denied", o.reason, "retry denied", "request", s.id, "stage", s.stage.Name, "attempt", n)
 			return false
 		}
-		s.r.Inc("retried", o.reason)
-		s.r.log.Info("stage retried", "request", s.id, "stage", s.stage.Name, "attempt", n, "reason", o.reason)
+		s.r.note(log.InfoLevel, "retried", o.reason, "stage retried", "request", s.id, "stage", s.stage.Name, "attempt", n)
+	} else {
+		// Nothing ran, so this costs no retry budget.
+		s.r.note(log.InfoLevel, "offered_again", o.reason, "stage offered again", "request", s.id, "stage", s.stage.Name, "attempt", n)
 	}
 	return sleep(ctx, min(budget.Backoff(p.random(), n), max(0, left-expect)))
 }
