router: wait for the session of a call whose text the caller has seen

Cause: a repeatable call waits 300 ms for a new session and then counts as unknown, so that it can be retried elsewhere. A call whose text has reached the caller is never retried, so the short wait only lost a result that the agent held for another 3 s.

Change: such a call waits for a new session until its deadline, as a non-repeatable one does.

Before: go test ./matrix -count=4 -run 'TestMatrix/cell/late_answer/stream' fails 4 of 4: the request is refused (unknown) 1.1 s after its last stage finished, with 4.8 s left. After: passes 4 of 4; go test -race ./router passes.

Conclusion: a spell of 1.8 s of delay no longer costs a streamed answer.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -43,6 +43,7 @@
 	inc      wire.Incarnation // of the agent that was sent the call
 	next     int              // next chunk
 	accepted bool
+	shown    *bool     // whether any text has reached the caller
 	until    time.Time // after it the agent may have forgotten the call
 }
 
@@ -50,10 +51,11 @@
 var errLost = errors.New("session lost")
 
 // try sends a call and follows it until its outcome is known or ctx is done.
-// When the session is lost it asks for the outcome over a new one.
-func (r *Router) try(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error) outcome {
+// When the session is lost it asks for the outcome over a new one. shown is set
+// by emit when text has reached the caller.
+func (r *Router) try(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error, shown *bool) outcome {
 	left := time.Duration(c.Left) * time.Millisecond
-	a := &attempt{r: r, link: l, call: c, emit: emit, until: time.Now().Add(left)}
+	a := &attempt{r: r, link: l, call: c, emit: emit, shown: shown, until: time.Now().Add(left)}
 	ctx, cancel := context.WithTimeout(ctx, left+verdictGrace)
 	defer cancel()
 	sess, _ := l.session()
@@ -86,9 +88,10 @@
 	}
 }
 
-// resume waits for a new session to the agent.
+// resume waits for a new session to the agent. The wait is short only for a call
+// that can be retried elsewhere, which one whose text the caller has seen can't.
 func (a *attempt) resume(ctx context.Context, old link.Session) (link.Session, error) {
-	if !a.call.Once {
+	if !a.call.Once && !*a.shown {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, resumeLimit)
 		defer cancel()
--- a/router/serve.go
+++ b/router/serve.go
@@ -265,7 +265,7 @@
 	}
 	s.text = s.text[:0]
 	begun := time.Now()
-	o := s.r.try(ctx, l, c, s.emit)
+	o := s.r.try(ctx, l, c, s.emit, &s.sent)
 	s.record(l, c, &o, time.Since(begun))
 	return o
 }
