router: offer a call to an upstream whose report of being full is old

Cause: a router without a call at an upstream gets reports only with a new session and every 15 s. When the first report of a session showed the upstream full, the router sent it nothing for up to 15 s, although it was idle.

Change: 500 ms after a report, an upstream at which the router has no call counts as having room for one. The agent admits it or answers with a report.

--- a/router/links.go
+++ b/router/links.go
@@ -44,6 +44,7 @@
 type seenReport struct {
 	wire.Report
 	own int64
+	at  time.Time
 }
 
 // sentSlice remembers which versions of its objects an agent was sent.
@@ -139,7 +140,7 @@
 		l.r.note(log.WarnLevel, "discarded", wire.ReasonMismatch, "report of another upstream dropped", "upstream", l.up, "got", rep.Upstream)
 		return
 	}
-	next := &seenReport{*rep, l.own.Load()}
+	next := &seenReport{*rep, l.own.Load(), time.Now()}
 	before := l.report.Load()
 	if rep.Brief && before != nil {
 		next.Prefixes = before.Prefixes
--- a/router/pool.go
+++ b/router/pool.go
@@ -16,6 +16,10 @@
 const (
 	retryShare = 0.1
 	retryBurst = 10
+	// reportAge is the age from which a report no longer shows an upstream to be
+	// full. A router without a call there gets the next report only after 15 s, so
+	// one call is offered; the agent admits it or answers with a new report.
+	reportAge = 500 * time.Millisecond
 )
 
 // poolMember is an upstream that may receive work.
@@ -201,6 +205,9 @@
 	}
 	c.Limit, c.Flight, c.Queued, c.Warmth = rep.Limit, rep.Flight, rep.Queued, rep.Warmth
 	c.Seen = wire.Slots(rep.own)
+	if c.Own == 0 && c.Limit > 0 && time.Since(rep.at) > reportAge {
+		c.Flight, c.Queued = min(c.Flight, c.Limit-1), 0
+	}
 	if w != nil && w.prefix != "" {
 		c.Prefix = holds(rep.Prefixes, w.prefix)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -368,6 +368,16 @@
 			}
 			assert.Equal(g.t, g.peers[0].seen(), 0)
 		},
+		"a report of a full upstream goes stale": func(g *rig) {
+			for _, p := range g.peers {
+				p.mu.Lock()
+				p.rep.Flight = p.rep.Limit
+				p.mu.Unlock()
+			}
+			g.net.Kill("r1") // the first report of each new session says full
+			time.Sleep(time.Second)
+			assert.Assert(g.t, g.expect(`"one"`, plain, "") < 2*time.Second)
+		},
 		"a ticket waits for the one that it names": func(g *rig) {
 			g.plat.publish(g.t, 3, wire.Object{Kind: wire.ObjectKindKey, Name: "k", Key: &wire.Key{Team: "late", Hash: wire.KeyHash(fmt.Sprintf("%064d", 1))}})
 			time.Sleep(time.Second)
