matrix: judge a revert only between probes that don't overlap

Cause: probes that waited for a paused router ran at the same instant as its read of the tickets, and their records were in no order (router paused, pause, drain: "ticket reverted" in about 1 of 18 cells). Change: a probe shows a revert when it began after another one had ended that found the ticket; the limit of 4 s is judged by the probe's begin.

--- a/matrix/check_test.go
+++ b/matrix/check_test.go
@@ -263,14 +263,15 @@
 			}
 		}
 	}
-	known := map[*process]bool{}
+	known := map[*process]time.Time{} // end of the first probe that found the ticket
 	for _, p := range c.w.probes {
 		switch {
+		case p.known && known[p.proc].IsZero():
+			known[p.proc] = p.at
 		case p.known:
-			known[p.proc] = true
-		case known[p.proc]:
+		case !known[p.proc].IsZero() && p.begun.After(known[p.proc]):
 			c.fail(inForce, "ticket reverted at %s at %s", p.proc.name, c.at(p.at))
-		case p.at.After(limit) && !from.IsZero() && p.at.After(p.proc.born.Add(forceLimit)) &&
+		case p.begun.After(limit) && !from.IsZero() && p.at.After(p.proc.born.Add(forceLimit)) &&
 			!c.disturbed(p.at.Add(-forceLimit), p.at, p.proc.name):
 			c.fail(inForce, "ticket of %s not in force at %s at %s", c.at(from), p.proc.name, c.at(p.at))
 		}
--- a/matrix/load_test.go
+++ b/matrix/load_test.go
@@ -32,7 +32,8 @@
 // probe asks a router whether it knows the pipeline of a ticket.
 type probe struct {
 	proc  *process
-	at    time.Time
+	begun time.Time
+	at    time.Time // end
 	known bool
 }
 
@@ -226,6 +227,7 @@
 
 func (w *world) probe(e entry, p *process) {
 	p.wait()
+	begun := time.Now()
 	_, f := e.Do(context.Background(), &router.Request{Team: "kites", Pipeline: probePipeline, Deadline: time.Millisecond, Body: []byte("{}")})
 	at := time.Now()
 	if p.wait(); p.isDead() || f == nil || f.Reason == wire.ReasonLeaving {
@@ -233,7 +235,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.probes = append(w.probes, probe{p, at, f.Reason != wire.ReasonNotfound})
+	w.probes = append(w.probes, probe{p, begun, at, f.Reason != wire.ReasonNotfound})
 }
 
 // script makes the planned changes that every cell has.
