router, agent: retry an absent reserved call, test refused entries

Cause: since "absent" of a non-repeatable call became "unknown", a call that never reached its agent was not sent again, although its token makes that safe.

Change: an absent call is offered again as before, and the request's record stays "unknown" until an agent has looked at the token.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -186,6 +186,13 @@
 			r.up.ends <- nil
 			r.expect(again, "result done some")
 		},
+		"a refused call leaves nothing behind": func(r *rig) {
+			r.sync(object(5, centre(wire.CentreStateOut)))
+			r.expect(r.send(&wire.Frame{Call: call("1", "")}), "refuse out none")
+			synctest.Wait()
+			held, _ := r.a.held.Size()
+			assert.Equal(r.t, held, 0)
+		},
 		"a call of a replaced session never starts": func(r *rig) {
 			old := r.sess
 			r.dial(2)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -30,6 +30,7 @@
 	executed wire.Executed
 	report   *wire.Report
 	upstream wire.UpstreamID
+	absent   bool // the agent never saw the call, nor its token
 }
 
 func (o *outcome) done() bool { return o.reason == "" }
@@ -179,14 +180,13 @@
 	a.link.observe(f.Report)
 	o := outcome{reason: f.Reason, executed: f.Executed, report: f.Report}
 	// The agent forgets a call some time after its deadline; from then on
-	// "absent" proves nothing. Of a non-repeatable call it says that this request
-	// did not run, not that nothing ran under its token.
+	// "absent" proves nothing.
 	switch {
 	case f.Reason != wire.ReasonAbsent:
-	case a.accepted || a.call.Once || time.Now().After(a.until):
+	case a.accepted || time.Now().After(a.until):
 		o.reason, o.executed = wire.ReasonUnknown, wire.ExecutedUnknown
 	default:
-		o.reason = wire.ReasonUnavailable
+		o.reason, o.absent = wire.ReasonUnavailable, true
 	}
 	return o
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -304,7 +304,7 @@
 // record accounts for an attempt: what was run, at what cost, and what it says
 // about requests that crash upstreams.
 func (s *stageRun) record(l *agentLink, c *wire.Call, o *outcome, took time.Duration) {
-	if c.Once {
+	if c.Once && !o.absent {
 		s.ran.token = false
 	}
 	s.ran.add(o.executed)
