bench/policy: measure cold starts and data centre moves

Cause: the guarantees on cold upstreams and on a data centre that is out had no figures beside simpler policies.

Change: tables on upstreams that restart or turn cold under load, and on a data centre that leaves and returns with cold upstreams. The delays of watch, poll and host list are inputs of the model, not results.

--- a/bench/policy/agent.go
+++ b/bench/policy/agent.go
@@ -144,6 +144,7 @@
 		r.warmth, r.limit, _ = g.lim.View(g.wall())
 		r.flight = g.lim.Held()
 	}
+	r.out = g.out
 	r.cache = slices.Clone(g.up.cache)
 	return r
 }
@@ -206,3 +207,21 @@
 func (q *fifo) ChargeRank(wire.TeamID, wire.Rank, int64) {}
 
 func (q *fifo) Len() wire.Slots { return wire.Slots(len(q.entries)) }
+
+// shut closes the gate for a data centre that is out, and opens it again.
+func (g *gate) shut(out bool) {
+	if g.out && !out {
+		g.lim.Chill(g.wall())
+	}
+	g.out = out
+	for out {
+		e, late, ok := g.queue.Pop(g.wall())
+		for _, x := range late {
+			x.Value.router.refused(x.Value, wire.ReasonDeadline)
+		}
+		if !ok {
+			return
+		}
+		e.Value.router.refused(e.Value, wire.ReasonOut)
+	}
+}
--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -58,3 +58,20 @@
 	assert.DeepEqual(t, f.fairShares([]time.Duration{60 * s, 60 * s, 5 * s}, []time.Duration{20 * s, 20 * s, 5 * s}), []float64{30, 10, 5})
 	assert.DeepEqual(t, f.fairShares([]time.Duration{20 * s, 60 * s, 5 * s}, []time.Duration{20 * s, 20 * s, 5 * s}), []float64{20, 20, 5})
 }
+
+// TestFaults guards against a model in which a cold start or a data centre move
+// has no effect, and against work of ours beyond the cold bound or after a ticket.
+func TestFaults(t *testing.T) {
+	m := New(new(bytes.Buffer), 1)
+	m.span = 8 * time.Second
+	f := m.fleet[0]
+	for _, p := range []Policy{naive, ours} {
+		most, crashes := m.run(f, 0.7, p, restarts(0, 3)).coldest(0)
+		assert.Equal(t, most <= f.pools[0].cold && crashes == 0, p.Name == ours.Name, p.Name)
+	}
+	s := m.run(f, 0.6, ours, move(true, func(*sim, int) time.Duration { return 5 * ms }))
+	for _, u := range s.pools[0] {
+		late := u.lastCall > faultAt+10*ms
+		assert.Equal(t, late, u.centre != 0, string(u.id))
+	}
+}
--- a/bench/policy/router.go
+++ b/bench/policy/router.go
@@ -27,6 +27,7 @@
 	limit, flight, queued wire.Slots
 	warmth                wire.Warmth
 	cache                 []wire.Fingerprint
+	out                   bool
 }
 
 // view is what one router knows of one upstream.
@@ -354,7 +355,7 @@
 
 func (r *router) eligible(v *view) bool {
 	u := wire.Upstream{State: wire.UpstreamStateServe}
-	return member.Judge(u, wire.Centre{State: r.known[v.centre]}, true, member.Sight{Alive: true}, member.Listing{State: member.Live}).Eligible
+	return member.Judge(u, wire.Centre{State: r.known[v.centre]}, true, member.Sight{Alive: true, Out: v.report.out}, member.Listing{State: member.Live}).Eligible
 }
 
 func (r *router) candidate(v *view, c *call) route.Candidate {
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -28,6 +28,8 @@
 	fmt.Fprintf(m.w, "seed %d, %v counted after %v, load 1.0 uses the engines fully when every prefix is cached\n", m.seed, m.span, m.warm)
 	m.Choice()
 	m.Admission()
+	m.Cold()
+	m.Centre()
 }
 
 // table prints rows of cells under a title.
--- a/bench/policy/upstream.go
+++ b/bench/policy/upstream.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	coldTime = 4 * time.Second // from the start of a run until it is warm
-	bootTime = time.Second     // from a crash until it answers again
+	coldTime  = 4 * time.Second // from the start of a run until it is warm
+	bootTime  = time.Second     // from a crash until it answers again
+	quickTime = 5 * ms
 	// crashFactor is the multiple of the cold capacity above which a cold
 	// upstream crashes.
 	crashFactor = 2
@@ -49,7 +50,9 @@
 	coldMost int // most work held while cold
 	crashes  int
 	lastCall time.Duration // latest arrival of work
+	stopped  time.Duration // latest arrival of work before its data centre returned
 	fails    func() bool   // whether a call fails half way
+	quick    bool          // failing calls fail after quickTime
 }
 
 func (u *upstream) held() int  { return len(u.running) + len(u.waiting) }
@@ -96,6 +99,9 @@
 	busy, ok := u.busy(c.work[c.stage]), true
 	if u.fails != nil && u.fails() {
 		busy, ok = busy/2, false
+		if u.quick {
+			busy = quickTime
+		}
 	}
 	u.after(busy, func() {
 		if !c.over {
