bench/policy: measure retries and requests that crash upstreams

Cause: the retry budget and the crash book had bounds in their tests but no figures beside other policies.

Change: a table of attempts a request against the part that fails, one of engine failures in the model of the fleets, and one of a request that is resent for 60 s and crashes each upstream that runs it.

--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -75,3 +75,15 @@
 		assert.Equal(t, late, u.centre != 0, string(u.id))
 	}
 }
+
+// TestCrashRun guards against more upstreams lost to one request than 2 a router
+// that sees it, and against refusals of the requests beside it.
+func TestCrashRun(t *testing.T) {
+	for seed := range uint64(20) {
+		s := crashRun(seed, guardSolo, true, 3, 1)
+		assert.Assert(t, s.lost == 2 && s.refused == 0, "seed %d: %d lost", seed, s.lost)
+		s = crashRun(seed, guardSolo, false, 3, 1)
+		assert.Assert(t, s.lost <= 6 && s.refused == 0, "seed %d: %d lost", seed, s.lost)
+		assert.Assert(t, crashRun(seed, guardNone, false, 3, 1).lost > 100, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/bench/policy/retries.go
@@ -0,0 +1,98 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamcove.example/core/budget"
+	"hornbeamcove.example/core/wire"
+)
+
+const outageEnd = 17 * time.Second
+
+// failures lets each call of the first n engines fail half way with probability p
+// during the outage, or after 5 ms when quick is set.
+func failures(n int, p float64, quick bool) option {
+	return func(s *sim) {
+		for _, u := range s.pools[0][:n] {
+			u.quick = quick
+			u.fails = func() bool { return s.now >= faultAt && s.now < outageEnd && s.rng.Float64() < p }
+		}
+	}
+}
+
+// Retries prints the tables on retries.
+func (m *Measure) Retries() {
+	m.amplification()
+	retry := func(name string, k retryKind) Policy { return ours.with(name, func(p *Policy) { p.retry = k }) }
+	policies := []Policy{
+		naive, plain, retry("none", retryNever), retry("any error, at once", retryAny), retry("back-off only", retryWait), ours,
+		ours.with("ours, avoiding", func(p *Policy) { p.avoid = true }),
+	}
+	for _, f := range m.fleet {
+		all := f.pools[0].count
+		var rows [][]string
+		for _, c := range []struct {
+			name string
+			load float64
+			opt  option
+		}{
+			{"5% of engine calls fail", 0.7, failures(all, 0.05, false)},
+			{"half of engine calls fail", 0.7, failures(all, 0.5, false)},
+			{"half of engine calls fail", 1, failures(all, 0.5, false)},
+			{"all engine calls fail", 0.7, failures(all, 1, false)},
+			{"one engine fails all", 0.7, failures(1, 1, false)},
+			{"one engine fails all in 5 ms", 0.7, failures(1, 1, true)},
+		} {
+			for _, p := range policies {
+				s := m.run(f, c.load, p, c.opt)
+				rows = append(rows, []string{
+					c.name, fmt.Sprint(c.load), p.Name, percent(s.out.between(faultAt, outageEnd).part()), percent(s.out.between(outageEnd, s.span).part()),
+					fmt.Sprint(s.retries), seconds(sum(s.out.wasted)),
+				})
+			}
+		}
+		m.table("Retries, engines fail for 5 s, "+f.name, []string{"event", "load", "policy", "met in it %", "met later %", "retries", "wasted s"}, rows)
+	}
+}
+
+// amplification prints attempts over first attempts while a part of all attempts
+// fails, with the packages alone: no capacity, no time.
+func (m *Measure) amplification() {
+	const firsts = 100_000
+	var rows [][]string
+	for _, p := range []float64{0.01, 0.1, 0.5, 1} {
+		row := []string{fmt.Sprint(p)}
+		for _, kind := range []retryKind{retryNever, retryAny, retryBudget} {
+			attempts, ok := tries(m.seed, kind, p, firsts)
+			row = append(row, fmt.Sprintf("%.3f", float64(attempts)/firsts), percent(float64(ok)/firsts))
+		}
+		rows = append(rows, row)
+	}
+	m.table("Attempts a request against the part of attempts that fails; bound of budget.Retry 1.1", []string{
+		"fails", "none", "ok %", "up to 4", "ok %", "budget", "ok %",
+	}, rows)
+}
+
+func tries(seed uint64, kind retryKind, p float64, firsts int) (attempts, ok int) {
+	rng := newRand(seed)
+	b := budget.NewRetry(retryShare, retryBurst)
+	for range firsts {
+		b.First()
+		for n := wire.Attempt(1); ; n++ {
+			attempts++
+			if rng.Float64() >= p {
+				ok++
+				break
+			}
+			again := kind == retryAny && n < maxTries
+			if kind == retryBudget {
+				_, again = b.Allow(n, time.Second, time.Second)
+			}
+			if !again {
+				break
+			}
+		}
+	}
+	return attempts, ok
+}
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -30,6 +30,8 @@
 	m.Admission()
 	m.Cold()
 	m.Centre()
+	m.Retries()
+	m.Crashes()
 }
 
 // table prints rows of cells under a title.
