route: let a caller count recent failures as load

Cause: a replica that fails its calls at once has no calls in flight, so two choices prefer it; on a fleet of 12 engines one such engine drew enough calls to use up the retry budget.

Change: Candidate.Failed, the calls that failed at the replica within about a second, is added to its load. It takes no room, so that requests that fail everywhere can't fill a pool for the other teams. Zero leaves a choice as it was; the router does not fill it in yet. The measurements have a variant that does.

--- a/bench/policy/retries.go
+++ b/bench/policy/retries.go
@@ -28,6 +28,7 @@
 	policies := []Policy{
 		naive, plain, retry("none", retryNever), retry("any error, at once", retryAny), retry("back-off only", retryWait), ours,
 		ours.with("ours, avoiding", func(p *Policy) { p.avoid = true }),
+		ours.with("ours, failures as load", func(p *Policy) { p.failed = true }),
 	}
 	for _, f := range m.fleet {
 		all := f.pools[0].count
--- a/bench/policy/router.go
+++ b/bench/policy/router.go
@@ -19,6 +19,7 @@
 	retryShare               = 0.1
 	retryBurst               = 10
 	maxPlacements            = 16
+	failTime                 = time.Second
 	nearDelay                = 50 * time.Microsecond // one way within a data centre
 )
 
@@ -36,6 +37,7 @@
 	report
 	seen     wire.Slots // own calls when the report came
 	own      wire.Slots
+	failed   wire.Slots // own calls that failed within failTime
 	distance time.Duration
 }
 
@@ -285,6 +287,11 @@
 // again decides on a retry.
 func (r *router) again(c *call, reason wire.Reason, ran bool) {
 	q := c.request
+	if ran && reason != wire.ReasonDeadline && r.policy.failed {
+		v := c.view()
+		v.failed++
+		r.after(failTime, func() { v.failed-- })
+	}
 	if q.dead {
 		return
 	}
@@ -364,7 +371,7 @@
 	}
 	k := route.Candidate{
 		Upstream: v.id, Distance: wire.Micros(v.distance / time.Microsecond), Limit: v.limit, Flight: v.flight,
-		Queued: v.queued, Own: v.own, Seen: v.seen, Warmth: v.warmth,
+		Queued: v.queued, Own: v.own, Seen: v.seen, Warmth: v.warmth, Failed: v.failed,
 	}
 	if r.policy.choice >= choosePrefix && c != nil && c.work[c.stage].prefix != "" {
 		k.Prefix = slices.Contains(v.report.cache, c.work[c.stage].prefix)
--- a/bench/policy/variant.go
+++ b/bench/policy/variant.go
@@ -55,6 +55,7 @@
 	charge bool    // correct the queue's estimates by the actual cost
 	expect float64 // part of calls that the estimate of a stage covers; 0 for the average
 	cancel bool    // work past its deadline is cancelled
+	failed bool    // own calls that failed in the last second count as load
 	avoid  bool    // a retry avoids the replicas that failed before
 }
 
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -28,6 +28,7 @@
 	Queued   wire.Slots
 	Own      wire.Slots // this router's calls in flight now
 	Seen     wire.Slots // this router's calls counted in the report
+	Failed   wire.Slots // this router's calls that failed there within about a second
 	Warmth   wire.Warmth
 	Prefix   bool // the prompt's prefix is probably cached
 }
@@ -118,7 +119,10 @@
 
 func (c *Candidate) room() bool { return c.used() < c.Limit }
 
-func (c *Candidate) load() float64 { return float64(c.used()) / float64(c.Limit) }
+// load counts recent failures as calls: a replica that fails its calls at once
+// would otherwise look idle and draw most of the traffic. They take no room,
+// since requests that fail everywhere would then fill the pool for all teams.
+func (c *Candidate) load() float64 { return float64(c.used()+c.Failed) / float64(c.Limit) }
 
 func (c *Candidate) score() float64 {
 	score := c.load() + distanceMax*float64(c.Distance)/float64(c.Distance+distanceHalf)
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -22,6 +22,8 @@
 		"queued":               {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Queued: 2}, ReasonLoad},
 		"own calls in report":  {Candidate{Limit: 8, Flight: 4, Seen: 4, Own: 1}, Candidate{Limit: 8, Own: 2}, ReasonLoad},
 		"own calls that ended": {Candidate{Limit: 8, Flight: 1, Seen: 3, Own: 1}, Candidate{Limit: 8, Own: 2}, ReasonLoad},
+		"failed":               {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Failed: 2}, ReasonLoad},
+		"failed leaves room":   {Candidate{Limit: 2, Failed: 9}, Candidate{Limit: 2, Own: 2}, ReasonOnly},
 		"prefix":               {Candidate{Limit: 8, Own: 2, Prefix: true}, Candidate{Limit: 8, Own: 1}, ReasonPrefix},
 		"prefix but loaded":    {Candidate{Limit: 8, Own: 1}, Candidate{Limit: 8, Own: 3, Prefix: true}, ReasonLoad},
 		"nearer":               {Candidate{Limit: 8, Distance: 500}, Candidate{Limit: 8, Distance: 1500}, ReasonDistance},
