router: count recent failures of an upstream as load

Change: the router fills in route.Candidate.Failed with the calls that failed there in runs with less than 1 s between them.

Figures: go test -run TestDo ./router: of 40 requests with one of two replicas failing at once, a request is refused ("upstream some") before; all 40 are answered, with at most 10 calls to the failing replica, now.

Conclusion: in use by the router.

--- a/router/links.go
+++ b/router/links.go
@@ -31,6 +31,7 @@
 	epoch  atomic.Int64
 	own    atomic.Int64 // calls of this router under way
 	report atomic.Pointer[seenReport]
+	faults atomic.Pointer[faultCount]
 
 	mu      sync.Mutex
 	sess    link.Session
@@ -47,6 +48,36 @@
 	at  time.Time
 }
 
+// faultCount is the number of calls that failed at an upstream in a row of
+// failures with less than faultWindow between them.
+type faultCount struct {
+	n    wire.Slots
+	last time.Time
+}
+
+// faultWindow is the time for which a failed call counts as load.
+const faultWindow = time.Second
+
+// fault counts a failed call. An upstream that fails its calls at once has none
+// in flight, and would draw every call without it. Of two failures at the same
+// time one may be lost.
+func (l *agentLink) fault(now time.Time) {
+	old := l.faults.Load()
+	next := &faultCount{1, now}
+	if old != nil && now.Sub(old.last) < faultWindow {
+		next.n += old.n
+	}
+	l.faults.CompareAndSwap(old, next)
+}
+
+// failed returns the recent failures.
+func (l *agentLink) failed(now time.Time) wire.Slots {
+	if f := l.faults.Load(); f != nil && now.Sub(f.last) < faultWindow {
+		return f.n
+	}
+	return 0
+}
+
 // sentSlice remembers which versions of its objects an agent was sent.
 type sentSlice struct {
 	sess                    link.Session
--- a/router/pool.go
+++ b/router/pool.go
@@ -205,6 +205,7 @@
 	}
 	c.Limit, c.Flight, c.Queued, c.Warmth = rep.Limit, rep.Flight, rep.Queued, rep.Warmth
 	c.Seen = wire.Slots(rep.own)
+	c.Failed = m.link.failed(time.Now())
 	if c.Own == 0 && c.Limit > 0 && time.Since(rep.at) > reportAge {
 		c.Flight, c.Queued = min(c.Flight, c.Limit-1), 0
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -285,6 +285,15 @@
 			}
 			assert.Assert(g.t, g.peers[0].seen() <= 5)
 		},
+		"a replica that fails at once does not draw the calls": func(g *rig) {
+			g.peers[0].answer = fail(wire.ReasonUpstream)
+			for range 40 {
+				g.expect(`"one"`, plain, "")
+			}
+			// Without a load for failures it would be tried first in half of the
+			// requests, which is more than the retry budget bears.
+			assert.Assert(g.t, g.peers[0].seen() <= 10, "%d calls", g.peers[0].seen())
+		},
 		"retries stay within the budget": func(g *rig) {
 			g.script(fail(wire.ReasonUpstream))
 			for range 50 {
--- a/router/serve.go
+++ b/router/serve.go
@@ -309,6 +309,9 @@
 	}
 	s.ran.add(o.executed)
 	now := time.Now()
+	if !o.done() && o.executed != wire.ExecutedNone {
+		l.fault(now)
+	}
 	if o.result != nil {
 		s.charge(l.pool, &o.result.Cost)
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.up, Centre: s.centreOf(l.up), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
