limit: grow only on a report that follows the last chill

Cause: after a lost connection the limiter fell to the cold bound, but a report from before the loss, up to 500 ms old, still said warm. Completions in that time raised the limit above the cold bound of an upstream that had just restarted.

Change: a completion counts towards growth only if the last report isn't older than the last sign of a cold start.

Conclusion: closes one of two ways over the cold bound. The other, a restart that breaks no call, stays open until the next poll of the agent (200 ms).

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -208,7 +208,8 @@
 func (l *Limiter) least() int64 { return l.size / averageWeight / leastPart }
 
 func (l *Limiter) grow(now time.Time) {
-	if l.said || !l.fresh(now) {
+	// A report from before the last sign of a cold start shows the earlier state.
+	if l.said || !l.fresh(now) || l.seen.Before(l.chilled) {
 		return
 	}
 	l.good++
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -78,7 +78,10 @@
 		"wait 20; done 5; done 10": "warming 3 0", "wait 200; done 50; done 100": "warming 3 0", "wait 200; done 50; done 101": "cold 2 0",
 		"wait 20; done 5; done 11": "warming 3 0", "wait 5; done 1; done 1; wait 19; done 19": "warming 3 0", // under the floor of 20 ms
 		"wait 5; done 1; done 1; wait 20; done 20": "cold 2 0",
-		warm + "boot a 2; wait 500; admit":         "true  12 warm 12 3", warm + "boot a 2; wait 501; admit": "false cold 2 cold 2 2",
+		// A report from before a reset doesn't justify growth after it; the next one does.
+		warm + "admit; wait 5; reset; wait 5; admit; admit; wait 5; done 5; done 5":         "cold 2 0",
+		warm + "admit; wait 5; reset; wait 5; boot a; admit; admit; wait 5; done 5; done 5": "warming 3 0",
+		warm + "boot a 2; wait 500; admit":                                                  "true  12 warm 12 3", warm + "boot a 2; wait 501; admit": "false cold 2 cold 2 2",
 		warm + "wait 501; boot a 2; admit":  "true  12 warm 12 3",
 		warm + "admit; boot a 12; admit":    "false busy 12 warm 12 12",
 		warm + "boot a 11; admit; admit":    "false busy 12 warm 12 12",
