crash: let one isolated run of a request exclude others

Cause: copies of one request that are suspects run alone at the same time, and each crashes an upstream before the first is quarantined.

Change: Book.Claim and Book.Release. A claim ends with its run or at the run's deadline; claims have the bound of the marks. The router does not claim yet; the measurements have a variant that does.

--- a/bench/policy/crashes.go
+++ b/bench/policy/crashes.go
@@ -27,7 +27,7 @@
 	guardNone  guard = iota
 	guardFirst       // refuse whatever was in flight at a crash
 	guardSolo        // crash.Book
-	guardOne         // crash.Book, one isolated run of a fingerprint at a time and router
+	guardOne         // crash.Book with a claim before each isolated run
 )
 
 // crashSim is the fate of one request that crashes each upstream that runs it,
@@ -42,14 +42,13 @@
 	refused int           // requests of others that were refused for a crash
 	alone   int           // requests of others that had to run alone
 	last    time.Duration // of the latest crash
-	busy    []bool        // routers with an isolated run of the request
 	serial  int
 }
 
 // crashRun returns the counts after crashSpan, in which callers resend the request
 // to any router, senders of them at once.
 func crashRun(seed uint64, g guard, gossip bool, routers, senders int) *crashSim {
-	s := &crashSim{guard: g, rng: newRand(seed), gossip: gossip, busy: make([]bool, routers)}
+	s := &crashSim{guard: g, rng: newRand(seed), gossip: gossip}
 	for range routers {
 		s.books = append(s.books, crash.NewBook(0))
 	}
@@ -78,22 +77,22 @@
 	solo := s.guard >= guardSolo && state == wire.MarkStateSuspect
 	wait := killTime
 	if solo {
-		if s.guard == guardOne && s.busy[r] {
-			s.after(resendTime, s.send)
-			return
-		}
-		s.busy[r] = true
 		wait += soloWait
 	}
-	s.after(wait, func() { s.crash(r, n, solo) })
+	until := s.wall().Add(deadline)
+	if solo && s.guard == guardOne && !s.books[r].Claim(s.wall(), badPrint, until) {
+		s.after(resendTime, s.send)
+		return
+	}
+	s.after(wait, func() {
+		s.books[r].Release(badPrint, until)
+		s.crash(r, n, solo)
+	})
 }
 
 // crash loses an upstream; the router retries the request while it may.
 func (s *crashSim) crash(r, n int, solo bool) {
 	s.lost++
-	if solo {
-		s.busy[r] = false
-	}
 	s.last = s.now
 	book := s.books[r]
 	switch s.guard {
@@ -162,7 +161,7 @@
 		{"ours", guardSolo, true, 3, 1},
 		{"ours, 2 routers", guardSolo, true, 2, 1},
 		{"ours, 10 callers at once", guardSolo, true, 3, 10},
-		{"one isolated run, 10 callers at once", guardOne, true, 3, 10},
+		{"ours, claims, 10 callers at once", guardOne, true, 3, 10},
 		{"ours, routers cut off from each other", guardSolo, false, 3, 1},
 	} {
 		s := crashRun(m.seed, c.g, c.gossip, c.routers, c.senders)
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +46,8 @@
 	mu    sync.RWMutex
 	bound int
 	marks map[wire.Fingerprint]mark
+	// claims holds the deadlines of isolated runs under way.
+	claims map[wire.Fingerprint]time.Time
 }
 
 type mark struct {
@@ -62,7 +65,7 @@
 	if bound <= 0 {
 		bound = defaultBound
 	}
-	return &Book{bound: bound, marks: make(map[wire.Fingerprint]mark)}
+	return &Book{bound: bound, marks: make(map[wire.Fingerprint]mark), claims: make(map[wire.Fingerprint]time.Time)}
 }
 
 // State returns the state in force, or "" for an unknown fingerprint.
@@ -102,6 +105,35 @@
 	b.marks[p] = m
 }
 
+// Claim reports whether p may start to run alone now, and until its deadline
+// refuses further claims on it. Copies of one request that ran alone at the same
+// time would each crash an upstream before the first of them is quarantined.
+// At the bound of claims the answer is false.
+func (b *Book) Claim(now time.Time, p wire.Fingerprint, until time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.claims[p].After(now) || b.state(now, p) == wire.MarkStateQuarantined {
+		return false
+	}
+	if len(b.claims) >= b.bound {
+		maps.DeleteFunc(b.claims, func(_ wire.Fingerprint, t time.Time) bool { return !t.After(now) })
+	}
+	if len(b.claims) >= b.bound {
+		return false
+	}
+	b.claims[p] = until
+	return true
+}
+
+// Release ends the claim that was made with the same deadline, and no later one.
+func (b *Book) Release(p wire.Fingerprint, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.claims[p].Equal(until) {
+		delete(b.claims, p)
+	}
+}
+
 // Marks returns the marks in force for gossip: quarantines first, then suspects,
 // then cleared ones, the latest first in each state. A caller that has room for
 // fewer sends the first ones.
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -184,6 +184,25 @@
 	assert.Equal(t, states(601, "a", "d", "e", "f"), "-qqs")
 }
 
+// TestClaim guards against two isolated runs of one request at the same time,
+// against a claim that outlives its run, and against a table without bound.
+func TestClaim(t *testing.T) {
+	b := NewBook(2)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	assert.Assert(t, b.Claim(at(0), "p", at(3)))
+	assert.Assert(t, !b.Claim(at(2), "p", at(5)), "claimed")
+	assert.Assert(t, b.Claim(at(2), "q", at(9)), "another request")
+	assert.Assert(t, !b.Claim(at(2), "r", at(9)), "bound")
+	assert.Assert(t, b.Claim(at(3), "p", at(6)), "past its deadline")
+	b.Release("p", at(3))
+	assert.Assert(t, !b.Claim(at(4), "p", at(7)), "released by the run before")
+	b.Release("p", at(6))
+	assert.Assert(t, b.Claim(at(4), "p", at(7)), "released")
+	assert.Assert(t, b.Claim(at(8), "r", at(9)), "claims past their deadline make room")
+	b.Crashed(at(9), "q", "t", "pl", true)
+	assert.Assert(t, !b.Claim(at(10), "q", at(12)), "quarantined")
+}
+
 func BenchmarkState(b *testing.B) {
 	book := NewBook(0)
 	body := make([]byte, 4096)
