agent: end a stream whose held result is gone

Cause: forward treated every error of hold's Next as "nothing yet" and sent a report. ErrEnded and ErrNumber come back at once, so after an entry had expired (an agent paused beyond 5 s after a call's deadline), or on a query for a chunk beyond the result, it sent reports in a busy loop until the stream was closed.

Change: the stream is reset; a router that still listens asks again.

Before: go test ./agent -run ForwardEnded counts 101 reports in no time, where the test's stream refuses more. After: none; go test -race ./agent passes.

Conclusion: a paused agent no longer floods its routers when it goes on.

--- /dev/null
+++ b/agent/forward_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/link"
+	"hornbeamcove.example/core/wire"
+)
+
+// sink is a stream whose frames nobody reads; it accepts at most most of them.
+type sink struct {
+	link.Stream
+	most  int
+	sent  int
+	reset bool
+}
+
+func (s *sink) Send(*wire.Frame) error {
+	if s.sent++; s.sent > s.most {
+		return link.ErrClosed
+	}
+	return nil
+}
+
+func (s *sink) Reset() { s.reset = true }
+
+// TestForwardEnded guards against a busy loop of reports on a stream whose held
+// result is gone or never had the chunk asked for.
+func TestForwardEnded(t *testing.T) {
+	for name, next := range map[string]int{"expired": 0, "chunk beyond the result": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := New(Config{Name: "h", Upstream: "u"}, quiet{}, nil)
+				ref := wire.Ref{Request: "q", Stage: "s", Attempt: 1}
+				e, _, ok := a.held.Begin(time.Now(), ref, time.Now().Add(time.Second))
+				assert.Assert(t, ok)
+				e.Finish(&wire.Result{Ref: ref, Outcome: wire.OutcomeDone, Executed: wire.ExecutedSome})
+				if next == 0 {
+					a.held.Expire(time.Now().Add(time.Minute))
+				}
+				st := &sink{most: 100}
+				assert.Assert(t, !a.forward(context.Background(), st, &run{call: &wire.Call{Ref: ref}, entry: e}, next))
+				assert.Equal(t, st.sent, 0)
+				assert.Assert(t, st.reset)
+			})
+		})
+	}
+}
+
+// quiet is an upstream that reports nothing.
+type quiet struct{ Upstream }
+
+func (quiet) Prefixes() []wire.Fingerprint { return nil }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"hornbeamcove.example/core/hold"
 	"hornbeamcove.example/core/link"
 	"hornbeamcove.example/core/wire"
 )
@@ -359,6 +360,10 @@
 		switch {
 		case ctx.Err() != nil:
 			return false
+		case errors.Is(err, hold.ErrEnded) || errors.Is(err, hold.ErrNumber):
+			// Nothing more will come; a router that still listens asks again.
+			st.Reset()
+			return false
 		case err != nil:
 			f = a.beat()
 		case c != nil:
