matrix: add late calls and a bound on poisoned requests

Cause: no cell delivered a call after a newer session had asked for it, and nothing bounded how many upstreams a poisoned request takes down.

Change: row "late call, silent connection"; at most 2 crashes a router under one poisoned request. The heap may grow fourfold, since collection took a quarter of the time.

Ran: go test -run 'TestMatrix/cell/(late_call|crash_request|cold,_crash)' passes.

--- a/matrix/check_test.go
+++ b/matrix/check_test.go
@@ -39,6 +39,10 @@
 // be delivered although the session just went silent.
 const recoverTime = 3 * time.Second
 
+// poisonBound is how often upstreams may crash under one poisoned request: twice
+// for each of the two routers.
+const poisonBound = 4
+
 // checker judges a world from the records of the fakes and the callers alone.
 type checker struct {
 	w   *world
@@ -276,8 +280,13 @@
 			c.fail(inForce, "ticket of %s not in force at %s at %s", c.at(from), p.proc.name, c.at(p.at))
 		}
 	}
+	lost := 0
 	for _, u := range c.w.ups {
 		c.orders(u)
+		lost += u.poisoned
+	}
+	if lost > poisonBound {
+		c.fail(bounded, "a poisoned request crashed upstreams %d times, want at most %d", lost, poisonBound)
 	}
 }
 
--- a/matrix/fake_test.go
+++ b/matrix/fake_test.go
@@ -155,7 +155,7 @@
 	fence    wire.TicketNumber
 	told     map[*process]time.Time // when a process learnt that this run is cold
 	orders   []orderRecord
-	crashes  int
+	poisoned int // crashes under a poisoned request
 }
 
 func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldTill) }
@@ -167,7 +167,6 @@
 func (u *upstream) crash(down time.Duration) {
 	now := time.Now()
 	u.boot++
-	u.crashes++
 	u.downTill = now.Add(down)
 	u.coldFrom = u.downTill
 	u.coldTill = now.Add(down + coldTime)
@@ -264,6 +263,7 @@
 	defer u.w.mu.Unlock()
 	switch {
 	case poison:
+		u.poisoned++
 		u.crash(downTime)
 	case u.failing:
 		u.finish(wk, endFailed, event{err: &agent.UpstreamError{Sent: true, Status: 500, Err: errors.New("internal error")}})
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"os"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -96,6 +97,16 @@
 	time.Sleep(2 * time.Second)
 }
 
+// lateCall delays calls of one router to one agent and then silences the session
+// that they are on, so that they arrive after a newer session has asked for them.
+func lateCall(w *world, at where) {
+	w.net.Delay(at.router, at.agent, 1800*time.Millisecond)
+	time.Sleep(700 * time.Millisecond)
+	w.net.Silence(at.router, at.agent)
+	w.net.Delay(at.router, at.agent, linkDelay)
+	time.Sleep(2 * time.Second)
+}
+
 func onWire(mode string) func(*world, where) {
 	return func(w *world, _ where) {
 		w.setMode(mode)
@@ -181,6 +192,7 @@
 		{name: "partition two-way", lose: true, inject: func(w *world, _ where) { w.partition(true, faultTime) }},
 		{name: "silent connection", lose: true, inject: silence},
 		{name: "late answer", inject: late},
+		{name: "late call, silent connection", inject: lateCall},
 		{name: "doubled answer", inject: onWire("doubled")},
 		{name: "reordered answer", inject: onWire("reordered")},
 		{name: "foreign answer", inject: onWire("foreign")},
@@ -243,6 +255,12 @@
 	return w
 }
 
+// TestMain lets the heap grow, since collection took a quarter of the time.
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(400)
+	os.Exit(m.Run())
+}
+
 func seedOf(parts ...string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(strings.Join(parts, "/")))
