--- a/router/router_test.go
+++ b/router/router_test.go
@@ -285,6 +285,15 @@
 			}
 			assert.Assert(g.t, g.peers[0].seen() <= 5)
 		},
+		"a replica that fails at once does not draw the calls": func(g *rig) {
+			g.peers[0].answer = fail(wire.ReasonUpstream)
+			for range 40 {
+				g.expect(`"one"`, plain, "")
+			}
+			// Without a load for failures it would be tried first in half of the
+			// requests, which is more than the retry budget bears.
+			assert.Assert(g.t, g.peers[0].seen() <= 10, "%d calls", g.peers[0].seen())
+		},
 		"retries stay within the budget": func(g *rig) {
 			g.script(fail(wire.ReasonUpstream))
 			for range 50 {
@@ -306,6 +315,12 @@
 			}
 			g.expect("unknown unknown", reserved, token)
 		},
+		"an absent reserved call does not speak for its token": func(g *rig) {
+			s := &stageRun{serving: &serving{r: g.r, ran: executionRecord{token: true}}}
+			refused := (&attempt{link: g.r.snap.Load().links["u0"], until: time.Now().Add(time.Second)}).refused(refusal(wire.Ref{}, wire.ReasonAbsent))
+			s.record(nil, &wire.Call{Once: true}, &refused, 0)
+			assert.Equal(g.t, s.ran.value(), wire.ExecutedUnknown)
+		},
 		"a reserved call is never sent to another upstream": func(g *rig) {
 			g.peers[0].answer = refuse(wire.ReasonBusy)
 			g.expect("busy none", reserved, token)
--- a/router/serve.go
+++ b/router/serve.go
@@ -304,11 +304,14 @@
 // record accounts for an attempt: what was run, at what cost, and what it says
 // about requests that crash upstreams.
 func (s *stageRun) record(l *agentLink, c *wire.Call, o *outcome, took time.Duration) {
-	if c.Once {
+	if c.Once && !o.absent {
 		s.ran.token = false
 	}
 	s.ran.add(o.executed)
 	now := time.Now()
+	if !o.done() && o.executed != wire.ExecutedNone {
+		l.fault(now)
+	}
 	if o.result != nil {
 		s.charge(l.pool, &o.result.Cost)
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.up, Centre: s.centreOf(l.up), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
