router, agent: run copies of a suspect in turn, notice restarts of idle upstreams

Ten callers of one crash request cost 11 upstreams, since copies of a suspect ran alone at the same time on different upstreams, and a copy that was waiting ran on although the first had been quarantined. A service that restarted while it held nothing got 2 calls against a bound of 1 until the next report.

Change: an isolated run claims its fingerprint, and a quarantine is looked at before each attempt. The agent keeps one quiet connection to its upstream; when it breaks the cold bound applies until the next report, which is asked for at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -139,6 +139,14 @@
 	wg.Go(func() { _ = a.tick.Run(live) })
 	wg.Go(func() { a.poll(live) })
 	wg.Go(func() { a.control(live) })
+	if w, ok := a.up.(Watcher); ok {
+		wg.Go(func() {
+			w.Watch(live, func() {
+				a.gate.doubt()
+				a.pollOnce(live)
+			})
+		})
+	}
 	wg.Go(func() { a.acceptLoop(live) })
 	<-ctx.Done()
 	err = a.drain(drain)
--- a/agent/conns.go
+++ b/agent/conns.go
@@ -167,3 +167,33 @@
 	}
 	return nil
 }
+
+const (
+	watchMin = 10 * time.Millisecond
+	watchMax = time.Second
+)
+
+// watch keeps one connection open on which nothing is sent. It breaks when the
+// upstream's process ends, also while no call is in flight; an upstream that
+// closes idle connections causes a call of lost too.
+func (p *conns) watch(ctx context.Context, lost func()) {
+	pause := watchMin
+	for ctx.Err() == nil {
+		if c, err := p.get(ctx, true); err == nil {
+			stop := c.bind(ctx)
+			_, _ = c.r.ReadByte()
+			stop()
+			_ = c.Close()
+			pause = watchMin
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		lost()
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, watchMax)
+	}
+}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -170,6 +170,13 @@
 	g.lim.Chill(time.Now())
 }
 
+// doubt holds the limit at the cold bound until the next report.
+func (g *gate) doubt() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lim.Doubt()
+}
+
 func (g *gate) setBounds(b limit.Bounds) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/agent/http.go
+++ b/agent/http.go
@@ -203,6 +203,9 @@
 	}
 }
 
+// Watch implements Watcher.
+func (h *HTTP) Watch(ctx context.Context, lost func()) { h.ctl.watch(ctx, lost) }
+
 // Prefixes implements Upstream.
 func (h *HTTP) Prefixes() []wire.Fingerprint {
 	h.mu.Lock()
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -43,6 +43,12 @@
 	Prefixes() []wire.Fingerprint
 }
 
+// Watcher is an Upstream that notices at once when the upstream's process ends.
+type Watcher interface {
+	// Watch calls lost each time the upstream may have ended, until ctx is done.
+	Watch(ctx context.Context, lost func())
+}
+
 // UpstreamError describes a call that the upstream did not complete.
 type UpstreamError struct {
 	Status int  // HTTP status, or 0 without an answer
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -246,6 +246,11 @@
 	l.chilled = now
 }
 
+// Doubt sets the last report aside, for instance when a connection to an idle
+// upstream broke. The cold bound applies until the next report, which restores
+// the grown limit if the upstream has not restarted.
+func (l *Limiter) Doubt() { l.seen = time.Time{} }
+
 // View returns the warmth, the limit in force and the admitted calls in flight.
 func (l *Limiter) View(now time.Time) (w wire.Warmth, limit, flight wire.Slots) {
 	limit, flight = l.effective(now), l.flight
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -46,6 +46,8 @@
 			l.Observe(*now, Evidence{Boot: wire.BootID(boot), Cold: word == "cold", Queued: wire.Slots(a)})
 		case "chill":
 			l.Chill(*now)
+		case "doubt":
+			l.Doubt()
 		case "grow": // a admissions and completions of 10 ms, each with a report
 			for range a {
 				play(l, now, "admit; wait 10; done 10; boot a")
@@ -70,6 +72,7 @@
 		"grow 2": "warming 3 0", "grow 4": "warming 3 0", "grow 5": "warming 4 0", "grow 9": "warming 6 0",
 		"grow 15": "warming 9 0", "grow 24": "warm 12 0", "bounds 9 1; grow 1": "warming 2 0",
 		warm + "boot a": "warm 12 0", warm + "boot b": "cold 2 0", warm + "cold a": "cold 2 0", warm + "chill": "cold 2 0",
+		warm + "doubt": "cold 2 0", warm + "doubt; boot a": "warm 12 0", warm + "doubt; boot b": "cold 2 0",
 		warm + "admit; reset": "cold 2 0", warm + "admit; fail": "warm 12 0", warm + "admit; wait 40; done 40": "warm 12 0",
 		warm + "admit; wait 41; done 41": "cold 2 0", warm + "admit; wait 90; fail 90": "cold 2 0",
 		warm + "bounds 5 9": "warm 5 0", "bounds -1 -1; admit": "false cold 0 cold 0 0",
--- a/core/wire/wire_gen.go
+++ b/core/wire/wire_gen.go
@@ -553,7 +553,8 @@
 	// Adapter corresponds to the JSON schema field "adapter".
 	Adapter AdapterID `json:"adapter,omitempty,omitzero" msg:"adapter,omitempty"`
 
-	// Expect is the usual time of the stage in milliseconds, used for admission.
+	// Expect is the time in milliseconds within which 95 in 100 runs of the stage
+	// end; admission adds it up. A mean admits requests that end late.
 	Expect int `json:"expect" msg:"expect"`
 
 	// Kind corresponds to the JSON schema field "kind".
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -350,6 +350,19 @@
 			g.script(nil)
 			g.expect(`"one"`, plain, "")
 		},
+		"copies of a suspect run one after another": func(g *rig) {
+			g.script(func(st link.Stream, c *wire.Call) {
+				time.Sleep(50 * time.Millisecond)
+				fail(wire.ReasonCrashed)(st, c)
+			})
+			g.r.crashes.Crashed(time.Now(), crash.Print(team, plain, []byte(`{}`)), team, plain, false)
+			var wg sync.WaitGroup
+			for range 6 {
+				wg.Go(func() { _, _ = g.r.Do(g.t.Context(), &Request{Team: team, Pipeline: plain, Body: []byte(`{}`)}) })
+			}
+			wg.Wait()
+			assert.Equal(g.t, g.seen(), 1)
+		},
 		"an innocent is cleared by its run alone": func(g *rig) {
 			g.script(func(st link.Stream, c *wire.Call) {
 				if c.Solo {
--- a/router/serve.go
+++ b/router/serve.go
@@ -253,7 +253,11 @@
 }
 
 func (s *stageRun) call(ctx context.Context, l *agentLink, n wire.Attempt, input []byte, left time.Duration) outcome {
-	solo := s.r.crashes.State(time.Now(), s.print) == wire.MarkStateSuspect
+	state := s.r.crashes.State(time.Now(), s.print)
+	if state == wire.MarkStateQuarantined {
+		return outcome{reason: wire.ReasonQuarantined, executed: wire.ExecutedNone}
+	}
+	solo := state == wire.MarkStateSuspect
 	c := &wire.Call{
 		Ref: wire.Ref{Request: s.id, Stage: s.stage.Name, Attempt: n}, Team: s.req.Team, Pipeline: s.req.Pipeline,
 		Kind: s.stage.Kind, Rank: s.pl.Rank, Weight: s.team.Weight, Left: max(1, millis(left)), Once: s.stage.Once,
@@ -265,8 +269,16 @@
 	}
 	s.text = s.text[:0]
 	begun := time.Now()
+	until := begun.Add(left)
+	if solo && !s.r.crashes.Claim(begun, s.print, until) {
+		// A copy of the request runs alone now; its end tells whether this one may.
+		return outcome{reason: wire.ReasonSolo, executed: wire.ExecutedNone}
+	}
 	o := s.r.try(ctx, l, c, s.emit, &s.sent)
 	s.record(l, c, &o, time.Since(begun))
+	if solo {
+		s.r.crashes.Release(s.print, until)
+	}
 	return o
 }
 
