matrix: let faults meet non-repeatable calls and reverts

Cause: trials with faults put into a scratch copy of the product passed unnoticed. The data centre that went out held the upstream that the script drains; the non-repeatable stage lasted 20 ms, so few faults met one; the probe pipeline was new with its ticket, so no older version could replace it.

Change: data centre c goes out; the stage lasts 100 ms; the ticket changes an existing pipeline; a stale platform hands out old tickets again.

--- a/matrix/check_test.go
+++ b/matrix/check_test.go
@@ -260,7 +260,7 @@
 // tickets judges that tickets come into force in time and never revert.
 func (c *checker) tickets() {
 	var from, limit time.Time
-	for _, p := range c.w.plat.tickets {
+	for _, p := range c.w.plat.tickets[baseTickets:] {
 		for i := range p.ticket.Objects {
 			if p.ticket.Objects[i].Name == string(probePipeline) {
 				from, limit = p.at, c.w.plat.inForce(p.at)
--- a/matrix/fake_test.go
+++ b/matrix/fake_test.go
@@ -16,7 +16,10 @@
 )
 
 const (
-	plainTime  = 20 * time.Millisecond
+	plainTime = 20 * time.Millisecond
+	// keepTime is that of the non-repeatable stage, long enough that most faults
+	// find one under way.
+	keepTime   = 100 * time.Millisecond
 	tokenTime  = 20 * time.Millisecond
 	tokenCount = 6
 	downTime   = 500 * time.Millisecond // of a crashed upstream
@@ -242,7 +245,11 @@
 		return
 	}
 	out, tokens := compute(c.Ref.Stage, c.Kind, in.Body, in.Prior)
-	if tokens == nil && (!u.sleep(wk, plainTime/2) || !u.effect(wk) || !u.sleep(wk, plainTime/2)) {
+	took := plainTime
+	if c.Once {
+		took = keepTime
+	}
+	if tokens == nil && (!u.sleep(wk, took/2) || !u.effect(wk) || !u.sleep(wk, took/2)) {
 		return
 	}
 	for i, t := range tokens {
@@ -533,6 +540,9 @@
 		n = f.stale
 	}
 	page.Index = uint64(n)
+	if f.stale >= 0 && after > page.Index {
+		after = 0 // old tickets once more
+	}
 	for i := int(after); i < n; i++ {
 		page.Tickets = append(page.Tickets, plat.RawTicket{Index: uint64(i + 1), Ticket: f.tickets[i].raw})
 	}
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -138,9 +138,9 @@
 }
 
 func centreGoes(w *world, _ where) {
-	w.publish(centreObject("b", wire.CentreStateOut))
+	w.publish(centreObject("c", wire.CentreStateOut))
 	time.Sleep(faultTime + time.Second)
-	w.publish(centreObject("b", wire.CentreStateIn))
+	w.publish(centreObject("c", wire.CentreStateIn))
 }
 
 // poison sends a request that crashes each upstream that runs it; its caller
@@ -206,8 +206,8 @@
 		{name: "host list wrong", inject: hostList(func(p *platform, on bool) { p.wrong = on })},
 		{name: "data centre out", inject: centreGoes},
 		{
-			name: "data centre back", before: func(w *world) { w.publish(centreObject("b", wire.CentreStateOut)) },
-			inject: func(w *world, _ where) { w.publish(centreObject("b", wire.CentreStateIn)) },
+			name: "data centre back", before: func(w *world) { w.publish(centreObject("c", wire.CentreStateOut)) },
+			inject: func(w *world, _ where) { w.publish(centreObject("c", wire.CentreStateIn)) },
 		},
 		{name: "crash request", inject: poison},
 		{name: "silent connection, ticket change", lose: true, inject: both(silence, centreGoes)},
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -105,7 +105,7 @@
 	},
 	"book": {
 		{Name: "draft", Pool: "pens", Kind: wire.KindGenerate, Expect: 120, Model: "sail"},
-		{Name: "keep", Pool: "desk", Kind: wire.KindPlain, Expect: 20, Once: true},
+		{Name: "keep", Pool: "desk", Kind: wire.KindPlain, Expect: 100, Once: true},
 	},
 }
 
@@ -189,6 +189,9 @@
 	for name, stages := range pipelines {
 		out = append(out, pipelineObject(string(name), stages))
 	}
+	probe := pipelineObject(string(probePipeline), pipelines["fold"])
+	probe.Pipeline.Teams = []wire.TeamID{"gliders"} // a ticket lets the probing team in
+	out = append(out, probe)
 	for _, name := range []wire.HostID{"g1", "g2", "p1", "p2"} {
 		out = append(out, upstreamObject(name, wire.UpstreamStateServe))
 	}
