router, agent: bring control messages and sessions under their bounds

Cause: docs/CAPACITY.md showed 322 sessions of 256, 6.0 KB/s for idle sessions and 14 KB/s for prefixes in reports against 3 KB/s for all control, and a router that knows no other one would have held the whole fleet. The watch of the upstream missed a restart when the upstream was not reachable at the first look after the break, which hung its test.

Change: each pool keeps its part of 256 sessions, chosen by hash; idle sessions ping every 30 s and report every 60 s without prefixes, which ride on answers; announcements wait 200 ms; callers' connections are bounded. The watch reports again when the upstream is back.

Conclusion: see docs/CAPACITY.md.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -40,9 +40,10 @@
 	heldBytes   = 16 << 20
 	// pollPeriod keeps the upstream's report younger than the 500 ms that the
 	// limiter needs above the cold bound.
-	pollPeriod   = 200 * time.Millisecond
-	pollLimit    = 400 * time.Millisecond
-	reportPeriod = 15 * time.Second
+	pollPeriod = 200 * time.Millisecond
+	pollLimit  = 400 * time.Millisecond
+	// reportPeriod is the refresh of idle sessions; changes are sent at once.
+	reportPeriod = 60 * time.Second
 	drainPoll    = 20 * time.Millisecond
 )
 
--- a/agent/conns.go
+++ b/agent/conns.go
@@ -175,20 +175,27 @@
 
 // watch keeps one connection open on which nothing is sent. It breaks when the
 // upstream's process ends, also while no call is in flight; an upstream that
-// closes idle connections causes a call of lost too.
+// closes idle connections causes calls of lost too. After a break lost is called
+// once more when the upstream can be reached again.
 func (p *conns) watch(ctx context.Context, lost func()) {
 	pause := watchMin
+	broken := false
 	for ctx.Err() == nil {
-		if c, err := p.get(ctx, true); err == nil {
+		c, err := p.get(ctx, true)
+		if err == nil {
+			if broken {
+				lost()
+			}
 			stop := c.bind(ctx)
 			_, _ = c.r.ReadByte()
 			stop()
 			_ = c.Close()
 			pause = watchMin
-			if ctx.Err() != nil {
-				return
-			}
 		}
+		if ctx.Err() != nil {
+			return
+		}
+		broken = true
 		lost()
 		select {
 		case <-time.After(pause):
--- a/agent/http.go
+++ b/agent/http.go
@@ -160,7 +160,8 @@
 	} `json:"events"`
 }
 
-const maxPrefixes = 64
+// maxPrefixes bounds the prefixes in a report to about 600 bytes.
+const maxPrefixes = 32
 
 // readEvents follows the engine's cache. Events may be missing or late: a lost
 // one costs a cache hit, never an answer.
--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,9 +35,12 @@
 		})
 	}()
 	assert.NilError(t, s.Restart())
-	for boot := range lost {
-		if boot != before.Boot {
-			break
+	limit := time.After(10 * time.Second)
+	for boot := before.Boot; boot == before.Boot; {
+		select {
+		case boot = <-lost:
+		case <-limit:
+			t.Fatal("the restart was not noticed")
 		}
 	}
 	cancel()
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -141,7 +141,8 @@
 			err = s.Control().Send(&wire.Frame{Sync: &wire.Sync{Head: wire.Digest{Head: a.state.Load().ticket()}}})
 		}
 		if err == nil && s.report.Swap(false) {
-			err = s.Control().Send(&wire.Frame{Report: a.report()})
+			// Prefixes ride on the answers of calls; an idle router needs none.
+			err = s.Control().Send(a.beat())
 		}
 	}
 }
--- a/core/link/quic.go
+++ b/core/link/quic.go
@@ -17,9 +17,10 @@
 
 const (
 	handshakeLimit = 2 * time.Second
-	// idlePing keeps 256 idle sessions of a router under 2 KB/s.
-	idlePing  = 15 * time.Second
-	idleLimit = 45 * time.Second
+	// idlePing keeps 256 idle sessions of a router under 3 KB/s; calls have a
+	// liveness check of their own.
+	idlePing  = 30 * time.Second
+	idleLimit = 90 * time.Second
 	// sendLimit bounds a Send to a peer that stopped reading.
 	sendLimit  = 5 * time.Second
 	maxStreams = 4096
--- a/router/control.go
+++ b/router/control.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
@@ -393,7 +394,7 @@
 	size := SubsetSize(len(byPool))
 	c.subset = map[wire.UpstreamID]bool{}
 	for id, reps := range byPool {
-		for _, up := range route.Subset(c.r.cfg.Name, routers, reps, size) {
+		for _, up := range bounded(c.r.cfg.Name, route.Subset(c.r.cfg.Name, routers, reps, size), maxLinks/len(byPool)) {
 			c.subset[up] = true
 		}
 		if c.pools[id] == nil {
@@ -402,6 +403,19 @@
 	}
 }
 
+// bounded keeps at most n of a subset. Routers leave out different upstreams, by
+// hash, so that one left out here is still held by others. Without the bound a
+// router that knows of few others would hold the whole fleet.
+func bounded(self wire.HostID, ups []wire.UpstreamID, n int) []wire.UpstreamID {
+	if len(ups) <= max(n, 1) {
+		return ups
+	}
+	hash := func(u wire.UpstreamID) uint64 { return xxhash.Sum64String(string(self) + "\x00" + string(u)) }
+	out := slices.Clone(ups)
+	slices.SortFunc(out, func(a, b wire.UpstreamID) int { return cmp.Compare(hash(a), hash(b)) })
+	return out[:max(n, 1)]
+}
+
 func (c *control) openLinks(ctx context.Context) {
 	for up := range c.subset {
 		if u, ok := c.store.Upstream(up); ok {
--- a/router/http.go
+++ b/router/http.go
@@ -27,6 +27,8 @@
 	readLimit   = 10 * time.Second
 	idleLimit   = 60 * time.Second
 	maxDeadline = 600_000 * time.Millisecond
+	// maxCallers bounds open connections of callers; further ones are closed.
+	maxCallers = 16_384
 
 	headerDeadline    = "Deadline-Ms"
 	headerReservation = "Reservation"
@@ -42,6 +44,7 @@
 		ReadBufferSize: headerLimit,
 		ReadTimeout:    readLimit,
 		IdleTimeout:    idleLimit,
+		Concurrency:    maxCallers,
 		ErrorHandler:   r.httpError,
 	})
 	app.Post("/v1/pipelines/:name", r.postRequest)
--- a/router/peers.go
+++ b/router/peers.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	gossipPeriod = time.Second
-	gossipLimit  = 2 * time.Second
-	maxPeers     = 9
+	gossipPeriod  = time.Second
+	announceDelay = 200 * time.Millisecond
+	gossipLimit   = 2 * time.Second
+	maxPeers      = 9
 	// announceTo is the number of peers that hear of a change at once; the
 	// periodic exchange reaches the rest.
 	announceTo = 2
@@ -51,6 +52,11 @@
 		select {
 		case <-sub.C:
 		case <-r.announced:
+			// With the platform up most peers have the change by then, and equal
+			// roots cost little.
+			if !sleep(ctx, announceDelay) {
+				return
+			}
 			n = announceTo
 		case <-ctx.Done():
 			return
