matrix: pause an agent or a router while its data centre goes out

Cause: no cell let a pause outlast the 4 s in which a data centre is out.

Change: two rows. The one with a paused agent shows a fault of the agent: when it goes on, it takes calls that had reached it before it notices the pause and has read its configuration again.

Conclusion: the agent should admit nothing after a pause until a router has confirmed its configuration.

--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -215,6 +215,8 @@
 		{name: "router dies, platform down", inject: both(killRouter, failPlatform(false))},
 		{name: "cold, crash request", inject: both(turnCold, poison)},
 		{name: "partition, data centre out", lose: true, inject: both(func(w *world, _ where) { w.partition(true, faultTime) }, centreGoes)},
+		{name: "agent paused, data centre out", inject: both(func(w *world, _ where) { w.pause("p2", faultTime); time.Sleep(faultTime) }, centreGoes)},
+		{name: "router paused, data centre out", inject: both(func(w *world, at where) { w.pause(at.router, faultTime); time.Sleep(faultTime) }, centreGoes)},
 		{name: "pause, drain", inject: func(w *world, at where) {
 			w.pause(at.agent, faultTime)
 			time.Sleep(time.Second)
