agent: admit nothing after a pause until a router confirms

Cause: an agent that went on after a pause of 5 s took calls that had reached it before it noticed the pause and had read its configuration again, in a data centre out for 5 s or at an upstream drained for 4.5 s.

Change: a call is refused (unavailable, none) while ticks are missing for more than 1.2 s, and after a pause until a router has sent the configuration, for at most 1 s. A configuration from before the pause that is still buffered ends the wait too early; it is followed by newer ones on the same session.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,6 +62,9 @@
 	have  atomic.Pointer[Loaded]
 	order atomic.Bool // an order is under way
 	state atomic.Pointer[state]
+	// ticked is the time of the last tick seen, doubt the end of the wait for the
+	// configuration after a pause.
+	ticked, doubt atomic.Pointer[time.Time]
 
 	work     context.Context // ends after the drain
 	stopWork context.CancelFunc
@@ -137,6 +140,7 @@
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = a.tick.Run(live) })
+	wg.Go(func() { a.watch(live) })
 	wg.Go(func() { a.poll(live) })
 	wg.Go(func() { a.control(live) })
 	wg.Go(func() { a.acceptLoop(live) })
@@ -181,6 +185,47 @@
 	return len(a.runs) == 0 && entries == 0
 }
 
+const (
+	watchPeriod = 200 * time.Millisecond
+	// doubtLimit bounds the wait for a router's configuration after a pause, since
+	// all routers may be gone; the agent then serves with what it has.
+	doubtLimit = time.Second
+)
+
+// watch notices pauses of the process. After one it asks a router for the
+// configuration and admits nothing until that has come.
+func (a *Agent) watch(ctx context.Context) {
+	sub := a.tick.Subscribe(watchPeriod, "watch")
+	defer sub.Close()
+	a.saw(time.Now())
+	for {
+		select {
+		case t := <-sub.C:
+			now := time.Now()
+			if t.Paused() {
+				end := now.Add(doubtLimit)
+				a.doubt.Store(&end)
+				a.confirm()
+			}
+			a.saw(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) saw(now time.Time) { a.ticked.Store(&now) }
+
+// outdated reports whether the configuration may be that from before a pause: the
+// process has missed ticks, or no router has confirmed it since.
+func (a *Agent) outdated(now time.Time) bool {
+	if t := a.ticked.Load(); t != nil && now.Sub(*t) > clock.MaxLate+watchPeriod {
+		return true
+	}
+	end := a.doubt.Load()
+	return end != nil && now.Before(*end)
+}
+
 // poll asks the upstream for its report on each tick.
 func (a *Agent) poll(ctx context.Context) {
 	sub := a.tick.Subscribe(pollPeriod, "poll")
--- a/agent/run.go
+++ b/agent/run.go
@@ -141,6 +141,10 @@
 		a.gate.leave(limit.Sample{Failed: true})
 		reason = wire.ReasonDeadline
 	}
+	if reason == "" && a.outdated(time.Now()) {
+		a.gate.leave(limit.Sample{Failed: true})
+		reason = wire.ReasonUnavailable
+	}
 	if reason != "" {
 		if r.call.Once {
 			a.spent.Return(r.call.Token)
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -124,6 +124,7 @@
 			continue
 		}
 		a.submit(merge{objects: f.Sync.Objects, change: func(st *state) { st.confirmed = time.Now() }})
+		a.doubt.Store(nil)
 	}
 }
 
