--- a/agent/cmd/hbagent/main.go
+++ b/agent/cmd/hbagent/main.go
@@ -3,9 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"os"
 	"time"
 
@@ -22,33 +19,17 @@
 // firstBounds hold until a router has sent the upstream's object.
 var firstBounds = limit.Bounds{Warm: 1, Cold: 1}
 
-func main() {
-	err := run(os.Args[1:])
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		os.Exit(2)
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "hbagent:", err)
-		os.Exit(1)
-	}
-}
+func main() { proc.Exit("hbagent", run(os.Args[1:])) }
 
-func run(args []string) (err error) {
+func run(args []string) error {
 	cfg, err := conf.LoadAgent(args, os.Stderr)
 	if err != nil {
 		return err
 	}
-	p, err := proc.New(proc.Config{
+	return proc.Serve(proc.Config{
 		Name: cfg.Name, Role: wire.RoleAgent, Level: string(cfg.Level), Admin: cfg.Admin, Secret: cfg.Secret,
 		Drain: time.Duration(cfg.Drain) * time.Millisecond, Out: os.Stdout,
-	})
-	if err != nil {
-		return err
-	}
-	if err = start(p, &cfg); err != nil {
-		return errors.Join(err, p.Close())
-	}
-	return p.Run(context.Background())
+	}, func(p *proc.Process) error { return start(p, &cfg) })
 }
 
 func start(p *proc.Process, cfg *conf.Agent) (err error) {
--- a/core/proc/process.go
+++ b/core/proc/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -226,3 +227,29 @@
 	}
 	p.log.Info("TLS material reloaded")
 }
+
+// Exit ends a program with the status that its error calls for: 0 for none, 2
+// after its usage was shown, else 1 with the error on standard error.
+func Exit(program string, err error) {
+	switch {
+	case err == nil:
+		os.Exit(0)
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	default:
+		fmt.Fprintln(os.Stderr, program+":", err)
+		os.Exit(1)
+	}
+}
+
+// Serve prepares a process with start and runs it until its drain has ended.
+func Serve(cfg Config, start func(*Process) error) (err error) {
+	p, err := New(cfg)
+	if err != nil {
+		return err
+	}
+	if err = start(p); err != nil {
+		return errors.Join(err, p.Close())
+	}
+	return p.Run(context.Background())
+}
--- a/cove/cove_test.go
+++ b/cove/cove_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"hornbeamcove.example/core/admin"
 	"hornbeamcove.example/core/ticket"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/cove"
@@ -113,7 +114,7 @@
 	ts.Check(f.Await(context.Background(), func() error {
 		for _, r := range f.Routers {
 			d := r.Dump().(router.Dump)
-			refused := slices.ContainsFunc(d.Rejected, func(x router.Rejection) bool { return x.Number == t.Number })
+			refused := slices.ContainsFunc(d.Rejected, func(x admin.Rejection) bool { return x.Number == t.Number })
 			if d.Head < t.Number && !refused {
 				return fmt.Errorf("router %s has ticket %d", r.Name, d.Head)
 			}
--- a/router/admin.go
+++ b/router/admin.go
@@ -86,10 +86,7 @@
 
 func (r *Router) getTickets(c fiber.Ctx) error {
 	s := r.snap.Load()
-	out := admin.Tickets{Head: r.head(), Number: s.store.Head(), Tickets: make([]admin.Rejection, len(s.rejected))}
-	for i, rej := range s.rejected {
-		out.Tickets[i] = admin.Rejection(rej)
-	}
+	out := admin.Tickets{Head: r.head(), Number: s.store.Head(), Tickets: append([]admin.Rejection{}, s.rejected...)}
 	out.Dropped = r.Count("rejection_dropped", "")
 	out.Cut = out.Dropped > 0
 	return c.JSON(out)
--- a/router/cmd/hbrouter/main.go
+++ b/router/cmd/hbrouter/main.go
@@ -3,9 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"net"
 	"os"
 	"time"
@@ -23,33 +20,17 @@
 	"hornbeamcove.example/router"
 )
 
-func main() {
-	err := run(os.Args[1:])
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		os.Exit(2)
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "hbrouter:", err)
-		os.Exit(1)
-	}
-}
+func main() { proc.Exit("hbrouter", run(os.Args[1:])) }
 
-func run(args []string) (err error) {
+func run(args []string) error {
 	cfg, err := conf.LoadRouter(args, os.Stderr)
 	if err != nil {
 		return err
 	}
-	p, err := proc.New(proc.Config{
+	return proc.Serve(proc.Config{
 		Name: cfg.Name, Role: wire.RoleRouter, Level: string(cfg.Level), Admin: cfg.Admin, Secret: cfg.Secret,
 		Drain: time.Duration(cfg.Drain) * time.Millisecond, Out: os.Stdout,
-	})
-	if err != nil {
-		return err
-	}
-	if err = start(p, &cfg); err != nil {
-		return errors.Join(err, p.Close())
-	}
-	return p.Run(context.Background())
+	}, func(p *proc.Process) error { return start(p, &cfg) })
 }
 
 func start(p *proc.Process, cfg *conf.Router) (err error) {
--- a/router/dump.go
+++ b/router/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hornbeamcove.example/core/admin"
 	"hornbeamcove.example/core/meter"
 	"hornbeamcove.example/core/plat"
 	"hornbeamcove.example/core/share"
@@ -19,7 +20,7 @@
 	Head        wire.TicketNumber `json:"head"`
 	Root        uint64            `json:"root"`
 	Platform    *plat.Status      `json:"platform,omitempty"`
-	Rejected    []Rejection       `json:"rejected"`
+	Rejected    []admin.Rejection `json:"rejected"`
 	Members     []Member          `json:"members"`
 	Pools       []DumpPool        `json:"pools"`
 	Peers       []wire.Address    `json:"peers"`
--- /dev/null
+++ b/router/members.go
@@ -0,0 +1,143 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hornbeamcove.example/core/member"
+	"hornbeamcove.example/core/plat"
+	"hornbeamcove.example/core/route"
+	"hornbeamcove.example/core/ticket"
+	"hornbeamcove.example/core/wire"
+)
+
+// Member is this router's view of one upstream of its subset.
+type Member struct {
+	Upstream wire.UpstreamID   `json:"upstream"`
+	Pool     wire.PoolID       `json:"pool"`
+	Centre   wire.DataCentreID `json:"centre"`
+	Eligible bool              `json:"eligible"`
+	Reason   string            `json:"reason"`
+	Warmth   wire.Warmth       `json:"warmth"`
+	Limit    wire.Slots        `json:"limit"`
+	Flight   wire.Slots        `json:"flight"`
+	Queued   wire.Slots        `json:"queued"`
+	Own      int64             `json:"own"`
+}
+
+// setHosts takes in the platform's host list.
+func (c *control) setHosts(hosts []plat.Host) {
+	next := make(map[wire.HostID]plat.Host, len(hosts))
+	for _, h := range hosts {
+		next[h.Name] = h
+	}
+	c.hosts = next
+	routers := []route.Router{{Name: c.r.cfg.Name, Region: c.r.cfg.Region}}
+	for _, h := range hosts {
+		if h.Role == wire.RoleRouter && h.Name != c.r.cfg.Name && h.State == plat.HostLive {
+			routers = append(routers, route.Router{Name: h.Name, Region: h.Region})
+		}
+	}
+	slices.SortFunc(routers, func(a, b route.Router) int { return cmp.Compare(a.Name, b.Name) })
+	if !slices.Equal(routers, c.routers) {
+		c.routers = routers
+		c.resubset = true
+	}
+}
+
+// judge returns the members of each pool that may receive work.
+func (c *control) judge(now time.Time) map[wire.PoolID]*[]poolMember {
+	out := make(map[wire.PoolID]*[]poolMember, len(c.pools))
+	for id := range c.pools {
+		out[id] = &[]poolMember{}
+	}
+	own, _ := c.store.Centre(c.r.cfg.Centre)
+	for up, l := range c.links {
+		u, ok := c.store.Upstream(up)
+		if !ok || !c.subset[up] || !c.verdict(l, now).Eligible {
+			continue
+		}
+		list := out[u.Pool]
+		if list == nil {
+			continue
+		}
+		*list = append(*list, poolMember{link: l.agentLink, distance: distance(own, c.r.cfg.Centre, u.Centre)})
+	}
+	for _, list := range out {
+		slices.SortFunc(*list, func(a, b poolMember) int { return cmp.Compare(a.link.up, b.link.up) })
+	}
+	return out
+}
+
+// distance is the one-way delay to a data centre; unknown ones count as far.
+func distance(own wire.Centre, from, to wire.DataCentreID) wire.Micros {
+	const far = 100_000
+	if from == to {
+		return 0
+	}
+	if d, ok := own.Distances[string(to)]; ok {
+		return wire.Micros(d)
+	}
+	return far
+}
+
+func (c *control) verdict(l *heldLink, now time.Time) member.Verdict {
+	if now.Before(c.validating) {
+		return member.Verdict{Reason: reasonRevalidating}
+	}
+	u, ok := c.store.Upstream(l.up)
+	centre, known := c.store.Centre(u.Centre)
+	var s member.Sight
+	if sess, _ := l.session(); sess != nil {
+		s.Alive = true
+		s.Incarnation = sess.Peer().Incarnation
+	}
+	if rep := l.report.Load(); rep != nil && rep.Incarnation == s.Incarnation {
+		s.Leaving, s.Out = rep.Leaving, rep.Out
+	}
+	return member.Judge(u, centre, ok && known, s, c.listing(l.up, u.Host, s))
+}
+
+// listing returns the host list's word on an upstream, with the incarnation that
+// was seen when the list first said so.
+func (c *control) listing(up wire.UpstreamID, host wire.HostID, s member.Sight) member.Listing {
+	state := member.Absent
+	if h, ok := c.hosts[host]; ok {
+		state = string(h.State)
+	}
+	l := c.listings[up]
+	if l.State != state {
+		l = member.Listing{State: state, Incarnation: s.Incarnation}
+		c.listings[up] = l
+	}
+	return l
+}
+
+// memberView is a link with the verdict on its upstream.
+type memberView struct {
+	link *agentLink
+	member.Verdict
+}
+
+// Members returns this router's view of the upstreams that it holds sessions to,
+// in name order.
+func (r *Router) Members() (out []Member) {
+	s := r.snap.Load()
+	for _, m := range s.members {
+		out = append(out, m.view(s.store))
+	}
+	return out
+}
+
+func (v memberView) view(s *ticket.Store) Member {
+	l := v.link
+	m := Member{Upstream: l.up, Pool: l.pool.id, Eligible: v.Eligible, Reason: v.Reason, Own: l.own.Load()}
+	if u, ok := s.Upstream(l.up); ok {
+		m.Centre = u.Centre
+	}
+	if rep := l.report.Load(); rep != nil {
+		m.Warmth, m.Limit, m.Flight, m.Queued = rep.Warmth, rep.Limit, rep.Flight, rep.Queued
+	}
+	return m
+}
--- /dev/null
+++ b/router/tickets.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"hornbeamcove.example/core/admin"
+	"hornbeamcove.example/core/ticket"
+	"hornbeamcove.example/core/wire"
+)
+
+// apply puts a ticket in force or records why it was refused. A ticket that names
+// objects of a ticket that has not arrived waits for it, so that the state does
+// not depend on the order of arrival.
+func (c *control) apply(t wire.Ticket) {
+	if c.try(t) {
+		c.retryPending()
+	}
+}
+
+func (c *control) try(t wire.Ticket) bool {
+	next, changes, err := c.store.Apply(t)
+	if err == nil {
+		c.replace(next, changes)
+		return true
+	}
+	c.reject(t.Number, err)
+	var bt *ticket.BadTicket
+	if errors.As(err, &bt) && bt.Pending {
+		c.pending = slices.DeleteFunc(c.pending, func(x wire.Ticket) bool { return x.Number == t.Number })
+		c.pending = append(c.pending, t)
+		if len(c.pending) > maxRejected {
+			c.r.note(log.WarnLevel, "pending_dropped", "", "waiting ticket dropped", "ticket", c.pending[0].Number)
+			c.pending = c.pending[1:]
+		}
+	}
+	return false
+}
+
+// retryPending tries waiting tickets again until none of them can be applied.
+func (c *control) retryPending() {
+	for again := true; again; {
+		again = false
+		waiting := c.pending
+		c.pending = nil
+		for _, t := range waiting {
+			if c.try(t) {
+				again = true
+				c.rejected = slices.DeleteFunc(c.rejected, func(x admin.Rejection) bool { return x.Number == t.Number })
+			}
+		}
+	}
+}
+
+func (c *control) reject(n wire.TicketNumber, err error) {
+	rej := admin.Rejection{Number: n, Problem: err.Error(), At: time.Now()}
+	if bt, ok := err.(*ticket.BadTicket); ok {
+		rej.Number, rej.Field, rej.Problem, rej.Pending = bt.Number, bt.Field, bt.Problem, bt.Pending
+	}
+	known := slices.ContainsFunc(c.rejected, func(x admin.Rejection) bool {
+		return x.Number == rej.Number && x.Field == rej.Field
+	})
+	if known {
+		return
+	}
+	c.r.log.Error("ticket refused", "ticket", rej.Number, "field", rej.Field, "problem", rej.Problem)
+	c.r.Inc("ticket_refused", "")
+	c.rejected = append(c.rejected, rej)
+	if len(c.rejected) > maxRejected {
+		c.r.note(log.InfoLevel, "rejection_dropped", "", "record of a refused ticket dropped", "ticket", c.rejected[0].Number)
+		c.rejected = c.rejected[1:]
+	}
+}
+
+// merge takes in objects from a peer.
+func (c *control) merge(objs []wire.Object) {
+	next, changes, err := c.store.Merge(objs)
+	if err != nil {
+		c.r.log.Warn("peer's objects refused", "err", err)
+		c.r.Inc("merge_refused", "")
+	}
+	c.replace(next, changes)
+	c.retryPending()
+}
+
+func (c *control) replace(next *ticket.Store, changes []ticket.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	c.store = next
+	for _, ch := range changes {
+		c.r.note(log.InfoLevel, "object_in_force", "", "object in force", "kind", ch.Kind, "name", ch.Name, "ticket", ch.New.Number, "deleted", ch.New.Deleted)
+		if ch.Kind == wire.ObjectKindUpstream || ch.Kind == wire.ObjectKindCentre {
+			c.resubset = true
+		}
+	}
+	c.r.Inc("ticket_applied", "")
+	c.recent = c.recent.with(changes)
+	c.changed = true
+}
