router: use the slices package for look-ups

Cause: three loops repeated what the standard library has.

Figures: go test -race ./router passes.

Conclusion: no change of behaviour.

--- a/router/pool.go
+++ b/router/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -210,7 +211,7 @@
 		c.Flight, c.Queued = min(c.Flight, c.Limit-1), 0
 	}
 	if w != nil && w.prefix != "" {
-		c.Prefix = holds(rep.Prefixes, w.prefix)
+		c.Prefix = slices.Contains(rep.Prefixes, w.prefix)
 	}
 	return c
 }
@@ -220,15 +221,6 @@
 	return !w.avoid[up] && wire.Serves(rep.Model, rep.Adapters, w.model, w.adapter)
 }
 
-func holds(ps []wire.Fingerprint, p wire.Fingerprint) bool {
-	for _, x := range ps {
-		if x == p {
-			return true
-		}
-	}
-	return false
-}
-
 // random returns a source of its own, seeded from the pool's.
 func (p *pool) random() *rand.Rand {
 	p.mu.Lock()
--- a/router/reserve.go
+++ b/router/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hornbeamcove.example/core/once"
@@ -30,7 +31,7 @@
 	if s.team, ok = s.store.Team(s.req.Team); !ok {
 		return "", wire.ReasonUnauthorised
 	}
-	if s.pl, ok = s.store.Pipeline(s.req.Pipeline); !ok || !allowed(&s.pl, s.req.Team) {
+	if s.pl, ok = s.store.Pipeline(s.req.Pipeline); !ok || !slices.Contains(s.pl.Teams, s.req.Team) {
 		return "", wire.ReasonNotfound
 	}
 	i := onceStage(&s.pl)
--- a/router/serve.go
+++ b/router/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -92,7 +93,7 @@
 	if s.team, ok = s.store.Team(s.req.Team); !ok {
 		return wire.ReasonUnauthorised
 	}
-	if s.pl, ok = s.store.Pipeline(s.req.Pipeline); !ok || !allowed(&s.pl, s.req.Team) {
+	if s.pl, ok = s.store.Pipeline(s.req.Pipeline); !ok || !slices.Contains(s.pl.Teams, s.req.Team) {
 		return wire.ReasonNotfound
 	}
 	if (onceStage(&s.pl) >= 0) != (s.req.Token != "") {
@@ -108,23 +109,9 @@
 	return ""
 }
 
-func allowed(p *wire.Pipeline, t wire.TeamID) bool {
-	for _, x := range p.Teams {
-		if x == t {
-			return true
-		}
-	}
-	return false
-}
-
 // onceStage returns the index of the non-repeatable stage, or -1.
 func onceStage(p *wire.Pipeline) int {
-	for i := range p.Stages {
-		if p.Stages[i].Once {
-			return i
-		}
-	}
-	return -1
+	return slices.IndexFunc(p.Stages, func(s wire.Stage) bool { return s.Once })
 }
 
 // needs is the time that the stages from index on are expected to take: their
