router: leave time for the agent's word on calls that run out of time

Cause: TestCosts compares the books of the routers with the stand-ins' records. A call that ended at the request's deadline was given up by router and agent at the same moment, so the router learnt neither what was executed nor its cost, and nobody was charged for it.

Change: an agent gets 50 ms (at most an eighth) less than the stage's time; its result comes back before the router gives up.

Conclusion: waste at the deadline is charged to the team that caused it. The cost of a call whose agent dies is still not known to any book.

--- /dev/null
+++ b/demo/local/cost_test.go
@@ -0,0 +1,63 @@
+package local
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes"
+)
+
+// spent is the cost that routers booked, or that stand-ins recorded.
+type spent struct{ Input, Cached, Output, Busy int64 }
+
+func (s *spent) add(c wire.Cost) {
+	s.Input += int64(c.Input)
+	s.Cached += int64(c.Cached)
+	s.Output += int64(c.Output)
+	s.Busy += int64(c.Busy)
+}
+
+// TestCosts guards against cost that nobody is charged for: with answers, retries
+// after failures and calls cancelled at their deadline, the books of the routers
+// hold what the upstreams did, to the unit.
+func TestCosts(t *testing.T) {
+	f, err := Start(t.Context(), Today(2*time.Millisecond))
+	assert.NilError(t, err)
+	for _, u := range f.Upstreams {
+		if u.Engine != nil {
+			rate := 0.1
+			assert.NilError(t, u.Engine.Apply(fakes.Fault{Fail: &rate}))
+		}
+	}
+	var wg conc.WaitGroup
+	for i := range 120 {
+		wg.Go(func() {
+			c := Call{Key: "folders-key", Pipeline: FoldPlan, Body: map[string]any{"prompt": fmt.Sprint("plan ", i), "max_tokens": 20 + 10*(i%3)}}
+			if i%4 == 0 {
+				// Too long for the pipeline's 3 s: cancelled at the deadline.
+				c.Body = map[string]any{"prompt": fmt.Sprint("plan ", i), "max_tokens": 2000}
+			}
+			_, err := Post(t.Context(), f.Routers[i%2].URL, c)
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+	var did, booked spent
+	assert.NilError(t, f.Close())
+	for _, u := range f.Upstreams {
+		did.add(u.Record().Total())
+	}
+	for _, r := range f.Routers {
+		totals := r.Book.Totals()
+		booked.add(totals.Useful.Cost)
+		for _, w := range totals.Reasons {
+			booked.add(w.Cost)
+		}
+	}
+	assert.DeepEqual(t, booked, did)
+}
--- a/demo/local/fleet.go
+++ b/demo/local/fleet.go
@@ -103,6 +103,7 @@
 // Router is one router with its callers' address.
 type Router struct {
 	*router.Router
+	Book   *acct.Book
 	URL    string
 	Admin  wire.Address // of its administration listener, or empty
 	Name   wire.HostID
@@ -284,7 +285,7 @@
 	p := platform{plat.NewClient(f.Config.URL()), plat.NewClient(f.Hosts.URL())}
 	logger := f.Spec.Log.With("process", name)
 	book := acct.NewBook(acct.WithLogger(logger))
-	rt := &Router{Name: name, done: make(chan struct{}), Router: router.New(
+	rt := &Router{Name: name, Book: book, done: make(chan struct{}), Router: router.New(
 		router.Config{Name: name, Centre: c.Name, Region: c.Region}, q, q,
 		router.WithIncarnation(inc), router.WithPlatform(p), router.WithLogger(logger), router.WithAccounts(book))}
 	rt.app = rt.App()
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -18,6 +18,9 @@
 	// resumeLimit bounds the wait for a new session when the call may be run
 	// elsewhere instead; a dead host never opens one.
 	resumeLimit = 300 * time.Millisecond
+	// verdictMargin is the part of a stage's time that is left for the agent's word
+	// on a call that ran out of time, with its cost.
+	verdictMargin = 50 * time.Millisecond
 	// verdictGrace is the time beyond the stage's budget for which the router
 	// waits for the agent's own word on what became of the call.
 	verdictGrace = 250 * time.Millisecond
--- a/router/serve.go
+++ b/router/serve.go
@@ -247,7 +247,7 @@
 	solo := state == wire.MarkStateSuspect
 	c := &wire.Call{
 		Ref: wire.Ref{Request: s.id, Stage: s.stage.Name, Attempt: n}, Team: s.req.Team, Pipeline: s.req.Pipeline,
-		Kind: s.stage.Kind, Rank: s.pl.Rank, Weight: s.team.Weight, Left: max(1, millis(left)), Once: s.stage.Once,
+		Kind: s.stage.Kind, Rank: s.pl.Rank, Weight: s.team.Weight, Left: max(1, millis(left-min(verdictMargin, left/8))), Once: s.stage.Once,
 		Print: s.print, Solo: solo, Model: s.stage.Model, Adapter: s.stage.Adapter,
 		Stream: s.stage.Kind == wire.KindGenerate, Input: input,
 	}
