agent, wire: keep figures from upstreams within the bounds of messages

An upstream that reports a negative or a huge cost, more work than 65,536 calls, or long names made the agent send a message that routers refuse to decode; they then drop the session with all its calls.

Change: costs and counts are bounded where they enter; a load report with names over 64 bytes is an error of the upstream.

Conclusion: a faulty upstream no longer costs other calls their session.

--- a/agent/http.go
+++ b/agent/http.go
@@ -24,6 +24,8 @@
 	headerBusy = "Busy-Micros"
 	// maxAnswer bounds the body of an upstream's answer in bytes.
 	maxAnswer = 2 << 20
+	// maxText bounds names in a load report in bytes, and its adapters.
+	maxText = 64
 )
 
 // HTTP speaks an upstream's own protocol: JSON over HTTP, and for engines
@@ -124,6 +126,9 @@
 	if err = h.get(ctx, "/load", &lr); err != nil {
 		return ev, l, err
 	}
+	if len(lr.Boot) > maxText || len(lr.Model) > maxText || len(lr.Adapters) > maxText {
+		return ev, l, &UpstreamError{Sent: true, Err: errors.New("load report: boot, model or adapters are over 64")}
+	}
 	if h.kind == wire.KindGenerate {
 		h.restarted(lr.Boot)
 		h.readEvents(ctx)
--- a/agent/state.go
+++ b/agent/state.go
@@ -182,7 +182,7 @@
 	s := a.state.Load()
 	w, most, flight, queued := a.gate.view()
 	r := &wire.Report{
-		Upstream: a.cfg.Upstream, Incarnation: a.inc, Warmth: w, Limit: most, Flight: flight, Queued: queued,
+		Upstream: a.cfg.Upstream, Incarnation: a.inc, Warmth: w, Limit: most, Flight: min(flight, wire.MaxSlots), Queued: queued,
 		Leaving: s.leaving || s.draining(), Out: s.out(), Ticket: s.ticket(), Prefixes: a.up.Prefixes(),
 	}
 	if b := a.boot.Load(); b != nil {
--- a/core/wire/check.go
+++ b/core/wire/check.go
@@ -62,10 +62,27 @@
 	maxToken   = 160
 	maxMillis  = 600_000
 	maxAttempt = 64
-	maxSlots   = 65_536
 	maxMarks   = 256
 )
 
+// Bounds of counts in messages. A process that takes figures from an upstream
+// keeps them within these, or its peers would drop the message.
+const (
+	MaxSlots Slots = 65_536
+	// MaxCost bounds each figure of a Cost.
+	MaxCost = 1 << 40
+)
+
+// Bounded returns c with each figure within its range.
+func (c Cost) Bounded() Cost {
+	c.Input = min(max(c.Input, 0), MaxCost)
+	c.Cached = min(max(c.Cached, 0), c.Input)
+	c.Output = min(max(c.Output, 0), MaxCost)
+	c.Calls = min(max(c.Calls, 0), int(MaxSlots))
+	c.Busy = min(max(c.Busy, 0), MaxCost)
+	return c
+}
+
 // Check reports the first field of r that is out of range.
 func (r Ref) Check() error {
 	return first(
@@ -100,9 +117,9 @@
 		checkText("report.incarnation", string(r.Incarnation), maxUUID, true),
 		checkText("report.boot", string(r.Boot), maxName, false),
 		checkOneOf("report.warmth", r.Warmth, WarmthCold, WarmthWarming, WarmthWarm),
-		checkRange("report.limit", int(r.Limit), 0, maxSlots),
-		checkRange("report.flight", int(r.Flight), 0, maxSlots),
-		checkRange("report.queued", int(r.Queued), 0, maxSlots),
+		checkRange("report.limit", int(r.Limit), 0, int(MaxSlots)),
+		checkRange("report.flight", int(r.Flight), 0, int(MaxSlots)),
+		checkRange("report.queued", int(r.Queued), 0, int(MaxSlots)),
 		checkRange("report.prefixes", len(r.Prefixes), 0, maxName),
 		checkText("report.model", string(r.Model), maxName, false),
 		checkRange("report.adapters", len(r.Adapters), 0, maxName),
@@ -140,13 +157,12 @@
 
 // Check reports the first field of c that is out of range.
 func (c Cost) Check() error {
-	const most = 1 << 40
 	return first(
-		checkRange("cost.input", int(c.Input), 0, most),
+		checkRange("cost.input", int(c.Input), 0, MaxCost),
 		checkRange("cost.cached", int(c.Cached), 0, int(c.Input)),
-		checkRange("cost.output", int(c.Output), 0, most),
-		checkRange("cost.calls", c.Calls, 0, maxSlots),
-		checkRange("cost.busy", int(c.Busy), 0, most),
+		checkRange("cost.output", int(c.Output), 0, MaxCost),
+		checkRange("cost.calls", c.Calls, 0, int(MaxSlots)),
+		checkRange("cost.busy", int(c.Busy), 0, MaxCost),
 	)
 }
 
@@ -157,7 +173,7 @@
 		checkText("hello.name", string(h.Name), maxName, true),
 		checkText("hello.centre", string(h.Centre), maxName, true),
 		checkText("hello.incarnation", string(h.Incarnation), maxUUID, true),
-		checkRange("hello.version", int(h.Version), 1, maxSlots),
+		checkRange("hello.version", int(h.Version), 1, int(MaxSlots)),
 	)
 }
 
