router: collect the cost of abandoned calls from their agents

Change: after a router has given up a call it asks the agent for the result over a new stream, for at most 2 s, and books the cost as waste of the team. The drain waits for that; a cost that can't be had is counted as cost_lost.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -31,6 +31,7 @@
 	result   *wire.Result // for an attempt that the upstream was given
 	reason   wire.Reason  // empty when done
 	executed wire.Executed
+	late     bool // given up before its result came
 	report   *wire.Report
 	upstream wire.UpstreamID
 	absent   bool // the agent never saw the call, nor its token
@@ -54,6 +55,62 @@
 // errLost means that the session was lost before the outcome was known.
 var errLost = errors.New("session lost")
 
+const (
+	collectLimit = 2 * time.Second
+	// maxCollecting bounds the abandoned calls whose cost is still awaited.
+	maxCollecting = 1024
+)
+
+// collect asks an agent for the result of an abandoned call, and passes it to
+// book. The drain waits for it. A cost that can't be had is counted.
+func (r *Router) collect(l *agentLink, ref wire.Ref, book func(*wire.Result)) {
+	if r.collecting.Add(1) > maxCollecting {
+		r.collecting.Add(-1)
+		r.Inc("cost_lost", wire.ReasonOverload)
+		return
+	}
+	go func() {
+		defer r.collecting.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), collectLimit)
+		defer cancel()
+		res, err := l.result(ctx, ref)
+		switch {
+		case err != nil:
+			r.Inc("cost_lost", wire.ReasonUnknown)
+		case res != nil:
+			book(res)
+		}
+	}()
+}
+
+// result returns the result of a call, or nil when the agent never accepted it.
+func (l *agentLink) result(ctx context.Context, ref wire.Ref) (*wire.Result, error) {
+	sess, err := l.await(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	st, err := sess.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = st.Close() }()
+	if err = st.Send(&wire.Frame{Query: &wire.Query{Ref: ref}}); err != nil {
+		return nil, err
+	}
+	for {
+		f, err := st.Recv(ctx)
+		switch {
+		case err != nil:
+			return nil, err
+		case f.Refuse != nil:
+			return nil, nil
+		case f.Result != nil && f.Result.Ref == ref:
+			_ = st.Send(&wire.Frame{Ack: &wire.Ack{Ref: ref}})
+			return f.Result, nil
+		}
+	}
+}
+
 // try sends a call and follows it until its outcome is known or ctx is done.
 // When the session is lost it asks for the outcome over a new one. shown is set
 // by emit when text has reached the caller.
@@ -128,8 +185,7 @@
 		}
 		o, ended, err := a.take(st, f)
 		if err != nil {
-			st.Reset()
-			return a.ended(wire.ReasonCancelled), nil
+			return a.abandon(st, wire.ReasonCancelled), nil
 		}
 		if ended {
 			return o, nil
@@ -148,8 +204,16 @@
 	if ctx.Err() == nil {
 		return outcome{}, errLost
 	}
+	return a.abandon(st, wire.ReasonDeadline), nil
+}
+
+// abandon gives up a call whose caller waits no longer; its cost is collected
+// from the agent afterwards.
+func (a *attempt) abandon(st link.Stream, reason wire.Reason) outcome {
 	st.Reset()
-	return a.ended(wire.ReasonDeadline), nil
+	o := a.ended(reason)
+	o.late = true
+	return o
 }
 
 func (a *attempt) ended(reason wire.Reason) outcome {
--- a/router/router.go
+++ b/router/router.go
@@ -65,8 +65,10 @@
 	ctl       *control
 	watcher   *plat.Watcher
 
-	flight   atomic.Int64
-	draining atomic.Bool
+	flight atomic.Int64
+	// collecting counts abandoned calls whose cost is awaited.
+	collecting atomic.Int64
+	draining   atomic.Bool
 	meter.Counters
 	newID func() wire.RequestID
 }
@@ -168,7 +170,7 @@
 	end := time.After(limit)
 	sub := r.tick.Subscribe(drainPoll, "drain")
 	defer sub.Close()
-	for r.flight.Load() > 0 {
+	for r.flight.Load()+r.collecting.Load() > 0 {
 		select {
 		case <-sub.C:
 		case <-end:
--- a/router/serve.go
+++ b/router/serve.go
@@ -311,16 +311,15 @@
 	if !o.done() && o.executed != wire.ExecutedNone {
 		l.fault(now)
 	}
+	if o.late {
+		s.r.collect(l, c.Ref, func(res *wire.Result) { s.book(l, c.Ref, res, o.reason, took, true) })
+	}
 	if o.result != nil {
-		s.charge(l.pool, &o.result.Cost)
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.up, Centre: s.centreOf(l.up), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
 		if o.done() {
 			s.stages = append(s.stages, run)
 		}
-		s.r.book.Stage(now, acct.StageRun{
-			Ref: c.Ref, Team: s.req.Team, Pipeline: s.req.Pipeline, Upstream: l.up, Centre: run.Centre, Took: took,
-			Cost: o.result.Cost, Wasted: o.result.Wasted, Cause: o.reason,
-		})
+		s.book(l, c.Ref, o.result, o.reason, took, o.result.Wasted)
 	}
 	switch {
 	case o.reason == wire.ReasonCrashed:
@@ -342,6 +341,15 @@
 	return u.Centre
 }
 
+// book charges the team for an attempt and enters it in the accounts.
+func (s *stageRun) book(l *agentLink, ref wire.Ref, res *wire.Result, cause wire.Reason, took time.Duration, wasted bool) {
+	s.charge(l.pool, &res.Cost)
+	s.r.book.Stage(time.Now(), acct.StageRun{
+		Ref: ref, Team: s.req.Team, Pipeline: s.req.Pipeline, Upstream: l.up, Centre: s.centreOf(l.up), Took: took,
+		Cost: res.Cost, Wasted: wasted, Cause: cause,
+	})
+}
+
 const microsPerMilli = 1000
 
 // charge corrects the team's account by what the attempt really cost, wasted
