agent: take configuration after a pause from new sessions only

Configuration that was buffered on a session from before the pause ended the agent's wait for a confirmation too early.

Change: after a pause the agent closes its sessions; only configuration on a session that began afterwards ends the wait. Routers open new sessions and ask for calls under way.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,8 +63,8 @@
 	have  atomic.Pointer[Loaded]
 	order atomic.Bool // an order is under way
 	state atomic.Pointer[state]
-	// ticked is the time of the last tick seen, doubt the end of the wait for the
-	// configuration after a pause.
+	// ticked is the time of the last tick seen, doubt the end of a pause after
+	// which no router has confirmed the configuration.
 	ticked, doubt atomic.Pointer[time.Time]
 
 	work     context.Context // ends after the drain
@@ -201,8 +201,8 @@
 	doubtLimit = time.Second
 )
 
-// watch notices pauses of the process. After one it asks a router for the
-// configuration and admits nothing until that has come.
+// watch notices pauses of the process. After one it closes its sessions, and
+// admits nothing until a router has sent the configuration on a new one.
 func (a *Agent) watch(ctx context.Context) {
 	sub := a.tick.Subscribe(watchPeriod, "watch")
 	defer sub.Close()
@@ -212,9 +212,9 @@
 		case t := <-sub.C:
 			now := time.Now()
 			if t.Paused() {
-				end := now.Add(doubtLimit)
-				a.doubt.Store(&end)
-				a.confirm()
+				// What older sessions still hold may be from before the pause.
+				a.doubt.Store(&now)
+				a.closeSessions("agent was paused")
 			}
 			a.saw(now)
 		case <-ctx.Done():
@@ -231,8 +231,8 @@
 	if t := a.ticked.Load(); t != nil && now.Sub(*t) > clock.MaxLate+watchPeriod {
 		return true
 	}
-	end := a.doubt.Load()
-	return end != nil && now.Before(*end)
+	since := a.doubt.Load()
+	return since != nil && now.Before(since.Add(doubtLimit))
 }
 
 // poll asks the upstream for its report on each tick.
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -28,6 +28,7 @@
 // session is one router's connection.
 type session struct {
 	link.Session
+	born time.Time
 	// due holds what the session's writer has to send: a report, a question for
 	// the configuration, or both. A router that stopped reading delays no other.
 	due    chan struct{}
@@ -47,7 +48,7 @@
 		if err != nil {
 			return
 		}
-		s := &session{Session: ls, due: make(chan struct{}, 1)}
+		s := &session{Session: ls, born: time.Now(), due: make(chan struct{}, 1)}
 		if !a.replace(s) {
 			a.note(log.InfoLevel, "session_refused", "", "session refused", "router", s.Peer().Name, "epoch", s.Peer().Epoch)
 			s.Close("a newer session is open, or too many are")
@@ -124,7 +125,9 @@
 			continue
 		}
 		a.submit(merge{objects: f.Sync.Objects, change: func(st *state) { st.confirmed = time.Now() }})
-		a.doubt.Store(nil)
+		if since := a.doubt.Load(); since != nil && s.born.After(*since) {
+			a.doubt.Store(nil)
+		}
 	}
 }
 
