conf: remove PEM, which certs.Read replaces

Cause: certs.Read takes PEM text or a path, so conf.PEM stood twice and nothing called it.

Change: conf.PEM is gone.

Conclusion: no change of behaviour.

--- a/core/conf/load.go
+++ b/core/conf/load.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/netip"
 	"net/url"
-	"os"
 	"strings"
 	"sync"
 
@@ -125,16 +124,3 @@
 	}
 	return nil
 }
-
-// PEM returns the PEM text of a TLS setting, which is either the text itself or
-// the path of a file that holds it.
-func PEM(setting string) (text []byte, err error) {
-	if strings.Contains(setting, "-----BEGIN ") {
-		return []byte(setting), nil
-	}
-	text, err = os.ReadFile(setting)
-	if err != nil {
-		return nil, fmt.Errorf("read PEM file: %w", err)
-	}
-	return text, nil
-}
