proc: share the drain step that ends a program's work

Cause: hbrouter and hbagent each wrote the goroutine and the drain step that stops it and waits for it.

Change: proc.Process.Work does both; the order of the steps is as before.

Figures: go test -run TestProcesses ./demo (SIGTERM under load, exit code 0) and go test -race ./proc in core pass.

Conclusion: no change of behaviour.

--- a/agent/cmd/hbagent/main.go
+++ b/agent/cmd/hbagent/main.go
@@ -61,25 +61,7 @@
 	p.AddDumper("accounts", book)
 	p.Go("accounts", book.Run)
 	p.Go("certificates", func(ctx context.Context) error { return src.Watch(ctx, files, p.Rotated) })
-	serve(p, a, time.Duration(cfg.Drain)*time.Millisecond)
+	drain := time.Duration(cfg.Drain) * time.Millisecond
+	p.Work("agent", "calls", func(ctx context.Context) error { return a.Run(ctx, drain) })
 	return nil
 }
-
-// serve runs the agent; the drain's step ends when its work under way has.
-func serve(p *proc.Process, a *agent.Agent, drain time.Duration) {
-	live, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	p.Go("agent", func(context.Context) error {
-		defer close(ended)
-		return a.Run(live, drain)
-	})
-	p.OnDrain("calls", func(ctx context.Context) error {
-		stop()
-		select {
-		case <-ended:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	})
-}
--- a/core/proc/drain.go
+++ b/core/proc/drain.go
@@ -93,3 +93,24 @@
 	p.log.Info("process stopped")
 	return errors.Join(err, p.metrics.close())
 }
+
+// Work runs f in a goroutine of the process and adds a drain step that ends the
+// context of f and waits for f, which finishes its work under way before it
+// returns.
+func (p *Process) Work(name, step string, f func(context.Context) error) {
+	live, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	p.Go(name, func(context.Context) error {
+		defer close(ended)
+		return f(live)
+	})
+	p.OnDrain(step, func(ctx context.Context) error {
+		stop()
+		select {
+		case <-ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+}
--- a/router/cmd/hbrouter/main.go
+++ b/router/cmd/hbrouter/main.go
@@ -101,13 +101,6 @@
 	p.Go("callers", func(context.Context) error {
 		return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	})
-	drain := time.Duration(cfg.Drain) * time.Millisecond
-	live, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	p.Go("router", func(context.Context) error {
-		defer close(ended)
-		return r.Run(live, drain)
-	})
 	p.OnDrain("linger", func(ctx context.Context) error {
 		select {
 		case <-time.After(time.Duration(cfg.Linger) * time.Millisecond):
@@ -115,15 +108,8 @@
 		}
 		return nil
 	})
-	p.OnDrain("requests", func(ctx context.Context) error {
-		stop()
-		select {
-		case <-ended:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	})
+	drain := time.Duration(cfg.Drain) * time.Millisecond
+	p.Work("router", "requests", func(ctx context.Context) error { return r.Run(ctx, drain) })
 	p.OnDrain("callers", func(ctx context.Context) error {
 		client.close()
 		return app.ShutdownWithContext(ctx)
