agent: check for a pause right before a call is sent

Cause: a pause could fall between the admission of a call, where the age of the configuration is checked, and its first byte; the call then began in a data centre that had gone out meanwhile. Change: the check is repeated right before the write (Guard).

--- a/agent/conns.go
+++ b/agent/conns.go
@@ -62,7 +62,11 @@
 	if err != nil {
 		return nil, &UpstreamError{Err: err}
 	}
-	return &conn{Conn: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc)}, nil
+	return newConn(nc), nil
+}
+
+func newConn(nc net.Conn) *conn {
+	return &conn{Conn: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc)}
 }
 
 func (p *conns) take() *conn {
@@ -102,6 +106,9 @@
 			err = ctx.Err()
 		}
 	}()
+	if err = Guard(ctx); err != nil {
+		return err
+	}
 	if err = req.Write(c.w); err == nil {
 		err = c.w.Flush()
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -178,7 +178,7 @@
 		n++
 		return err
 	}
-	ans, err := a.up.Run(ctx, r.call, emit)
+	ans, err := a.up.Run(withGuard(ctx, a.guard), r.call, emit)
 	res := &wire.Result{
 		Ref: r.call.Ref, Outcome: wire.OutcomeDone, Executed: wire.ExecutedSome, Reason: wire.ReasonUpstream,
 		Chunks: n, Output: ans.Output, Cost: ans.Cost.Bounded(),
@@ -200,6 +200,14 @@
 	a.account(r.call, res, sample.Latency)
 }
 
+// guard refuses to send a call when a pause came after its admission.
+func (a *Agent) guard() error {
+	if a.outdated(time.Now()) {
+		return &UpstreamError{Err: errOutdated}
+	}
+	return nil
+}
+
 // units is the work by which the limiter compares calls: generated tokens, since
 // answers differ in length.
 func units(c *wire.Call, tokens wire.Tokens) int64 {
