--- /dev/null
+++ b/core/batch/queue.go
@@ -0,0 +1,402 @@
+// Package batch lets pieces of many requests share calls to the upstreams of a
+// stage service. A call has a fixed cost, so that the pieces that wait while all
+// upstreams are busy go out together. It does no I/O.
+//
+// It answers the load of bursts of one pipeline: pieces that can still be in time
+// go before those that can't, a result is made in the data centre that reads it
+// where that costs little time, and no upstream is asked to keep more results than
+// it has room for.
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// maxPieces bounds the pieces that wait for one service.
+	maxPieces = 8192
+	// bulky is the size of a result from which it matters where it is made; smaller
+	// ones cost less to move than a call made early.
+	bulky fleet.Bytes = 256 << 10
+	// roomPart is the part of an upstream's room that is used, in percent: sizes of
+	// results are approximate.
+	roomPart = 92
+	// slowFactor is how many times slower than the fastest an upstream may be before
+	// it only gets what the others can't take.
+	slowFactor = 1.7
+	// paceWeight is the weight of a new sample in an upstream's pace.
+	paceWeight = 0.3
+	// restMin and restMax bound the rest of an upstream after failed calls.
+	restMin = 200 * time.Millisecond
+	restMax = 3 * time.Second
+	// idlePoll bounds the time until Next should be asked again.
+	idlePoll = 50 * time.Millisecond
+)
+
+// Piece is one unit of stage work.
+type Piece[T any] struct {
+	Value  T
+	Centre wire.DataCentreID // that reads the result
+	Size   fleet.Bytes       // of the result
+	Rank   int               // 0 is the most urgent
+	Aim    time.Time         // by which the result still helps full credit
+	Latest time.Time         // after which the result is useless
+
+	since time.Time
+	order uint64
+}
+
+// Queue holds the pieces that wait for one service, and what is known of its
+// upstreams. It is not safe for concurrent use.
+type Queue[T any] struct {
+	calls   fleet.Calls
+	waiting []*Piece[T]
+	workers map[wire.UpstreamID]*worker
+	order   uint64
+}
+
+type worker struct {
+	centre   wire.DataCentreID
+	flight   int         // calls in progress
+	began    time.Time   // of the last call
+	size     int         // pieces of the last call
+	reserved fleet.Bytes // for results of calls in progress
+	kept     map[fleet.Handle]kept
+	used     fleet.Bytes
+	pace     float64 // time of calls over the expected time, 0 before the first
+	rest     time.Duration
+	restTill time.Time
+}
+
+type kept struct {
+	size  fleet.Bytes
+	until time.Time
+}
+
+// New returns an empty queue.
+func New[T any](c fleet.Calls) *Queue[T] {
+	return &Queue[T]{calls: c, workers: make(map[wire.UpstreamID]*worker)}
+}
+
+// SetCalls replaces the description of the service's calls.
+func (q *Queue[T]) SetCalls(c fleet.Calls) { q.calls = c }
+
+// SetUpstreams replaces the upstreams that take calls. What is known of those that
+// stay is kept.
+func (q *Queue[T]) SetUpstreams(us []fleet.Upstream) {
+	live := make(map[wire.UpstreamID]bool, len(us))
+	for _, u := range us {
+		live[u.ID] = true
+		if q.workers[u.ID] == nil {
+			q.workers[u.ID] = &worker{centre: u.Centre, kept: make(map[fleet.Handle]kept)}
+		}
+	}
+	for id := range q.workers {
+		if !live[id] {
+			delete(q.workers, id)
+		}
+	}
+}
+
+// Push adds pieces. It adds none and returns false if the queue is full.
+func (q *Queue[T]) Push(now time.Time, ps ...Piece[T]) bool {
+	if len(q.waiting)+len(ps) > maxPieces {
+		return false
+	}
+	for _, p := range ps {
+		p.since = now
+		q.order++
+		p.order = q.order
+		q.waiting = append(q.waiting, &p)
+	}
+	return true
+}
+
+// Remove drops the waiting pieces that match and returns their number.
+func (q *Queue[T]) Remove(match func(T) bool) int {
+	before := len(q.waiting)
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *Piece[T]) bool { return match(p.Value) })
+	return before - len(q.waiting)
+}
+
+// Len returns the number of waiting pieces.
+func (q *Queue[T]) Len() int { return len(q.waiting) }
+
+// Next returns the pieces of the next call for an upstream, most urgent first. With
+// none, wait is the time after which to ask again unless pieces are pushed. late
+// holds pieces that can't be made in time; they are removed.
+func (q *Queue[T]) Next(now time.Time, id wire.UpstreamID) (ps []Piece[T], late []Piece[T], wait time.Duration) {
+	late = q.expire(now)
+	w := q.workers[id]
+	switch {
+	case w == nil || len(q.waiting) == 0 || w.flight >= max(q.calls.Slots, 1):
+		return nil, late, idlePoll
+	case now.Before(w.restTill):
+		return nil, late, min(w.restTill.Sub(now), idlePoll)
+	case q.slow(w) && len(q.waiting) <= q.calls.Batch*q.faster(now, w):
+		return nil, late, idlePoll
+	}
+	w.expire(now)
+	room := q.calls.Room*roomPart/100 - w.used - w.reserved
+	chosen, wait := q.choose(now, w, room)
+	if len(chosen) == 0 {
+		return nil, late, wait
+	}
+	taken := make(map[*Piece[T]]bool, len(chosen))
+	for _, p := range chosen {
+		taken[p] = true
+		w.reserved += p.Size
+		ps = append(ps, *p)
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *Piece[T]) bool { return taken[p] })
+	w.flight++
+	w.began = now
+	w.size = len(ps)
+	return ps, late, 0
+}
+
+// choose returns up to a batch of pieces that fit into room and that the data
+// centre of w may make now.
+func (q *Queue[T]) choose(now time.Time, w *worker, room fleet.Bytes) (chosen []*Piece[T], wait time.Duration) {
+	q.sort(now, w)
+	wait = idlePoll
+	for _, p := range q.waiting {
+		if len(chosen) == q.calls.Batch {
+			break
+		}
+		if p.Size > room {
+			continue
+		}
+		if d := q.stay(now, w, p); d > 0 {
+			wait = min(wait, d)
+			continue
+		}
+		room -= p.Size
+		chosen = append(chosen, p)
+	}
+	return chosen, wait
+}
+
+// stay returns how long a piece still waits for an upstream of its own data centre
+// before another one makes it.
+func (q *Queue[T]) stay(now time.Time, w *worker, p *Piece[T]) time.Duration {
+	if p.Centre == w.centre || p.Size < bulky || !q.serves(now, p.Centre) {
+		return 0
+	}
+	patience := min(q.calls.Fixed, max(p.Aim.Sub(now)-2*q.took(w, q.calls.Batch), 0))
+	return patience - now.Sub(p.since)
+}
+
+// serves reports whether an upstream of the data centre can take calls.
+func (q *Queue[T]) serves(now time.Time, c wire.DataCentreID) bool {
+	for _, w := range q.workers {
+		if w.centre == c && !now.Before(w.restTill) {
+			return true
+		}
+	}
+	return false
+}
+
+// sort orders the waiting pieces for w: those that it can still make in time go by
+// their aim, the others after them by rank and age.
+func (q *Queue[T]) sort(now time.Time, w *worker) {
+	done := now.Add(q.took(w, min(len(q.waiting), q.calls.Batch)))
+	missed := func(p *Piece[T]) int {
+		if done.After(p.Aim) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(q.waiting, func(a, b *Piece[T]) int {
+		ma, mb := missed(a), missed(b)
+		if ma != mb {
+			return ma - mb
+		}
+		if ma == 1 {
+			return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Aim.Compare(b.Aim), cmp.Compare(a.order, b.order))
+		}
+		return cmp.Or(a.Aim.Compare(b.Aim), cmp.Compare(a.order, b.order))
+	})
+}
+
+// expire removes the pieces whose results would come too late.
+func (q *Queue[T]) expire(now time.Time) (late []Piece[T]) {
+	least := q.calls.Took(1)
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *Piece[T]) bool {
+		if now.Add(least).Before(p.Latest) {
+			return false
+		}
+		late = append(late, *p)
+		return true
+	})
+	return late
+}
+
+// Result describes the end of one call.
+type Result struct {
+	Reserved fleet.Bytes                  // the sizes of all pieces of the call
+	Made     map[fleet.Handle]fleet.Bytes // the results that are kept
+	Failed   bool                         // the call as a whole failed
+	Full     bool                         // the upstream had no place for the call
+}
+
+// Done records the end of a call at an upstream.
+func (q *Queue[T]) Done(now time.Time, id wire.UpstreamID, r Result) {
+	w := q.workers[id]
+	if w == nil {
+		return
+	}
+	w.flight--
+	w.reserved -= r.Reserved
+	for h, size := range r.Made {
+		w.kept[h] = kept{size, now.Add(q.calls.Keep)}
+		w.used += size
+	}
+	if r.Failed || r.Full {
+		w.rest = min(max(2*w.rest, restMin), restMax)
+		w.restTill = now.Add(w.rest)
+		return
+	}
+	w.rest = 0
+	sample := float64(now.Sub(w.began)) / float64(q.calls.Took(w.size))
+	if w.pace == 0 {
+		w.pace = sample
+	}
+	w.pace += paceWeight * (sample - w.pace)
+}
+
+// Free records that results are no longer kept, and returns their upstreams.
+func (q *Queue[T]) Free(hs []fleet.Handle) map[wire.UpstreamID][]fleet.Handle {
+	out := make(map[wire.UpstreamID][]fleet.Handle)
+	for id, w := range q.workers {
+		for _, h := range hs {
+			if k, ok := w.kept[h]; ok {
+				w.used -= k.size
+				delete(w.kept, h)
+				out[id] = append(out[id], h)
+			}
+		}
+	}
+	return out
+}
+
+// Estimate returns the time after which n more pieces with the given aim would be
+// made, as far as the queue shows. ok is false when no upstream can make them.
+func (q *Queue[T]) Estimate(now time.Time, n int, aim time.Time) (d time.Duration, ok bool) {
+	able := 0
+	soonest := time.Duration(-1)
+	pace := 0.0
+	for _, w := range q.workers {
+		if now.Before(w.restTill) || q.slow(w) {
+			continue
+		}
+		able++
+		pace += max(w.pace, 1)
+		if left := w.left(now, &q.calls); soonest < 0 || left < soonest {
+			soonest = left
+		}
+	}
+	if able == 0 {
+		return 0, len(q.workers) > 0
+	}
+	ahead := 0
+	for _, p := range q.waiting {
+		if !p.Aim.After(aim) && p.Aim.After(now) {
+			ahead++
+		}
+	}
+	pace /= float64(able)
+	full := time.Duration(float64(q.calls.Took(q.calls.Batch)) * pace)
+	rounds := float64(ahead+n) / float64(max(q.calls.Batch, 1)*able)
+	return soonest + time.Duration(rounds*float64(full)) + q.calls.Fixed, true
+}
+
+// left is the expected time until the worker's call ends.
+func (w *worker) left(now time.Time, c *fleet.Calls) time.Duration {
+	if w.flight == 0 {
+		return 0
+	}
+	took := time.Duration(float64(c.Took(w.size)) * max(w.pace, 1))
+	return max(took-now.Sub(w.began), 0)
+}
+
+// took is the expected time of a call with n pieces at w.
+func (q *Queue[T]) took(w *worker, n int) time.Duration {
+	return time.Duration(float64(q.calls.Took(n)) * max(w.pace, 1))
+}
+
+// Limit returns the time after which a call with n pieces at an upstream counts as
+// lost.
+func (q *Queue[T]) Limit(id wire.UpstreamID, n int) time.Duration {
+	w := q.workers[id]
+	if w == nil {
+		return lostSlack
+	}
+	return lostFactor*q.took(w, n) + lostSlack
+}
+
+const (
+	// A call that takes lostFactor times its expected time and lostSlack more has
+	// met an upstream that hangs, and its pieces are made elsewhere.
+	lostFactor = 2
+	lostSlack  = 250 * time.Millisecond
+)
+
+func (q *Queue[T]) best() float64 {
+	best := 0.0
+	for _, w := range q.workers {
+		if w.pace > 0 && (best == 0 || w.pace < best) {
+			best = w.pace
+		}
+	}
+	return best
+}
+
+func (q *Queue[T]) slow(w *worker) bool { return w.pace > slowFactor*max(q.best(), 1) }
+
+// faster counts the upstreams that are not slow and can take calls.
+func (q *Queue[T]) faster(now time.Time, than *worker) (n int) {
+	for _, w := range q.workers {
+		if w != than && !q.slow(w) && !now.Before(w.restTill) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) expire(now time.Time) {
+	for h, k := range w.kept {
+		if now.After(k.until) {
+			w.used -= k.size
+			delete(w.kept, h)
+		}
+	}
+}
+
+// View describes the queue for the state dump.
+type View struct {
+	Waiting int                            `json:"waiting"`
+	Workers map[wire.UpstreamID]WorkerView `json:"workers"`
+}
+
+// WorkerView describes one upstream of a queue.
+type WorkerView struct {
+	Flight   int         `json:"flight"`
+	Used     fleet.Bytes `json:"used"`
+	Reserved fleet.Bytes `json:"reserved"`
+	Pace     float64     `json:"pace"`
+}
+
+// View returns the current state.
+func (q *Queue[T]) View() View {
+	v := View{len(q.waiting), make(map[wire.UpstreamID]WorkerView, len(q.workers))}
+	for id, w := range q.workers {
+		v.Workers[id] = WorkerView{w.flight, w.used, w.reserved, w.pace}
+	}
+	return v
+}
--- /dev/null
+++ b/core/fleet/config.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// Config is one version of the configuration. It is immutable after Index.
+type Config struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+
+	hosts    map[string][]*Route // longest prefix first
+	services map[ServiceID]*Service
+	keys     map[string]*Team
+}
+
+// Index checks c and prepares its look-ups. The error names the first invalid object.
+func (c *Config) Index() (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("configuration %d: %w", c.Version, err)
+		}
+	}()
+	if c.Version <= 0 {
+		return errors.New("version is not positive")
+	}
+	c.services = make(map[ServiceID]*Service, len(c.Services))
+	for i := range c.Services {
+		c.services[c.Services[i].ID] = &c.Services[i]
+	}
+	c.hosts = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err = c.checkRoute(r); err != nil {
+			return err
+		}
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	for _, rs := range c.hosts {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	c.keys = make(map[string]*Team)
+	for i := range c.Teams {
+		for _, k := range c.Teams[i].Keys {
+			c.keys[k] = &c.Teams[i]
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("route %s: prefix %q does not begin and end with a slash", r.ID, r.Prefix)
+	}
+	if len(r.Split) == 0 {
+		return fmt.Errorf("route %s: no service", r.ID)
+	}
+	for _, w := range r.Split {
+		if c.services[w.Service] == nil {
+			return fmt.Errorf("route %s: unknown service %s", r.ID, w.Service)
+		}
+	}
+	for i, s := range r.Stages {
+		svc := c.services[s.Service]
+		if svc == nil || svc.Calls == nil {
+			return fmt.Errorf("route %s: stage %d: service %s takes no stage calls", r.ID, i, s.Service)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("route %s: stage %d comes after stage %d", r.ID, i, a)
+			}
+		}
+	}
+	return nil
+}
+
+// Match returns the route of a request: the one of the host whose prefix is the
+// longest that begins the path. It returns nil if there is none.
+func (c *Config) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	if h, _, ok := strings.Cut(host, ":"); ok {
+		host = h
+	}
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (c *Config) Service(id ServiceID) *Service { return c.services[id] }
+
+// Team returns the team that holds a key, or nil.
+func (c *Config) Team(key string) *Team { return c.keys[key] }
+
+// Choose returns the service for a request: draw is a number from 0 up to 1 that
+// splits the traffic by weight.
+func (r *Route) Choose(draw float64) ServiceID {
+	total := 0
+	for _, w := range r.Split {
+		total += max(w.Part, 0)
+	}
+	at := draw * float64(total)
+	for _, w := range r.Split {
+		if at -= float64(max(w.Part, 0)); at < 0 {
+			return w.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// Allowed reports whether a request of route r and team t (nil for none) may run
+// in region. Where both name regions, both must allow it.
+func Allowed(r *Route, t *Team, region wire.RegionID) bool {
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, region) {
+		return false
+	}
+	return t == nil || len(t.Regions) == 0 || slices.Contains(t.Regions, region)
+}
--- /dev/null
+++ b/core/limit/pace.go
@@ -0,0 +1,47 @@
+package limit
+
+import "time"
+
+// Pace bounds the requests that one router sends to a cold upstream in any second.
+// The upstream crashes when all routers together send much more than it tolerates,
+// so each router has an equal part. It is not safe for concurrent use.
+type Pace struct {
+	sent []time.Time // within the last second, the oldest first
+}
+
+// paceSpan is longer than the second in which requests are counted, since their
+// time on the way varies.
+const paceSpan = 1050 * time.Millisecond
+
+// Allow counts a request if the part of the rate (requests a second of all
+// routers) that belongs to one of the routers permits it. At least one request
+// a second is permitted.
+func (p *Pace) Allow(now time.Time, rate float64, routers int) bool {
+	p.trim(now)
+	if len(p.sent) >= max(int(rate)/max(routers, 1), 1) {
+		return false
+	}
+	p.sent = append(p.sent, now)
+	return true
+}
+
+// Note counts a request that was sent without a bound, so that the bound holds at
+// once when the upstream turns cold.
+func (p *Pace) Note(now time.Time) {
+	p.trim(now)
+	p.sent = append(p.sent, now)
+}
+
+// Open reports whether Allow would permit a request.
+func (p *Pace) Open(now time.Time, rate float64, routers int) bool {
+	p.trim(now)
+	return len(p.sent) < max(int(rate)/max(routers, 1), 1)
+}
+
+func (p *Pace) trim(now time.Time) {
+	n := 0
+	for n < len(p.sent) && now.Sub(p.sent[n]) >= paceSpan {
+		n++
+	}
+	p.sent = append(p.sent[:0], p.sent[n:]...)
+}
--- a/core/proc/admin.go
+++ b/core/proc/admin.go
@@ -1,7 +1,6 @@
 package proc
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -10,7 +9,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/prometheus/common/expfmt"
 )
 
 const (
@@ -100,18 +98,10 @@
 }
 
 func (p *Process) serveMetrics(c fiber.Ctx) error {
-	families, err := p.metrics.registry.Gather()
+	text, err := p.metrics.text()
 	if err != nil {
 		return err
 	}
-	format := expfmt.NewFormat(expfmt.TypeTextPlain)
-	var b bytes.Buffer
-	enc := expfmt.NewEncoder(&b, format)
-	for _, f := range families {
-		if err = enc.Encode(f); err != nil {
-			return err
-		}
-	}
-	c.Set(fiber.HeaderContentType, string(format))
-	return c.Send(b.Bytes())
+	c.Set(fiber.HeaderContentType, string(textFormat))
+	return c.Send(text)
 }
--- /dev/null
+++ b/core/route/holder.go
@@ -0,0 +1,99 @@
+package route
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// Holder chooses among model engines so that prompts that share parts meet at the
+// same engine, whose prefix cache then holds these parts. It answers two loads:
+// many subjects with long shared parts, and one subject that draws much of the
+// traffic at once.
+
+const (
+	// spreadFactor and spreadSlots bound the load of a prompt's preferred engine:
+	// its work may exceed the mean by this factor plus as many typical requests.
+	spreadFactor = 1.3
+	spreadSlots  = 3
+)
+
+// Engine is a model engine that may receive a request.
+type Engine struct {
+	Upstream wire.UpstreamID
+	Work     float64 // work given and not finished, in typical requests
+	Penalty  float64 // for recent failures and slow answers, in typical requests
+}
+
+// Key is the hash of the shared parts of a prompt.
+func Key(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(strconv.Itoa(len(p)))
+		_, _ = d.WriteString(p)
+	}
+	return d.Sum64()
+}
+
+// Holder returns the index of the engine for a prompt: the first in the order of
+// rendezvous hashing by key whose work is not far above the mean, or else the one
+// with the least work. It returns -1 for no engines.
+func Holder(key uint64, es []Engine) int {
+	if len(es) == 0 {
+		return -1
+	}
+	mean := 0.0
+	for _, e := range es {
+		mean += e.Work
+	}
+	mean /= float64(len(es))
+	bound := spreadFactor*mean + spreadSlots
+	least := 0
+	for _, i := range Order(key, es) {
+		e := &es[i]
+		if e.Work+e.Penalty <= bound {
+			return i
+		}
+		if e.Work+e.Penalty < es[least].Work+es[least].Penalty {
+			least = i
+		}
+	}
+	return least
+}
+
+// Order returns the indices of the engines by rendezvous hash, the highest first.
+func Order(key uint64, es []Engine) []int {
+	weights := make([]uint64, len(es))
+	order := make([]int, len(es))
+	for i, e := range es {
+		weights[i] = weigh(key, xxhash.Sum64String(string(e.Upstream)))
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case weights[a] > weights[b]:
+			return -1
+		case weights[a] < weights[b]:
+			return 1
+		}
+		return a - b
+	})
+	return order
+}
+
+// Owner returns the name with the highest rendezvous hash for key, which every
+// process that knows the same names agrees on. It is empty for no names.
+func Owner(key string, names []wire.HostID) (owner wire.HostID) {
+	sum := xxhash.Sum64String(key)
+	var best uint64
+	for _, n := range names {
+		w := weigh(sum, xxhash.Sum64String(string(n)))
+		if owner == "" || w > best || w == best && n < owner {
+			owner, best = n, w
+		}
+	}
+	return owner
+}
--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"hornbeamcove.example/core/batch"
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+)
+
+// Dump is the state of a router on request.
+type Dump struct {
+	Name      wire.HostID                      `json:"name"`
+	Config    fleet.Version                    `json:"config"`
+	Revisions [2]fleet.Revision                `json:"revisions"` // of the operator's area and the upstreams
+	Ages      [2]int64                         `json:"ages"`      // milliseconds since they were read
+	Out       []wire.DataCentreID              `json:"out"`
+	Requests  int64                            `json:"requests"`
+	Draining  bool                             `json:"draining"`
+	Alive     []wire.HostID                    `json:"alive"`
+	Upstreams map[wire.UpstreamID]UpstreamDump `json:"upstreams"`
+	Queues    map[fleet.ServiceID]batch.View   `json:"queues"`
+	Owners    map[fleet.ServiceID]wire.HostID  `json:"owners"`
+}
+
+// UpstreamDump is what a router knows of an upstream.
+type UpstreamDump struct {
+	Service fleet.ServiceID   `json:"service"`
+	Centre  wire.DataCentreID `json:"centre"`
+	Flight  int               `json:"flight"`
+	Open    int               `json:"open"`
+	Cold    bool              `json:"cold"`
+	Barred  bool              `json:"barred"` // excluded after failures
+	Penalty float64           `json:"penalty"`
+}
+
+func (s *Server) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		text, err := s.mets.Text()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_, _ = w.Write(text)
+	})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(s.Dump(time.Now())); err != nil {
+			s.log.Debug("state not written", "err", err)
+		}
+	})
+	return mux
+}
+
+// Dump returns the router's state.
+func (s *Server) Dump(now time.Time) Dump {
+	v := s.view.Load()
+	d := Dump{
+		Name: s.cfg.Name, Revisions: v.At, Requests: s.requests.Load(), Draining: s.draining.Load(),
+		Alive: s.peers.alive(now), Upstreams: map[wire.UpstreamID]UpstreamDump{},
+		Queues: map[fleet.ServiceID]batch.View{}, Owners: map[fleet.ServiceID]wire.HostID{},
+	}
+	if v.Config != nil {
+		d.Config = v.Config.Version
+	}
+	for i, t := range v.Contact {
+		d.Ages[i] = now.Sub(t).Milliseconds()
+	}
+	for c := range v.Out {
+		d.Out = append(d.Out, c)
+	}
+	for _, us := range v.Ups {
+		for _, u := range us {
+			d.Upstreams[u.ID] = s.targets.get(u).dump(now)
+		}
+	}
+	s.shops.mu.Lock()
+	defer s.shops.mu.Unlock()
+	for id, sh := range s.shops.all {
+		sh.mu.Lock()
+		d.Queues[id] = sh.q.View()
+		sh.mu.Unlock()
+		d.Owners[id] = s.shops.owner(id)
+	}
+	return d
+}
+
+func (t *target) dump(now time.Time) UpstreamDump {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return UpstreamDump{
+		Service: t.Service, Centre: t.Centre, Flight: t.flight, Open: t.open, Cold: now.Before(t.coldTill),
+		Barred: t.outlier.Excluded(now), Penalty: t.outlier.Penalty(now),
+	}
+}
--- /dev/null
+++ b/entry/conn.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
+)
+
+const (
+	// dialLimit bounds the set-up of a connection to an upstream. Hosts are at most
+	// a few milliseconds away; one that does not answer by then is down or cut off.
+	dialLimit = 300 * time.Millisecond
+	// userTimeout ends a connection whose peer stopped acknowledging, for instance
+	// because a device in between lost track of it.
+	userTimeout = 1500 * time.Millisecond
+	// keepIdle, keepEvery and keepCount find a peer that vanished while it works.
+	keepIdle  = time.Second
+	keepEvery = 500 * time.Millisecond
+	keepCount = 3
+	// idleAge is the time for which an unused connection is kept when the upstream
+	// doesn't state its own; idleSlack is kept clear of a stated one.
+	idleAge   = 4 * time.Second
+	idleSlack = 700 * time.Millisecond
+	// inlineBody is the size of a request up to which it is written before the
+	// answer is read; a peer may answer a longer one before it has read it.
+	inlineBody = 4 << 10
+	// strayAnswers bounds answers to other requests that are skipped.
+	strayAnswers = 4
+	connBuffer   = 4 << 10
+)
+
+var dialer = net.Dialer{
+	Timeout:         dialLimit,
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepEvery, Count: keepCount},
+	Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		e := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+		})
+		return errors.Join(e, err)
+	},
+}
+
+// sendError is a failure of a call to an upstream.
+type sendError struct {
+	sent bool // whether any byte of the request may have reached the upstream
+	err  error
+}
+
+// Error implements error.
+func (e *sendError) Error() string { return e.err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *sendError) Unwrap() error { return e.err }
+
+// upstreamConn is one connection to an upstream.
+type upstreamConn struct {
+	net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
+	until  time.Time // up to which it may be used again
+	reused bool
+}
+
+func dialUpstream(ctx context.Context, addr wire.Address) (*upstreamConn, error) {
+	nc, err := dialer.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, &sendError{err: err}
+	}
+	return &upstreamConn{Conn: nc, r: bufio.NewReaderSize(nc, connBuffer), w: bufio.NewWriterSize(nc, connBuffer)}, nil
+}
+
+// clean reports whether nothing has arrived on an idle connection, neither bytes
+// that belong to no request nor its end.
+func (c *upstreamConn) clean() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		clean = errors.Is(e, unix.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
+
+// outgoing is a request to an upstream, as bytes that depend on nothing else.
+type outgoing struct {
+	method, target, host string
+	header               http.Header
+	body                 []byte
+	id                   wire.RequestID
+}
+
+func (o *outgoing) writeHead(w *bufio.Writer) error {
+	_, _ = w.WriteString(o.method)
+	_ = w.WriteByte(' ')
+	_, _ = w.WriteString(o.target)
+	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
+	_, _ = w.WriteString(o.host)
+	_, _ = w.WriteString("\r\n")
+	if err := o.header.Write(w); err != nil {
+		return err
+	}
+	if len(o.body) > 0 || o.method != http.MethodGet && o.method != http.MethodHead {
+		_, _ = w.WriteString("Content-Length: ")
+		_, _ = w.WriteString(strconv.Itoa(len(o.body)))
+		_, _ = w.WriteString("\r\n")
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// reply is the head of an upstream's answer; its body is read from resp.
+type reply struct {
+	platform.Answer
+	resp *http.Response
+	conn *upstreamConn
+	// writing receives the result of writing the request.
+	writing chan error
+	// release ends the use of the connection, which is kept if reuse is set and
+	// nothing speaks against it.
+	release func(reuse bool)
+}
+
+// roundTrip sends o and reads the head of its answer. Answers to other requests are
+// skipped. The error is a *sendError. The caller ends c when ctx is done.
+func (c *upstreamConn) roundTrip(o *outgoing) (rp *reply, err error) {
+	rp = &reply{conn: c, writing: make(chan error, 1)}
+	if err = c.write(o, rp.writing); err != nil {
+		return nil, &sendError{sent: true, err: fmt.Errorf("write request: %w", err)}
+	}
+	req := &http.Request{Method: o.method}
+	for range strayAnswers {
+		resp, err := http.ReadResponse(c.r, req)
+		if err != nil {
+			return nil, &sendError{sent: true, err: fmt.Errorf("read answer: %w", err)}
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue // informational
+		}
+		rp.Answer = platform.ReadAnswer(resp.StatusCode, resp.Header)
+		rp.resp = resp
+		if rp.ID == o.id || rp.ID == "" && rp.NotRun {
+			return rp, nil
+		}
+		if _, err = io.Copy(io.Discard, resp.Body); err != nil || rp.ID == "" {
+			return nil, &sendError{sent: true, err: errors.New("the answer belongs to no known request")}
+		}
+	}
+	return nil, &sendError{sent: true, err: errors.New("only answers to other requests")}
+}
+
+// write sends a short request at once and the body of a longer one while the answer
+// is awaited.
+func (c *upstreamConn) write(o *outgoing, done chan<- error) error {
+	if err := o.writeHead(c.w); err != nil {
+		return err
+	}
+	if len(o.body) <= inlineBody {
+		_, _ = c.w.Write(o.body)
+		done <- nil
+		return c.w.Flush()
+	}
+	go func() {
+		_, err := c.w.Write(o.body)
+		if err == nil {
+			err = c.w.Flush()
+		}
+		done <- err
+	}()
+	return nil
+}
+
+// finish ends the use of the connection after the whole answer was read, and
+// reports whether it may be used again.
+func (rp *reply) finish(now time.Time) bool {
+	c := rp.conn
+	select {
+	case err := <-rp.writing:
+		if err != nil {
+			return false
+		}
+	default:
+		return false // answered before the request was read
+	}
+	if rp.resp.Close || rp.resp.ContentLength < 0 && len(rp.resp.TransferEncoding) == 0 || c.r.Buffered() > 0 {
+		return false
+	}
+	c.until = now.Add(idleTime(rp.resp.Header.Get("Keep-Alive")))
+	return c.SetDeadline(time.Time{}) == nil
+}
+
+// idleTime returns how long a connection may stay unused, from its Keep-Alive header.
+func idleTime(keepAlive string) time.Duration {
+	for p := range strings.SplitSeq(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+			return max(time.Duration(s)*time.Second-idleSlack, 0)
+		}
+	}
+	return idleAge
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,304 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hornbeamcove.example/core/budget"
+	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
+)
+
+// exchange is one request of a caller and what has become of it.
+type exchange struct {
+	s     *Server
+	w     http.ResponseWriter
+	r     *http.Request
+	view  *View
+	need  fleet.Need
+	route *fleet.Route
+	svc   *fleet.Service
+	team  *fleet.Team // nil for an anonymous request
+	rank  int
+	body  []byte
+	print wire.Fingerprint
+	retry *budget.Retry
+
+	began    Instant
+	deadline Instant
+
+	runs     int               // upstreams on which the request may have run
+	sends    int               // upstreams that it reached, those that rejected it included
+	tried    []wire.UpstreamID // that failed or rejected it
+	upstream wire.UpstreamID   // the last one chosen
+	why      string            // the choice was made
+	started  bool              // the answer's head was sent to the caller
+	// rejectedInputs says that the last upstream found a stage result gone.
+	rejectedInputs bool
+}
+
+// left is the time until the caller's deadline or the route's timeout.
+func (x *exchange) left() time.Duration { return x.deadline.Sub(instant()) }
+
+// aimLeft is the time until the answer, or a stream's first event, is late.
+func (x *exchange) aimLeft() time.Duration {
+	aim := x.route.Aim
+	if aim <= 0 {
+		aim = defaultAim
+	}
+	return x.began.Add(aim).Sub(instant())
+}
+
+func (x *exchange) took() time.Duration { return instant().Sub(x.began) }
+
+// maybeRan reports whether the request may have run anywhere.
+func (x *exchange) maybeRan() bool { return x.runs > 0 }
+
+const (
+	// defaultLeft applies where neither caller nor route bounds the time.
+	defaultLeft = 30 * time.Second
+	// Times after which callers should come back, by what they wait for: that a
+	// router has learnt its configuration, that a replacement has started, or that
+	// other routers take over.
+	retryStart  = 700 * time.Millisecond
+	retryNone   = 500 * time.Millisecond
+	retryBusy   = 300 * time.Millisecond
+	retryLeast  = 50 * time.Millisecond
+	retrySpread = 0.5 // part of a Retry-After that is drawn, so that callers don't return together
+)
+
+// refusal is an answer of the router's own.
+type refusal struct {
+	status int
+	reason string
+	retry  time.Duration // 0 for none
+}
+
+// refuse answers a request that is not served.
+func (x *exchange) refuse(f refusal) {
+	x.account(f.status, f.reason)
+	if x.r.Context().Err() != nil || x.started {
+		return
+	}
+	h := x.w.Header()
+	platform.SetID(h, x.need.ID)
+	if f.retry > 0 {
+		d := max(f.retry, retryLeast)
+		d += time.Duration(retrySpread * draw() * float64(d))
+		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	}
+	if x.s.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	x.w.WriteHeader(f.status)
+	_, _ = io.WriteString(x.w, f.reason+"\n") // the caller may have left
+}
+
+// account writes the log line and the metrics of a request's end.
+func (x *exchange) account(status int, reason string) {
+	s := x.s
+	took := x.took()
+	routeID, team := "", ""
+	if x.route != nil {
+		routeID = string(x.route.ID)
+	}
+	if x.team != nil {
+		team = string(x.team.ID)
+	}
+	level := s.log.Info
+	if status >= http.StatusInternalServerError {
+		level = s.log.Warn
+	}
+	v := x.view
+	var version fleet.Version
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	level("request ended", "request", x.need.ID, "status", status, "reason", reason, "route", routeID, "team", team,
+		"upstream", x.upstream, "choice", x.why, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
+		"left_ms", x.left().Milliseconds(), "config", version,
+		"config_age_ms", time.Since(v.Contact[platform.Operator]).Milliseconds(),
+		"upstreams_revision", v.At[platform.Upstreams],
+		"upstreams_age_ms", time.Since(v.Contact[platform.Upstreams]).Milliseconds())
+	s.count("requests", "status", strconv.Itoa(status), "reason", reason)
+	if status < http.StatusBadRequest {
+		s.scope().Timer("request_time").Record(took)
+	}
+}
+
+// serveCaller answers one request of a caller.
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
+	n := s.requests.Add(1)
+	defer s.requests.Add(-1)
+	x := &exchange{s: s, w: w, r: r, view: s.view.Load(), began: instant()}
+	x.deadline = x.began.Add(defaultLeft)
+	if n > maxRequests {
+		x.refuse(refusal{http.StatusServiceUnavailable, "overload", retryBusy})
+		return
+	}
+	if f := x.admit(); f != nil {
+		x.refuse(*f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), x.left())
+	defer cancel()
+	x.serve(ctx)
+}
+
+// admit finds out what a request is and reads its body. It returns why the request
+// is refused, or nil.
+func (x *exchange) admit() *refusal {
+	var err error
+	if x.need, err = platform.ReadNeed(x.r.Header); err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	cfg := x.view.Config
+	if cfg == nil || !x.view.Listed {
+		return &refusal{http.StatusServiceUnavailable, "no configuration", retryStart}
+	}
+	path, _, _ := strings.Cut(x.target(), "?")
+	if x.route = cfg.Match(x.r.Host, path); x.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	x.setDeadline()
+	if f := x.authorize(cfg); f != nil {
+		return f
+	}
+	if f := x.readBody(cfg); f != nil {
+		return f
+	}
+	x.svc = cfg.Service(x.route.Choose(draw()))
+	x.retry = x.s.budget(x.svc.ID)
+	x.retry.First()
+	var team wire.TeamID
+	if x.team != nil {
+		team = x.team.ID
+	}
+	x.print = crash.Print(team, wire.PipelineID(x.target()), x.body)
+	if x.s.strikes.Out(time.Now(), x.print) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
+	}
+	return nil
+}
+
+// target is the request's path and query as they came.
+func (x *exchange) target() string {
+	if t := x.r.RequestURI; strings.HasPrefix(t, "/") {
+		return t
+	}
+	return x.r.URL.RequestURI()
+}
+
+func (x *exchange) setDeadline() {
+	left := x.need.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if x.route.Timeout > 0 {
+		left = min(left, x.route.Timeout)
+	}
+	x.deadline = x.began.Add(left)
+}
+
+func (x *exchange) authorize(cfg *fleet.Config) *refusal {
+	x.rank = x.route.Rank
+	if key := platform.Key(x.r.Header); key != "" {
+		x.team = cfg.Team(key)
+	}
+	if x.team == nil && !x.route.Anonymous && len(cfg.Teams) > 0 {
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+	}
+	return nil
+}
+
+func (x *exchange) readBody(cfg *fleet.Config) *refusal {
+	most := int64(cfg.Limits.Body)
+	if most <= 0 {
+		most = headerMost
+	}
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetReadDeadline(time.Now().Add(x.left()))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, most))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	case err != nil:
+		return &refusal{status: http.StatusRequestTimeout, reason: "body not read"}
+	}
+	x.body = body
+	return nil
+}
+
+// serve runs a request that was admitted.
+func (x *exchange) serve(ctx context.Context) {
+	if x.route.Kind == fleet.Stream {
+		x.stream(ctx)
+		return
+	}
+	x.unary(ctx)
+}
+
+// outgoing returns the request for an upstream.
+func (x *exchange) outgoing(t *target, o platform.Outgoing) *outgoing {
+	h := make(http.Header, len(x.r.Header)+4)
+	connection := x.r.Header.Values("Connection")
+	for name, vs := range x.r.Header {
+		if !hopByHop(name, connection) {
+			h[name] = vs
+		}
+	}
+	o.Left = x.left()
+	o.Upstream = t.ID
+	if x.team != nil {
+		o.Team = x.team.ID
+	}
+	o.Rank, o.Ranked = x.rank, x.route.Engine
+	platform.SetOutgoing(h, o)
+	return &outgoing{method: x.r.Method, target: x.target(), host: x.r.Host, header: h, body: x.body, id: x.need.ID}
+}
+
+// connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true,
+}
+
+// hopByHop reports whether a header is not passed on, given the Connection headers.
+func hopByHop(name string, connection []string) bool {
+	if connectionHeaders[name] {
+		return true
+	}
+	for _, v := range connection {
+		for n := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(n), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// copyHead copies the head of an upstream's answer to the caller's.
+func (x *exchange) copyHead(rp *reply) {
+	h := x.w.Header()
+	connection := rp.resp.Header.Values("Connection")
+	for name, vs := range rp.resp.Header {
+		if !hopByHop(name, connection) {
+			h[name] = vs
+		}
+	}
+	if x.s.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,408 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
+)
+
+const (
+	// beatPeriod is how often a router tells its peers that it lives and what
+	// revisions it has reached.
+	beatPeriod = 250 * time.Millisecond
+	beatLimit  = 400 * time.Millisecond
+	// aliveAge is the age of the last sign of life up to which a router owns queues;
+	// it covers two lost beats.
+	aliveAge = 1100 * time.Millisecond
+	// countAge is the age up to which a router counts for the division of bounds: it
+	// may be cut off and still serve. It is longer than a restart.
+	countAge = 15 * time.Second
+	// maxPeers bounds the peers that a router sends beats to: those at distances 1,
+	// 2, 4 and so on after it in the order of names.
+	maxPeers = 9
+	// strikeAge is the age of crashes that beats tell of.
+	strikeAge = 10 * time.Second
+	rpcDial   = 300 * time.Millisecond
+)
+
+// Member is one router as its peers know it.
+type Member struct {
+	Name    wire.HostID
+	Address wire.Address
+	Centre  wire.DataCentreID
+	Boot    int64 // Unix nanoseconds of its start; a later run replaces an earlier one
+	Leaving bool  // draining
+	Age     time.Duration
+}
+
+// Beat is what routers tell each other periodically.
+type Beat struct {
+	From    Member
+	Members []Member
+	At      [2]fleet.Revision
+	Strikes []crash.Strike
+}
+
+// peers keeps the membership and the connections to other routers. It is safe for
+// concurrent use.
+type peers struct {
+	s    *Server
+	self Member
+
+	mu      sync.Mutex
+	seen    map[wire.HostID]*sighting
+	clients map[wire.Address]*rpc.Client
+}
+
+type sighting struct {
+	Member
+	at time.Time
+}
+
+func newPeers(s *Server) *peers {
+	return &peers{
+		s:       s,
+		self:    Member{Name: s.cfg.Name, Address: s.cfg.Peers, Centre: s.cfg.Centre, Boot: time.Now().UnixNano()},
+		seen:    map[wire.HostID]*sighting{},
+		clients: map[wire.Address]*rpc.Client{},
+	}
+}
+
+// run sends beats until ctx is done.
+func (p *peers) run(ctx context.Context) error {
+	tick := p.s.ticks.Subscribe(beatPeriod, "peers")
+	defer tick.Close()
+	for {
+		for _, addr := range p.neighbours(time.Now()) {
+			p.s.work.Go(func() { p.beat(ctx, addr) })
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			p.close()
+			return ctx.Err()
+		}
+	}
+}
+
+// neighbours returns the addresses that beats go to: seeds that are not known as
+// members yet, and the members at distances 1, 2, 4 and so on.
+func (p *peers) neighbours(now time.Time) (out []wire.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ring := []*sighting{{Member: p.self}}
+	known := map[wire.Address]bool{p.self.Address: true}
+	for _, m := range p.seen {
+		if now.Sub(m.at) < countAge {
+			ring = append(ring, m)
+			known[m.Address] = true
+		}
+	}
+	slices.SortFunc(ring, func(a, b *sighting) int { return cmp.Compare(a.Name, b.Name) })
+	self := slices.IndexFunc(ring, func(m *sighting) bool { return m.Name == p.self.Name })
+	for d := 1; d < len(ring) && len(out) < maxPeers; d *= 2 {
+		out = append(out, ring[(self+d)%len(ring)].Address)
+	}
+	for _, a := range p.s.seeds() {
+		if !known[a] {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// beat exchanges what two routers know.
+func (p *peers) beat(ctx context.Context, addr wire.Address) {
+	var answer Beat
+	if err := p.call(ctx, addr, "Peer.Beat", p.compose(time.Now()), &answer, beatLimit); err != nil {
+		p.s.log.Debug("peer not reached", "peer", addr, "err", err)
+		return
+	}
+	p.receive(time.Now(), answer)
+	p.catchUp(ctx, addr, answer)
+}
+
+// catchUp takes over what a peer has read of the store when this router has no
+// contact with it.
+func (p *peers) catchUp(ctx context.Context, addr wire.Address, b Beat) {
+	v := p.s.view.Load()
+	behind := false
+	for i := range b.At {
+		stale := time.Since(v.Contact[i]) > contactLimit+watchWait || v.At[i] == 0
+		behind = behind || b.At[i] > v.At[i] && (stale || p.s.storeLost(platform.Area(i)))
+	}
+	if !behind {
+		return
+	}
+	var state State
+	if err := p.call(ctx, addr, "Peer.State", 0, &state, 2*beatLimit); err != nil {
+		p.s.log.Warn("state not read from peer", "peer", addr, "err", err)
+		return
+	}
+	for i, a := range state.Areas {
+		if a.At <= v.At[i] || !a.Listed {
+			continue
+		}
+		p.s.log.Info("state taken from peer", "peer", b.From.Name, "area", platform.Area(i), "revision", a.At, "known", v.At[i])
+		p.s.tell(ctx, update{area: platform.Area(i), page: platform.Page{Records: slices.Collect(maps.Values(a.Records)), At: a.At}, full: true, peer: true})
+	}
+}
+
+func (p *peers) compose(now time.Time) Beat {
+	v := p.s.view.Load()
+	b := Beat{From: p.self, At: v.At, Strikes: p.s.strikes.Recent(now, strikeAge)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.From.Leaving = p.s.draining.Load()
+	for _, m := range p.seen {
+		if age := now.Sub(m.at); age < countAge {
+			m.Member.Age = age
+			b.Members = append(b.Members, m.Member)
+		}
+	}
+	return b
+}
+
+// receive takes in a peer's beat.
+func (p *peers) receive(now time.Time, b Beat) {
+	for _, k := range b.Strikes {
+		p.s.strikes.Add(now, k)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.note(now, b.From)
+	for _, m := range b.Members {
+		p.note(now.Add(-m.Age), m)
+	}
+}
+
+func (p *peers) note(at time.Time, m Member) {
+	if m.Name == p.self.Name || m.Name == "" {
+		return
+	}
+	old := p.seen[m.Name]
+	switch {
+	case old == nil:
+		p.s.log.Info("peer found", "peer", m.Name, "address", m.Address, "centre", m.Centre)
+	case m.Boot < old.Boot:
+		return
+	case m.Boot == old.Boot && !at.After(old.at):
+		return
+	}
+	p.seen[m.Name] = &sighting{m, at}
+}
+
+// alive returns the routers that may own queues, this one included, in name order.
+func (p *peers) alive(now time.Time) []wire.HostID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var names []wire.HostID
+	if !p.s.draining.Load() {
+		names = append(names, p.self.Name)
+	}
+	for n, m := range p.seen {
+		if now.Sub(m.at) < aliveAge && !m.Leaving {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 {
+		names = append(names, p.self.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// routers returns the number of routers among which bounds are divided: those seen
+// lately, and at least as many as there are seeds.
+func (p *peers) routers(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, m := range p.seen {
+		if now.Sub(m.at) < countAge {
+			n++
+		}
+	}
+	return max(n, len(p.s.seeds()))
+}
+
+func (p *peers) address(name wire.HostID) (wire.Address, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.seen[name]
+	if m == nil {
+		return "", false
+	}
+	return m.Address, true
+}
+
+// whenLost calls lost when a router is no longer alive. The returned function ends
+// the watch.
+func (p *peers) whenLost(name wire.HostID, lost func()) (stop func()) {
+	tick := p.s.ticks.Subscribe(beatPeriod, "owner "+string(name))
+	quit := make(chan struct{})
+	p.s.work.Go(func() {
+		defer tick.Close()
+		for {
+			select {
+			case now := <-tick.C:
+				if !p.lives(now.Now, name) {
+					lost()
+					return
+				}
+			case <-quit:
+				return
+			}
+		}
+	})
+	return func() { close(quit) }
+}
+
+func (p *peers) lives(now time.Time, name wire.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.seen[name]
+	return m != nil && now.Sub(m.at) < aliveAge
+}
+
+var errPeerSilent = errors.New("peer did not answer in time")
+
+// call makes one call to another router. After limit, or when ctx ends, the answer
+// no longer matters; a peer that was silent for the whole limit is dialled anew.
+func (p *peers) call(ctx context.Context, addr wire.Address, method string, args, answer any, limit time.Duration) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("call %s of peer %s: %w", method, addr, err)
+		}
+	}()
+	c, err := p.client(addr)
+	if err != nil {
+		return err
+	}
+	call := c.Go(method, args, answer, make(chan *rpc.Call, 1))
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-call.Done:
+		var se rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &se) {
+			p.forget(addr, c)
+		}
+		return call.Error
+	case <-t.C:
+		p.forget(addr, c)
+		return errPeerSilent
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *peers) client(addr wire.Address) (*rpc.Client, error) {
+	p.mu.Lock()
+	c := p.clients[addr]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	d := dialer
+	d.Timeout = rpcDial
+	conn, err := d.Dial("tcp", string(addr))
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c = p.clients[addr]; c != nil {
+		_ = conn.Close()
+		return c, nil
+	}
+	c = rpc.NewClient(conn)
+	p.clients[addr] = c
+	return c, nil
+}
+
+func (p *peers) forget(addr wire.Address, c *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[addr] == c {
+		delete(p.clients, addr)
+	}
+	_ = c.Close()
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.clients {
+		_ = c.Close()
+		delete(p.clients, a)
+	}
+}
+
+// Peer holds the calls that other routers make.
+type Peer struct{ s *Server }
+
+// Beat takes in a beat and answers with this router's own.
+func (p *Peer) Beat(b Beat, answer *Beat) error {
+	now := time.Now()
+	p.s.peers.receive(now, b)
+	*answer = p.s.peers.compose(now)
+	return nil
+}
+
+// State returns all that this router has read of the store.
+func (p *Peer) State(_ int, answer *State) error {
+	q := make(chan State, 1)
+	select {
+	case p.s.asked <- q:
+		*answer = <-q
+		return nil
+	case <-time.After(beatLimit):
+		return errors.New("control is busy")
+	}
+}
+
+// Make makes the pieces of a stage; see shop.
+func (p *Peer) Make(o Order, answer *Made) error {
+	*answer = p.s.shops.make(context.Background(), o)
+	return nil
+}
+
+// Cancel withdraws what is still waiting for a request.
+func (p *Peer) Cancel(o Order, _ *int) error {
+	p.s.shops.cancel(o)
+	return nil
+}
+
+// Free gives up results of a service.
+func (p *Peer) Free(f Freed, _ *int) error {
+	p.s.shops.free(f)
+	return nil
+}
+
+// servePeers accepts calls of other routers until the listener is closed.
+func (s *Server) servePeers(ln net.Listener) error {
+	srv := rpc.NewServer()
+	if err := srv.Register(&Peer{s}); err != nil {
+		return err
+	}
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go srv.ServeConn(c)
+	}
+}
--- /dev/null
+++ b/entry/send.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/platform"
+)
+
+var errConnLimit = errors.New("no connection left to the upstream")
+
+// connPart is the part of an upstream's connections, in percent, that routers divide
+// among themselves; the rest is for stage calls and routers that start.
+const connPart = 80
+
+// outcome is the end of one send as far as the head of its answer.
+type outcome int
+
+const (
+	answered    outcome = iota // the reply is to be read
+	rejected                   // the upstream did not run the request
+	unreachable                // nothing was sent
+	broken                     // the request may have run, and has no answer
+)
+
+// send sends the request to a target and reads the head of its answer. stall bounds
+// the wait for it. The caller must call done on an answered reply.
+func (x *exchange) send(ctx context.Context, t *target, o platform.Outgoing, stall time.Duration) (rp *reply, out outcome) {
+	most := max(x.svc.Conns*connPart/100/x.s.peers.routers(time.Now()), 1)
+	if x.svc.Conns <= 0 {
+		most = maxIdleConns
+	}
+	c, err := t.conn(ctx, most)
+	if err != nil {
+		x.failed(t, err, errors.Is(err, errConnLimit) || ctx.Err() != nil)
+		return nil, unreachable
+	}
+	t.begin()
+	x.sends++
+	x.runs++ // until the answer says otherwise
+	_ = c.SetDeadline(time.Now().Add(stall))
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	rp, err = c.roundTrip(x.outgoing(t, o))
+	if err != nil {
+		stop()
+		t.drop(c)
+		t.end()
+		x.failed(t, err, ctx.Err() != nil)
+		return nil, broken
+	}
+	rp.release = func(reuse bool) {
+		stop()
+		if reuse && ctx.Err() == nil && rp.finish(time.Now()) {
+			t.keep(c)
+		} else {
+			t.drop(c)
+		}
+		t.end()
+	}
+	if rp.Cold > 0 {
+		t.chill(time.Now().Add(rp.Cold))
+	}
+	if rp.NotRun {
+		x.runs--
+		x.reject(t, rp)
+		return nil, rejected
+	}
+	return rp, answered
+}
+
+// failed records a send without an answer.
+func (x *exchange) failed(t *target, err error, ours bool) {
+	var se *sendError
+	sent := errors.As(err, &se) && se.sent
+	x.s.log.Info("send failed", "request", x.need.ID, "upstream", t.ID, "address", t.Address, "sent", sent,
+		"ours", ours, "left_ms", x.left().Milliseconds(), "err", err)
+	x.s.count("sends", "outcome", "failed")
+	x.tried = append(x.tried, t.ID)
+	if ours {
+		return
+	}
+	timeout := isTimeout(err)
+	t.bad(time.Now(), !sent, sent && !timeout)
+	if sent && !timeout {
+		x.suspect(t)
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne interface{ Timeout() bool }
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+const (
+	// crashDelay is the time after a broken connection after which a crashed
+	// upstream accepts no new one.
+	crashDelay = 20 * time.Millisecond
+	crashLimit = 200 * time.Millisecond
+)
+
+// suspect finds out whether the upstream crashed while it ran the request, and
+// records a strike against the request if so.
+func (x *exchange) suspect(t *target) {
+	k := crash.Strike{Print: x.print, Upstream: t.ID, Born: t.Born}
+	x.s.work.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashDelay+crashLimit)
+		defer cancel()
+		if !sleep(ctx, crashDelay) {
+			return
+		}
+		c, err := dialUpstream(ctx, t.Address)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		x.s.log.Warn("upstream crashed while it ran a request", "request", x.need.ID, "upstream", t.ID, "err", err)
+		x.s.count("strikes")
+		t.bad(time.Now(), true, true)
+		x.s.strikes.Add(time.Now(), k)
+	})
+}
+
+// reject ends a reply that says that the request was not run.
+func (x *exchange) reject(t *target, rp *reply) {
+	x.s.log.Info("upstream rejected", "request", x.need.ID, "upstream", t.ID, "status", rp.resp.StatusCode, "wrong", rp.Wrong)
+	x.s.count("sends", "outcome", "rejected")
+	x.tried = append(x.tried, t.ID)
+	x.rejectedInputs = rp.resp.StatusCode == http.StatusConflict
+	_, err := readBody(rp.resp)
+	rp.release(err == nil)
+	if rp.Wrong {
+		t.bad(time.Now(), true, false)
+	} else if rp.resp.StatusCode == http.StatusServiceUnavailable || rp.resp.StatusCode == http.StatusTooManyRequests {
+		t.full(time.Now())
+	}
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,401 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"github.com/uber-go/tally/v4"
+
+	"hornbeamcove.example/core/budget"
+	"hornbeamcove.example/core/clock"
+	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/proc"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
+)
+
+const (
+	// headerTime bounds the head of a caller's request, and headerMost its size in
+	// bytes; the configuration's own bounds are lower.
+	headerTime = 10 * time.Second
+	headerMost = 64 << 10
+	// idleTime bounds unused connections of callers. The platform's callers reuse
+	// connections for up to four fifths of the configured time, which is lower.
+	callerIdle = 60 * time.Second
+	// memoryPart is the part of the process's memory, in percent, from which the
+	// garbage collector works harder, and garbagePercent its usual growth.
+	memoryPart     = 60
+	garbagePercent = 400
+	// sweepEvery is how often idle connections to upstreams are looked through.
+	sweepEvery = time.Second
+	// settingsEvery is how often the settings file is looked at without a signal.
+	settingsEvery = 2 * time.Second
+	// retryPart is the part of the retries allowed to all routers that they divide;
+	// the rest is kept for routers that restart and begin with a full budget.
+	retryPart = 0.6
+	// maxRequests bounds the requests that are served at the same time.
+	maxRequests = 2000
+)
+
+// Server is one router. Create it with New.
+type Server struct {
+	cfg  Settings
+	path string // of the settings file, empty in tests
+	log  *log.Logger
+	out  *lossyWriter
+	mets proc.Metrics
+
+	ticks   *clock.Service
+	view    atomic.Pointer[View]
+	updates chan update
+	asked   chan chan State
+	targets *targets
+	shops   *shops
+	peers   *peers
+	strikes crash.Strikes
+	learned learned
+
+	seedList atomic.Pointer[[]wire.Address]
+	lost     [2]atomic.Bool // whether the store's areas can't be read
+	draining atomic.Bool
+	requests atomic.Int64
+	work     conc.WaitGroup
+
+	mu      sync.Mutex
+	budgets map[fleet.ServiceID]*retries
+
+	front, ready, admin *http.Server
+	stopped             chan struct{}
+}
+
+// retries is a retry budget together with the number of routers it was made for.
+type retries struct {
+	*budget.Retry
+	routers int
+}
+
+// New returns a router that writes its log to out. path names the settings file that
+// is read again when it changes.
+func New(cfg Settings, path string, out io.Writer) (s *Server, err error) {
+	lossy := newLossyWriter(out)
+	logger, err := proc.NewLogger(lossy, cfg.Level, "host", string(cfg.Name))
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{
+		cfg: cfg, path: path, log: logger, out: lossy, mets: proc.NewMetrics(logger),
+		ticks:   clock.New(),
+		updates: make(chan update), asked: make(chan chan State),
+		targets: &targets{all: map[wire.UpstreamID]*target{}},
+		budgets: map[fleet.ServiceID]*retries{},
+		stopped: make(chan struct{}),
+	}
+	s.learned.routes = map[fleet.RouteID]time.Duration{}
+	s.seedList.Store(&cfg.Seeds)
+	s.view.Store(&View{})
+	s.shops = newShops(s)
+	s.peers = newPeers(s)
+	s.front = &http.Server{
+		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle,
+		MaxHeaderBytes: headerMost, ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	s.ready = &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTime}
+	s.admin = &http.Server{Handler: s.adminHandler(), ReadHeaderTimeout: headerTime}
+	return s, nil
+}
+
+func (s *Server) seeds() []wire.Address { return *s.seedList.Load() }
+
+func (s *Server) storeLost(a platform.Area) bool { return s.lost[a].Load() }
+
+func (s *Server) scope() tally.Scope { return s.mets.Scope() }
+
+// count adds 1 to a counter with the labels given as names and values.
+func (s *Server) count(name string, labels ...string) { s.counter(name, 1, labels...) }
+
+func (s *Server) counter(name string, n int64, labels ...string) {
+	scope := s.scope()
+	if len(labels) > 0 {
+		tags := make(map[string]string, len(labels)/2)
+		for i := 0; i+1 < len(labels); i += 2 {
+			tags[labels[i]] = labels[i+1]
+		}
+		scope = scope.Tagged(tags)
+	}
+	scope.Counter(name).Inc(n)
+}
+
+// budget returns the retry budget of a service. It is made anew when the number of
+// routers among which it is divided changes.
+func (s *Server) budget(id fleet.ServiceID) *budget.Retry {
+	n := s.peers.routers(time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budgets[id]
+	if b == nil || b.routers < n {
+		b = &retries{budget.NewRetry(retryPart*s.cfg.Retries, int(retryPart*float64(s.cfg.Slack))/n), n}
+		s.budgets[id] = b
+	}
+	return b.Retry
+}
+
+// Run serves until a signal asks for a stop, and then drains.
+func (s *Server) Run(ctx context.Context, signals <-chan os.Signal, isReload func(os.Signal) bool) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("run router %s: %w", s.cfg.Name, err)
+		}
+	}()
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(int64(s.cfg.Memory) * memoryPart / 100 << 20)
+	logCtx, endLog := context.WithCancel(context.Background())
+	var logging conc.WaitGroup
+	logging.Go(func() { s.out.run(logCtx) })
+	defer func() { endLog(); logging.Wait() }()
+
+	lns, err := s.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.log.Info("router started", "pid", os.Getpid(), "centre", s.cfg.Centre, "callers", s.cfg.Callers, "store", s.cfg.Store,
+		"seeds", s.cfg.Seeds, "memory", s.cfg.Memory)
+	s.start(ctx, lns)
+	reason := s.wait(ctx, signals, isReload)
+	s.drain(reason)
+	cancel()
+	s.log.Info("router stopped", "requests", s.requests.Load())
+	return s.mets.Close()
+}
+
+type listeners struct{ front, ready, peers, admin net.Listener }
+
+func (s *Server) listen() (l listeners, err error) {
+	for _, e := range []struct {
+		ln   *net.Listener
+		addr wire.Address
+	}{{&l.front, s.cfg.Callers}, {&l.ready, s.cfg.Ready}, {&l.peers, s.cfg.Peers}, {&l.admin, s.cfg.Admin}} {
+		if *e.ln, err = net.Listen("tcp", string(e.addr)); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+// start starts all goroutines. They end with ctx or with their listener; those that
+// fail are logged.
+func (s *Server) start(ctx context.Context, l listeners) {
+	s.spawn("control", func() error { return newControl(s).run(ctx) })
+	s.spawn("timers", func() error { return s.ticks.Run(ctx) })
+	store := platform.NewStore(s.cfg.Store)
+	for _, a := range platform.Areas {
+		s.spawn("watch "+a.String(), func() error { return s.watch(ctx, store, a) })
+	}
+	s.spawn("peers", func() error { return s.peers.run(ctx) })
+	s.spawn("sweep", func() error { return s.sweep(ctx) })
+	s.spawn("peer listener", func() error { return s.servePeers(l.peers) })
+	s.spawn("readiness", func() error { return s.ready.Serve(l.ready) })
+	s.spawn("administration", func() error { return s.admin.Serve(l.admin) })
+	s.spawn("callers", func() error { return s.front.Serve(l.front) })
+	go func() {
+		<-ctx.Done()
+		_ = l.peers.Close()
+	}()
+}
+
+func (s *Server) spawn(name string, f func() error) {
+	go func() {
+		var err error
+		if r := panics.Try(func() { err = f() }); r != nil {
+			err = r.AsError()
+		}
+		if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			s.log.Error("goroutine failed", "goroutine", name, "err", err)
+			s.count("goroutine_failures")
+		}
+	}()
+}
+
+// sweep closes connections that have been idle for long.
+func (s *Server) sweep(ctx context.Context) error {
+	tick := s.ticks.Subscribe(sweepEvery, "sweep")
+	defer tick.Close()
+	for {
+		select {
+		case t := <-tick.C:
+			s.targets.mu.Lock()
+			all := make([]*target, 0, len(s.targets.all))
+			for _, t := range s.targets.all {
+				all = append(all, t)
+			}
+			s.targets.mu.Unlock()
+			for _, tg := range all {
+				tg.sweep(t.Now)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// wait returns when the router has to stop, and why. It reads the settings again on
+// a reload signal and when their file has changed.
+func (s *Server) wait(ctx context.Context, signals <-chan os.Signal, isReload func(os.Signal) bool) string {
+	tick := s.ticks.Subscribe(settingsEvery, "settings")
+	defer tick.Close()
+	for {
+		select {
+		case sig := <-signals:
+			if !isReload(sig) {
+				return sig.String()
+			}
+			s.reload(sig.String())
+		case <-tick.C:
+			s.reload("")
+		case <-ctx.Done():
+			return "context ended"
+		}
+	}
+}
+
+// reload takes over what may change while the router runs: the seeds. Invalid
+// settings change nothing.
+func (s *Server) reload(signal string) {
+	if s.path == "" {
+		return
+	}
+	next, err := LoadSettings(s.path)
+	if err != nil {
+		s.log.Error("settings not reloaded", "err", err)
+		s.count("reload_failed")
+		return
+	}
+	changed := !slices.Equal(next.Seeds, s.seeds())
+	if changed {
+		s.seedList.Store(&next.Seeds)
+	}
+	if changed || signal != "" {
+		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds)
+	}
+}
+
+const (
+	// rotationTime is how long the balancer may still send new connections after
+	// readiness turned false: two questions a second apart, and some slack.
+	rotationTime = 3 * time.Second
+	// stopSlack is kept clear of the time at which the process is killed.
+	stopSlack = 700 * time.Millisecond
+	drainPoll = 50 * time.Millisecond
+)
+
+// drain lets the requests under way finish. Readiness turns false at once; new
+// connections are taken until the balancer has noticed, and connections of callers
+// are closed after their next answer.
+func (s *Server) drain(reason string) {
+	began := time.Now()
+	s.draining.Store(true)
+	s.log.Info("drain started", "signal", reason, "requests", s.requests.Load(), "grace", s.cfg.grace().String())
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.grace()-stopSlack)
+	defer cancel()
+	sleep(ctx, min(rotationTime, s.cfg.grace()/2))
+	// Shutdown closes the listener and idle connections and waits for the others.
+	if err := s.front.Shutdown(ctx); err != nil {
+		s.log.Warn("requests cut off by the stop", "requests", s.requests.Load(), "err", err)
+		s.counter("requests_cut", s.requests.Load())
+		_ = s.front.Close()
+	}
+	for _, srv := range []*http.Server{s.ready, s.admin} {
+		_ = srv.Close()
+	}
+	s.log.Info("drain ended", "took", time.Since(began).String())
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if why := s.unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// unready says why the router should get no new connections, if so.
+func (s *Server) unready() string {
+	v := s.view.Load()
+	switch {
+	case s.draining.Load():
+		return "draining"
+	case v.Config == nil:
+		return "no configuration"
+	case !v.Listed:
+		return "no upstreams"
+	}
+	return ""
+}
+
+// learned holds what the router measures of routes.
+type learned struct {
+	mu     sync.Mutex
+	routes map[fleet.RouteID]time.Duration // mean time to the first event
+}
+
+const (
+	// firstGuess is the time to an engine's first event before any was measured.
+	firstGuess = 250 * time.Millisecond
+	// plainGuess is the same for the answer of a plain service.
+	plainGuess   = 30 * time.Millisecond
+	learnWeight  = 0.1
+	maxLearned   = 4096
+	defaultAim   = time.Second
+	learnedLimit = 10 * time.Second
+)
+
+func (l *learned) learn(id fleet.RouteID, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, ok := l.routes[id]
+	if !ok {
+		if len(l.routes) >= maxLearned {
+			clear(l.routes) // configurations have replaced most of them
+		}
+		l.routes[id] = d
+		return
+	}
+	l.routes[id] = old + time.Duration(learnWeight*float64(min(d, learnedLimit)-old))
+}
+
+// firstEvent is the expected time from sending a request to its first event, or to
+// the answer of a plain service.
+func (s *Server) firstEvent(x *exchange) time.Duration {
+	s.learned.mu.Lock()
+	defer s.learned.mu.Unlock()
+	if d, ok := s.learned.routes[x.route.ID]; ok {
+		return d
+	}
+	if x.route.Kind == fleet.Stream {
+		return firstGuess
+	}
+	return plainGuess
+}
+
+// draw returns a number from 0 up to 1.
+func draw() float64 { return rand.Float64() }
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/platform"
+)
+
+const (
+	// watchWait is the time for which the store holds a watch without changes. It
+	// bounds how long a connection that has gone silent goes unnoticed.
+	watchWait = 1500 * time.Millisecond
+	// retryMin and retryMax bound the pause between failed reads of the store.
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+)
+
+// watch follows one area of the store until ctx is done.
+func (s *Server) watch(ctx context.Context, store *platform.Store, area platform.Area) error {
+	var at fleet.Revision
+	pause := retryMin
+	listed := false
+	for ctx.Err() == nil {
+		// What a peer has passed on meanwhile need not be read again.
+		if v := s.view.Load(); listed && v.At[area] > at {
+			at = v.At[area]
+		}
+		page, err := s.read(ctx, store, area, at, listed)
+		switch {
+		case err == nil:
+			s.tell(ctx, update{area: area, page: page, full: !listed})
+			at, listed, pause = max(page.At, at), true, retryMin
+			continue
+		case errors.Is(err, platform.ErrCompacted):
+			s.log.Warn("history of the store is gone, reading all", "area", area, "revision", at)
+			s.count("store_compacted", "area", area.String())
+			listed = false
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		s.log.Debug("store not read", "area", area, "err", err)
+		s.count("store_failed", "area", area.String())
+		s.tell(ctx, update{area: area, lost: true})
+		if !sleep(ctx, pause) {
+			break
+		}
+		pause = min(2*pause, retryMax)
+	}
+	return ctx.Err()
+}
+
+func (s *Server) read(ctx context.Context, store *platform.Store, area platform.Area, at fleet.Revision, listed bool) (platform.Page, error) {
+	if !listed {
+		return store.List(ctx, area)
+	}
+	return store.Watch(ctx, area, at, watchWait)
+}
+
+// sleep waits for d and returns false if ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
