entry: break a stream off when a later attempt can't go on

An end within an event passed as complete as well. Change: refuse aborts the connection then, and an end within an event is an error.

--- a/core/route/outlier.go
+++ b/core/route/outlier.go
@@ -9,12 +9,12 @@
 // health check tells little: an upstream can fail part of its requests while its
 // check passes. It is not safe for concurrent use.
 type Outlier struct {
-	fails   float64 // decayed count of failures
-	total   float64 // decayed count of answers
-	slow    float64 // moving average of latency over the expected latency
-	at      time.Time
-	banned  time.Time
-	ban     time.Duration
+	fails  float64 // decayed count of failures
+	total  float64 // decayed count of answers
+	slow   float64 // moving average of latency over the expected latency
+	at     time.Time
+	banned time.Time
+	ban    time.Duration
 }
 
 const (
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -81,10 +81,14 @@
 	retry  time.Duration // 0 for none
 }
 
-// refuse answers a request that is not served.
+// refuse answers a request that is not served. An answer that has begun is broken
+// off instead, so that it does not look complete.
 func (x *exchange) refuse(f refusal) {
 	x.account(f.status, f.reason)
-	if x.r.Context().Err() != nil || x.started {
+	if x.started {
+		panic(http.ErrAbortHandler)
+	}
+	if x.r.Context().Err() != nil {
 		return
 	}
 	h := x.w.Header()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -174,7 +174,7 @@
 	events := &eventReader{r: bufio.NewReader(rp.resp.Body)}
 	for {
 		ev, err := events.next()
-		if err == nil || errors.Is(err, io.EOF) && len(ev.data) > 0 {
+		if err == nil {
 			if !st.first(t, rp, began) {
 				continue
 			}
@@ -272,9 +272,9 @@
 
 var errLongEvent = errors.New("an event is over the bound")
 
-// next returns the next whole event, up to and with the empty line that ends it. At
-// the end of the stream it returns io.EOF with what follows the last whole event;
-// any other error means that the stream broke off.
+// next returns the next whole event, up to and with the empty line that ends it. It
+// returns io.EOF at the end of the stream; any other error means that the stream
+// broke off, which includes an end in the middle of an event.
 func (er *eventReader) next() (ev event, err error) {
 	for {
 		line, err := er.r.ReadSlice('\n')
@@ -285,8 +285,8 @@
 				return event{}, errLongEvent
 			}
 			continue
-		case errors.Is(err, io.EOF):
-			return ev, io.EOF
+		case errors.Is(err, io.EOF) && len(ev.data) > 0:
+			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return event{}, err
 		}
--- /dev/null
+++ b/entry/stream_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEventReader guards against a stream that ends within an event and is passed
+// on as complete.
+func TestEventReader(t *testing.T) {
+	for _, tc := range []struct {
+		name, in string
+		events   []event
+		end      error
+	}{
+		{"empty", "", nil, io.EOF},
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []event{
+			{[]byte("id: 1\ndata: a\n\n"), 1, true}, {[]byte("id: 2\ndata: b\n\n"), 2, true},
+		}, io.EOF},
+		{"carriage returns", "id: 7\r\ndata: a\r\n\r\n", []event{{[]byte("id: 7\r\ndata: a\r\n\r\n"), 7, true}}, io.EOF},
+		{"no id", "data: a\n\n", []event{{data: []byte("data: a\n\n")}}, io.EOF},
+		{"a line of its own before the data", "weight-versions: 3\nid: 4\ndata: a\n\n", []event{
+			{[]byte("weight-versions: 3\nid: 4\ndata: a\n\n"), 4, true},
+		}, io.EOF},
+		{"cut within a line", "id: 1\ndata: a\n\nid: 2\nda", []event{{[]byte("id: 1\ndata: a\n\n"), 1, true}}, io.ErrUnexpectedEOF},
+		{"cut before the empty line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			er := &eventReader{r: bufio.NewReader(strings.NewReader(tc.in))}
+			for _, want := range tc.events {
+				ev, err := er.next()
+				assert.NilError(t, err)
+				assert.Equal(t, string(ev.data), string(want.data))
+				assert.Equal(t, ev.id, want.id)
+				assert.Equal(t, ev.numbered, want.numbered)
+			}
+			_, err := er.next()
+			assert.Assert(t, errors.Is(err, tc.end), "got %v", err)
+		})
+	}
+}
