--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -26,6 +26,9 @@
 	// roomPart is the part of an upstream's room that is used, in percent: sizes of
 	// results are approximate.
 	roomPart = 92
+	// tightTime is the time for which an upstream that had no room is given no more
+	// results than it kept then.
+	tightTime = 500 * time.Millisecond
 	// slowFactor is how many times slower than the fastest an upstream may be before
 	// it only gets what the others can't take.
 	slowFactor = 1.7
@@ -68,6 +71,10 @@
 	reserved fleet.Bytes // for results of calls in progress
 	kept     map[fleet.Handle]kept
 	used     fleet.Bytes
+	// tight is what the upstream kept when it last had no room, up to tightTill:
+	// it may keep results that this queue doesn't know of.
+	tight     fleet.Bytes
+	tightTill time.Time
 	pace     float64 // time of calls over the expected time, 0 before the first
 	rest     time.Duration
 	restTill time.Time
@@ -142,7 +149,7 @@
 		return nil, late, idlePoll
 	}
 	w.expire(now)
-	room := q.calls.Room*roomPart/100 - w.used - w.reserved
+	room := q.room(now, w)
 	chosen, wait := q.choose(now, w, room)
 	if len(chosen) == 0 {
 		return nil, late, wait
@@ -160,6 +167,15 @@
 	return ps, late, 0
 }
 
+// room is what the upstream can keep beside the results that it keeps and makes.
+func (q *Queue[T]) room(now time.Time, w *worker) fleet.Bytes {
+	most := q.calls.Room * roomPart / 100
+	if now.Before(w.tightTill) {
+		most = min(most, w.tight)
+	}
+	return most - w.used - w.reserved
+}
+
 // choose returns up to a batch of pieces that fit into room and that the data
 // centre of w may make now.
 func (q *Queue[T]) choose(now time.Time, w *worker, room fleet.Bytes) (chosen []*Piece[T], wait time.Duration) {
@@ -243,6 +259,7 @@
 	Made     map[fleet.Handle]fleet.Bytes // the results that are kept
 	Failed   bool                         // the call as a whole failed
 	Full     bool                         // the upstream had no place for the call
+	NoRoom   bool                         // pieces were not made because it can't keep more results
 }
 
 // Done records the end of a call at an upstream.
@@ -257,7 +274,11 @@
 		w.kept[h] = kept{size, now.Add(q.calls.Keep)}
 		w.used += size
 	}
-	if r.Failed || r.Full {
+	if r.NoRoom {
+		w.tight = w.used
+		w.tightTill = now.Add(tightTime)
+	}
+	if r.Failed || r.Full || r.NoRoom && len(r.Made) == 0 {
 		w.rest = min(max(2*w.rest, restMin), restMax)
 		w.restTill = now.Add(w.rest)
 		return
--- /dev/null
+++ b/core/batch/queue_test.go
@@ -0,0 +1,172 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+// calls describes a service like the pattern archive: 150 ms a call, 16 ms a piece.
+var calls = fleet.Calls{
+	Slots: 1, Batch: 8, Fixed: 150 * time.Millisecond, Piece: 16 * time.Millisecond,
+	Room: 44_000_000, Keep: 4 * time.Second,
+}
+
+func upstreams(centres ...wire.DataCentreID) (us []fleet.Upstream) {
+	for i, c := range centres {
+		us = append(us, fleet.Upstream{ID: wire.UpstreamID(fmt.Sprintf("u%d", i)), Centre: c})
+	}
+	return us
+}
+
+func pieces(n int, p Piece[string]) (ps []Piece[string]) {
+	for i := range n {
+		q := p
+		q.Value = fmt.Sprintf("%s%d", p.Value, i)
+		ps = append(ps, q)
+	}
+	return ps
+}
+
+func values(ps []Piece[string]) (out []string) {
+	for _, p := range ps {
+		out = append(out, p.Value)
+	}
+	return out
+}
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func newQueue(centres ...wire.DataCentreID) *Queue[string] {
+	q := New[string](calls)
+	q.SetUpstreams(upstreams(centres...))
+	return q
+}
+
+func assertNext(t *testing.T, q *Queue[string], now time.Time, id wire.UpstreamID, want int) []Piece[string] {
+	t.Helper()
+	ps, _, _ := q.Next(now, id)
+	assert.Equal(t, len(ps), want, "pieces of the call: %v", values(ps))
+	return ps
+}
+
+func piece(v string, aim, latest time.Duration) Piece[string] {
+	return Piece[string]{Value: v, Centre: "a", Size: 3_000_000, Aim: at(aim), Latest: at(latest)}
+}
+
+// TestBatch guards against calls that carry one request's pieces each: at the sheets'
+// rates the upstreams can't make so many calls.
+func TestBatch(t *testing.T) {
+	q := newQueue("a")
+	assert.Assert(t, q.Push(start, pieces(2, piece("first", time.Second, 6*time.Second))...))
+	assertNext(t, q, start, "u0", 2)
+	q.Push(start, pieces(3, piece("second", time.Second, 6*time.Second))...)
+	q.Push(start, pieces(7, piece("third", time.Second, 6*time.Second))...)
+	assertNext(t, q, start, "u0", 0) // one call at a time
+	q.Done(at(182*time.Millisecond), "u0", Result{})
+	assertNext(t, q, at(182*time.Millisecond), "u0", 8)
+}
+
+// TestOrder guards against a burst in which every request is a little late: pieces
+// that can still be in time go before those that can't.
+func TestOrder(t *testing.T) {
+	q := newQueue("a")
+	late := pieces(8, piece("late", 100*time.Millisecond, 6*time.Second))
+	soon := pieces(8, piece("soon", 600*time.Millisecond, 6*time.Second))
+	q.Push(start, late...)
+	q.Push(start, soon...)
+	ps := assertNext(t, q, start, "u0", 8)
+	assert.Equal(t, ps[0].Value, "soon0")
+	q.Done(at(280*time.Millisecond), "u0", Result{Reserved: 24_000_000})
+	ps = assertNext(t, q, at(280*time.Millisecond), "u0", 8)
+	assert.Equal(t, ps[0].Value, "late0")
+}
+
+// TestExpire guards against work on pieces whose requests have run out of time.
+func TestExpire(t *testing.T) {
+	q := newQueue("a")
+	q.Push(start, piece("gone", time.Second, 100*time.Millisecond), piece("good", time.Second, 2*time.Second))
+	ps, late, _ := q.Next(start, "u0")
+	assert.DeepEqual(t, values(late), []string{"gone"})
+	assert.DeepEqual(t, values(ps), []string{"good"})
+}
+
+// TestRoom guards against calls for results that the upstream can't keep: such calls
+// cost their full time.
+func TestRoom(t *testing.T) {
+	q := newQueue("a")
+	q.Push(start, pieces(30, piece("p", 10*time.Second, 20*time.Second))...)
+	made := map[fleet.Handle]fleet.Bytes{}
+	now := start
+	for n := range 2 {
+		ps, _, _ := q.Next(now, "u0")
+		for i, p := range ps {
+			made[fleet.Handle(fmt.Sprintf("h%d.%d", n, i))] = p.Size
+		}
+		now = now.Add(200 * time.Millisecond)
+		q.Done(now, "u0", Result{Reserved: fleet.Bytes(len(ps)) * 3_000_000, Made: made})
+		clear(made)
+	}
+	t.Run("nothing beyond the room", func(t *testing.T) {
+		ps, _, _ := q.Next(now, "u0")
+		assert.Assert(t, len(ps) == 0, "13 results of 3 MB fill 92 percent of 44 MB, got %d more pieces", len(ps))
+	})
+	t.Run("freed results give room", func(t *testing.T) {
+		freed := q.Free([]fleet.Handle{"h0.0", "h0.1", "unknown"})
+		assert.Equal(t, len(freed["u0"]), 2)
+		assertNext(t, q, now, "u0", 2)
+	})
+	t.Run("results end by themselves", func(t *testing.T) {
+		q.Done(now, "u0", Result{Reserved: 6_000_000})
+		assertNext(t, q, now.Add(calls.Keep+time.Second), "u0", 8)
+	})
+}
+
+// TestNoRoom guards against calls repeated without a pause to an upstream that keeps
+// results of another owner of the queue: 80,770 pieces were not made for lack of room
+// on one day after a router's restart.
+func TestNoRoom(t *testing.T) {
+	q := newQueue("a")
+	q.Push(start, pieces(20, piece("p", 10*time.Second, 20*time.Second))...)
+	ps := assertNext(t, q, start, "u0", 8)
+	q.Push(start, ps[3:]...)
+	now := at(200 * time.Millisecond)
+	q.Done(now, "u0", Result{Reserved: 24_000_000, NoRoom: true, Made: map[fleet.Handle]fleet.Bytes{
+		"h0": 3_000_000, "h1": 3_000_000, "h2": 3_000_000,
+	}})
+	assertNext(t, q, now, "u0", 0)
+	q.Free([]fleet.Handle{"h0"})
+	assertNext(t, q, now, "u0", 1)
+	now = now.Add(tightTime)
+	q.Done(now, "u0", Result{Reserved: 3_000_000, NoRoom: true})
+	t.Run("it rests when nothing was made", func(t *testing.T) {
+		assertNext(t, q, now.Add(restMin/2), "u0", 0)
+	})
+}
+
+// TestSlow guards against urgent pieces that wait in a call of a slow upstream.
+func TestSlow(t *testing.T) {
+	q := newQueue("a", "a")
+	for _, w := range []struct {
+		id   wire.UpstreamID
+		took time.Duration
+	}{{"u0", 180 * time.Millisecond}, {"u1", 900 * time.Millisecond}} {
+		q.Push(start, piece("warm", time.Second, 6*time.Second))
+		assertNext(t, q, start, w.id, 1)
+		q.Done(at(w.took), w.id, Result{})
+	}
+	q.Push(at(time.Second), pieces(4, piece("p", 3*time.Second, 6*time.Second))...)
+	assertNext(t, q, at(time.Second), "u1", 0)
+	assertNext(t, q, at(time.Second), "u0", 4)
+	t.Run("unless the others can't take them", func(t *testing.T) {
+		q.Push(at(time.Second), pieces(9, piece("p", 3*time.Second, 6*time.Second))...)
+		assertNext(t, q, at(time.Second), "u1", 8)
+	})
+}
--- a/entry/shop.go
+++ b/entry/shop.go
@@ -375,6 +375,7 @@
 		}
 		r := results[i]
 		if r.Handle == "" {
+			end.NoRoom = end.NoRoom || r.Reason == platform.FailRoom
 			sh.unmade(p, r.Reason)
 			continue
 		}
