batch, route: keep stage results in the data centre that reads them

Change: engines are weighted by the makers of their data centre; a piece that moves much waits for the next calls of its own one, others go anywhere at once.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -20,8 +20,8 @@
 const (
 	// maxPieces bounds the pieces that wait for one service.
 	maxPieces = 8192
-	// bulky is the size of a result from which it matters where it is made; smaller
-	// ones cost less to move than a call made early.
+	// bulky is the number of bytes from which it matters where a piece is made;
+	// fewer cost less to move than a call made early.
 	bulky fleet.Bytes = 256 << 10
 	// roomPart is the part of an upstream's room that is used, in percent: sizes of
 	// results are approximate.
@@ -46,6 +46,7 @@
 	Value  T
 	Centre wire.DataCentreID // that reads the result
 	Size   fleet.Bytes       // of the result
+	Moved  fleet.Bytes       // between data centres if it is made outside Centre
 	Rank   int               // 0 is the most urgent
 	Aim    time.Time         // by which the result still helps full credit
 	Latest time.Time         // after which the result is useless
@@ -75,9 +76,9 @@
 	// it may keep results that this queue doesn't know of.
 	tight     fleet.Bytes
 	tightTill time.Time
-	pace     float64 // time of calls over the expected time, 0 before the first
-	rest     time.Duration
-	restTill time.Time
+	pace      float64 // time of calls over the expected time, 0 before the first
+	rest      time.Duration
+	restTill  time.Time
 }
 
 type kept struct {
@@ -181,6 +182,7 @@
 func (q *Queue[T]) choose(now time.Time, w *worker, room fleet.Bytes) (chosen []*Piece[T], wait time.Duration) {
 	q.sort(now, w)
 	wait = idlePoll
+	ahead := make(map[wire.DataCentreID]int)
 	for _, p := range q.waiting {
 		if len(chosen) == q.calls.Batch {
 			break
@@ -188,9 +190,13 @@
 		if p.Size > room {
 			continue
 		}
-		if d := q.stay(now, w, p); d > 0 {
-			wait = min(wait, d)
-			continue
+		if p.Centre != w.centre && p.Moved >= bulky {
+			next := ahead[p.Centre] < q.calls.Batch*q.serving(now, p.Centre)
+			ahead[p.Centre]++
+			if d := q.stay(now, w, p); next && d > 0 {
+				wait = min(wait, d)
+				continue
+			}
 		}
 		room -= p.Size
 		chosen = append(chosen, p)
@@ -198,24 +204,21 @@
 	return chosen, wait
 }
 
-// stay returns how long a piece still waits for an upstream of its own data centre
-// before another one makes it.
+// stay returns how long a piece whose turn comes with the next calls of its own data
+// centre still waits for one of them.
 func (q *Queue[T]) stay(now time.Time, w *worker, p *Piece[T]) time.Duration {
-	if p.Centre == w.centre || p.Size < bulky || !q.serves(now, p.Centre) {
-		return 0
-	}
 	patience := min(q.calls.Fixed, max(p.Aim.Sub(now)-2*q.took(w, q.calls.Batch), 0))
 	return patience - now.Sub(p.since)
 }
 
-// serves reports whether an upstream of the data centre can take calls.
-func (q *Queue[T]) serves(now time.Time, c wire.DataCentreID) bool {
+// serving counts the upstreams of a data centre that can take calls.
+func (q *Queue[T]) serving(now time.Time, c wire.DataCentreID) (n int) {
 	for _, w := range q.workers {
 		if w.centre == c && !now.Before(w.restTill) {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // sort orders the waiting pieces for w: those that it can still make in time go by
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -58,7 +58,7 @@
 }
 
 func piece(v string, aim, latest time.Duration) Piece[string] {
-	return Piece[string]{Value: v, Centre: "a", Size: 3_000_000, Aim: at(aim), Latest: at(latest)}
+	return Piece[string]{Value: v, Centre: "a", Size: 3_000_000, Moved: 3_000_000, Aim: at(aim), Latest: at(latest)}
 }
 
 // TestBatch guards against calls that carry one request's pieces each: at the sheets'
@@ -170,3 +170,39 @@
 		assertNext(t, q, at(time.Second), "u1", 8)
 	})
 }
+
+// TestStay guards against results that cross data centres while an upstream of their
+// own will be free in time, and against pieces that wait for one that can't be.
+func TestStay(t *testing.T) {
+	push := func(q *Queue[string], aim time.Duration, moved fleet.Bytes) {
+		p := piece("p", aim, 6*time.Second)
+		p.Moved = moved
+		q.Push(start, p)
+	}
+	t.Run("a bulky piece waits", func(t *testing.T) {
+		q := newQueue("a", "b")
+		push(q, time.Second, 3_000_000)
+		assertNext(t, q, start, "u1", 0)
+		assertNext(t, q, start, "u0", 1)
+	})
+	t.Run("not for long", func(t *testing.T) {
+		q := newQueue("a", "b")
+		push(q, time.Second, 3_000_000)
+		assertNext(t, q, at(calls.Fixed), "u1", 1)
+	})
+	t.Run("not when its aim is near", func(t *testing.T) {
+		q := newQueue("a", "b")
+		push(q, 300*time.Millisecond, 3_000_000)
+		assertNext(t, q, start, "u1", 1)
+	})
+	t.Run("not without an upstream at home", func(t *testing.T) {
+		q := newQueue("b", "b")
+		push(q, time.Second, 3_000_000)
+		assertNext(t, q, start, "u1", 1)
+	})
+	t.Run("a small piece goes anywhere", func(t *testing.T) {
+		q := newQueue("a", "b")
+		push(q, time.Second, 6_000)
+		assertNext(t, q, start, "u1", 1)
+	})
+}
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -67,3 +67,19 @@
 	}
 	return last
 }
+
+// Moved returns the bytes that a piece of stage i moves between data centres if it
+// is made in another one than the rest of the request: its inputs come there, and
+// its result goes to every piece that reads it.
+func Moved(stages []Stage, n *Need, i int) (b Bytes) {
+	for _, a := range stages[i].After {
+		b += stages[a].Size * Bytes(n.PieceCount(a))
+	}
+	readers := 0
+	for j, s := range stages {
+		if slices.Contains(s.After, i) {
+			readers += n.PieceCount(j)
+		}
+	}
+	return b + stages[i].Size*Bytes(max(readers, 1))
+}
--- a/core/route/holder.go
+++ b/core/route/holder.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -26,6 +27,10 @@
 	Upstream wire.UpstreamID
 	Work     float64 // work given and not finished, in typical requests
 	Penalty  float64 // for recent failures and slow answers, in typical requests
+	// Weight is the part of the prompts that prefer the engine, relative to the
+	// others; 0 counts as 1. It is low where the results that requests read are
+	// made by few upstreams nearby.
+	Weight float64
 }
 
 // Key is the hash of the shared parts of a prompt.
@@ -64,12 +69,20 @@
 	return least
 }
 
-// Order returns the indices of the engines by rendezvous hash, the highest first.
+// Order returns the indices of the engines by weighted rendezvous hash, the highest
+// first.
 func Order(key uint64, es []Engine) []int {
-	weights := make([]uint64, len(es))
+	weights := make([]float64, len(es))
 	order := make([]int, len(es))
 	for i, e := range es {
-		weights[i] = weigh(key, xxhash.Sum64String(string(e.Upstream)))
+		h := weigh(key, xxhash.Sum64String(string(e.Upstream)))
+		// The logarithmic method: -w/ln(u) for u uniform between 0 and 1.
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		w := e.Weight
+		if w <= 0 {
+			w = 1
+		}
+		weights[i] = -w / math.Log(u)
 		order[i] = i
 	}
 	slices.SortFunc(order, func(a, b int) int {
--- a/entry/place.go
+++ b/entry/place.go
@@ -8,6 +8,7 @@
 
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/route"
+	"hornbeamcove.example/core/wire"
 )
 
 const (
@@ -89,10 +90,58 @@
 	for i, p := range shared {
 		parts[i] = p.ID
 	}
+	x.weigh(es, open)
 	x.why = "holder"
 	return route.Holder(route.Key(parts...), es)
 }
 
+// weigh gives each engine the part of the prompts that the upstreams of the stages in
+// its data centre can make results for.
+func (x *exchange) weigh(es []route.Engine, open []*target) {
+	if len(x.route.Stages) == 0 {
+		return
+	}
+	engines := map[wire.DataCentreID]int{}
+	for _, t := range open {
+		engines[t.Centre]++
+	}
+	shares := x.makers()
+	for i, t := range open {
+		es[i].Weight = max(shares[t.Centre], leastShare) / float64(engines[t.Centre])
+	}
+}
+
+// leastShare is the part of the stage work that a data centre without an upstream of
+// a stage counts for.
+const leastShare = 0.02
+
+// makers returns, for each data centre, the smallest part of the upstreams of any
+// stage of the route that it has.
+func (x *exchange) makers() map[wire.DataCentreID]float64 {
+	shares := map[wire.DataCentreID]float64{}
+	for n, i := range x.route.Stages {
+		count := map[wire.DataCentreID]float64{}
+		ups := x.view.Ups[i.Service]
+		for _, u := range ups {
+			count[u.Centre] += 1 / float64(len(ups))
+		}
+		for c, v := range count {
+			if old, ok := shares[c]; n == 0 || ok {
+				shares[c] = v
+				if n > 0 {
+					shares[c] = min(old, v)
+				}
+			}
+		}
+		for c := range shares {
+			if count[c] == 0 {
+				delete(shares, c)
+			}
+		}
+	}
+	return shares
+}
+
 // nearest chooses the upstream with the least load, and prefers its own data centre.
 func (x *exchange) nearest(open []*target, states []standing) int {
 	score := func(i int) float64 {
--- a/entry/shop.go
+++ b/entry/shop.go
@@ -38,6 +38,7 @@
 	Key     string         // of a first stage
 	Inputs  []fleet.Handle // of later stages
 	Size    fleet.Bytes    // of one result
+	Moved   fleet.Bytes    // between data centres by a piece that is made outside Centre
 	Centre  wire.DataCentreID
 	Rank    int
 	Aim     time.Duration // by which the results are wanted
@@ -208,7 +209,7 @@
 	ps := make([]batch.Piece[*work], o.Pieces)
 	for i := range ps {
 		ps[i] = batch.Piece[*work]{
-			Value: &work{job: j, piece: i}, Centre: o.Centre, Size: o.Size, Rank: o.Rank,
+			Value: &work{job: j, piece: i}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
 			Aim: aim, Latest: j.latest,
 		}
 	}
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -82,7 +82,7 @@
 	}
 	rest := rs.s.expect(x, i)
 	o := Order{
-		Request: x.need.ID, Service: st.Service, Stage: i, Pieces: n, Size: st.Size, Centre: centre, Rank: x.rank,
+		Request: x.need.ID, Service: st.Service, Stage: i, Pieces: n, Size: st.Size, Moved: fleet.Moved(rs.route.Stages, &x.need, i), Centre: centre, Rank: x.rank,
 		Aim: x.aimLeft() - rest, Left: x.left() - rest,
 	}
 	if len(st.After) == 0 {
