entry, batch: free results that another owner of the queue made

Change: unknown handles are freed at the maker that their address names, and frees are collected for 20 ms instead of 60.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -294,19 +294,31 @@
 	w.pace += paceWeight * (sample - w.pace)
 }
 
-// Free records that results are no longer kept, and returns their upstreams.
-func (q *Queue[T]) Free(hs []fleet.Handle) map[wire.UpstreamID][]fleet.Handle {
-	out := make(map[wire.UpstreamID][]fleet.Handle)
+// Free records that results are no longer kept. It returns those of each upstream,
+// and those that the queue doesn't know: they were made for another owner of it.
+func (q *Queue[T]) Free(hs []fleet.Handle) (known map[wire.UpstreamID][]fleet.Handle, unknown []fleet.Handle) {
+	known = make(map[wire.UpstreamID][]fleet.Handle)
+	for _, h := range hs {
+		id, ok := q.keeper(h)
+		if !ok {
+			unknown = append(unknown, h)
+			continue
+		}
+		w := q.workers[id]
+		w.used -= w.kept[h].size
+		delete(w.kept, h)
+		known[id] = append(known[id], h)
+	}
+	return known, unknown
+}
+
+func (q *Queue[T]) keeper(h fleet.Handle) (wire.UpstreamID, bool) {
 	for id, w := range q.workers {
-		for _, h := range hs {
-			if k, ok := w.kept[h]; ok {
-				w.used -= k.size
-				delete(w.kept, h)
-				out[id] = append(out[id], h)
-			}
+		if _, ok := w.kept[h]; ok {
+			return id, true
 		}
 	}
-	return out
+	return "", false
 }
 
 // Estimate returns the time after which n more pieces with the given aim would be
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -119,8 +119,9 @@
 		assert.Assert(t, len(ps) == 0, "13 results of 3 MB fill 92 percent of 44 MB, got %d more pieces", len(ps))
 	})
 	t.Run("freed results give room", func(t *testing.T) {
-		freed := q.Free([]fleet.Handle{"h0.0", "h0.1", "unknown"})
+		freed, unknown := q.Free([]fleet.Handle{"h0.0", "h0.1", "other"})
 		assert.Equal(t, len(freed["u0"]), 2)
+		assert.DeepEqual(t, unknown, []fleet.Handle{"other"})
 		assertNext(t, q, now, "u0", 2)
 	})
 	t.Run("results end by themselves", func(t *testing.T) {
--- a/entry/shop.go
+++ b/entry/shop.go
@@ -21,7 +21,7 @@
 	// maxTries bounds how often a piece is given to an upstream that fails.
 	maxTries = 4
 	// freeDelay is the time for which results to be given up are collected.
-	freeDelay = 60 * time.Millisecond
+	freeDelay = 20 * time.Millisecond
 	freeLimit = time.Second
 	// maxStageAnswer bounds the answer to a stage call in bytes.
 	maxStageAnswer = 1 << 20
@@ -275,14 +275,31 @@
 // giveUp collects results to be given up. The caller holds mu.
 func (sh *shop) giveUp(hs []fleet.Handle) {
 	first := len(sh.freed) == 0
-	for id, freed := range sh.q.Free(hs) {
+	known, unknown := sh.q.Free(hs)
+	for id, freed := range known {
 		sh.freed[id] = append(sh.freed[id], freed...)
 	}
+	for _, h := range unknown {
+		if id, ok := sh.maker(h); ok {
+			sh.freed[id] = append(sh.freed[id], h)
+		}
+	}
 	if first && len(sh.freed) > 0 {
 		time.AfterFunc(freeDelay, sh.sendFreed)
 	}
 }
 
+// maker returns the upstream that keeps a result, by its address.
+func (sh *shop) maker(h fleet.Handle) (wire.UpstreamID, bool) {
+	addr := platform.Maker(h)
+	for id, u := range sh.ups {
+		if u.Address == addr {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // sendFreed tells upstreams of the results that were given up.
 func (sh *shop) sendFreed() {
 	sh.mu.Lock()
