admit: refuse at arrival a request whose stages would make it late

Change: routers tell each other the pieces that wait, that are coming and the rate of each service; a request that would be late is refused with the time after which there is room, and less urgent routes leave queues to more urgent ones.

--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,147 @@
+// Package admit decides at a request's arrival whether its stages can be run in time.
+// It does no I/O.
+//
+// It answers a burst that asks a little more of a stage service than its upstreams
+// can do: without it every request waits in each queue on its way, most come late,
+// and work on early stages is thrown away. A request that would come late is refused
+// before any work on it, so that the others are on time.
+package admit
+
+import (
+	"time"
+
+	"hornbeamcove.example/core/fleet"
+)
+
+const (
+	// yield is the part of the slack of more urgent routes, per rank, that a less
+	// urgent one leaves to them.
+	yield = 0.1
+	// leastPart is the least part of its slack that a route may use, however low
+	// its rank.
+	leastPart = 0.3
+	// retryLeast is the least time after which a refused caller is asked to return.
+	retryLeast = 200 * time.Millisecond
+)
+
+// Backlog is the work that a stage service has before it, over all routers.
+type Backlog struct {
+	Waiting int     // pieces in its queue
+	Coming  int     // pieces of requests that are admitted and have not reached it
+	Rate    float64 // pieces a second that its upstreams make in full calls; 0 if unknown
+}
+
+// wait is the time for which a piece waits that arrives after a while.
+func (b Backlog) wait(after time.Duration) time.Duration {
+	if b.Rate <= 0 {
+		return 0
+	}
+	clear := time.Duration(float64(b.Waiting+b.Coming) / b.Rate * float64(time.Second))
+	return max(clear-after, 0)
+}
+
+// Forecast is the expected course of a request's stages.
+type Forecast struct {
+	Waits []time.Duration // in the queue of each stage
+	Total time.Duration   // until the first event or the answer
+}
+
+// Predict forecasts a request: first is the expected time from the end of its stages
+// to the first event.
+func Predict(cfg *fleet.Config, r *fleet.Route, n *fleet.Need, first time.Duration, backlog func(fleet.ServiceID) Backlog) Forecast {
+	f := Forecast{Waits: make([]time.Duration, len(r.Stages))}
+	ends := make([]time.Duration, len(r.Stages))
+	for i, s := range r.Stages {
+		begin := time.Duration(0)
+		for _, a := range s.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin
+		count := n.PieceCount(i)
+		if count == 0 {
+			continue
+		}
+		calls := cfg.Service(s.Service).Calls
+		f.Waits[i] = backlog(s.Service).wait(begin)
+		ends[i] += f.Waits[i] + calls.Took(min(count, calls.Batch))
+		f.Total = max(f.Total, ends[i])
+	}
+	f.Total += first
+	return f
+}
+
+// Slack is the time for which a request of a route can wait in queues and still be
+// on time, when its calls are full.
+func Slack(cfg *fleet.Config, r *fleet.Route, first time.Duration) time.Duration {
+	ends := make([]time.Duration, len(r.Stages))
+	total := time.Duration(0)
+	for i, s := range r.Stages {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		calls := cfg.Service(s.Service).Calls
+		ends[i] += calls.Took(calls.Batch)
+		total = max(total, ends[i])
+	}
+	return max(r.Aim-total-first, 0)
+}
+
+// Verdict says whether a request is admitted.
+type Verdict struct {
+	OK     bool
+	Reason string // empty if OK
+	Wait   time.Duration
+	Retry  time.Duration // after which the caller may find room
+}
+
+// Reasons of refusals.
+const (
+	ReasonLate  = "would be late" // its own time is too short for the queues
+	ReasonYield = "yields"        // more urgent requests need the time that is left
+)
+
+// Judge decides on a request by its forecast. left is the time until its deadline.
+// firsts gives the expected time to the first event of other routes.
+func Judge(cfg *fleet.Config, r *fleet.Route, f Forecast, left time.Duration, first func(*fleet.Route) time.Duration) Verdict {
+	aim := min(r.Aim, left)
+	if r.Aim <= 0 {
+		aim = left
+	}
+	waits := time.Duration(0)
+	for _, w := range f.Waits {
+		waits += w
+	}
+	if waits > 0 && f.Total > aim {
+		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total-aim, retryLeast)}
+	}
+	for i, w := range f.Waits {
+		if bound := Bound(cfg, r, r.Stages[i].Service, first); w > bound {
+			return Verdict{Reason: ReasonYield, Wait: w, Retry: max(w-bound, retryLeast)}
+		}
+	}
+	return Verdict{OK: true, Wait: waits}
+}
+
+// Bound is the longest wait in a service's queue with which a request of route r is
+// admitted: no longer than what the more urgent routes that use the service can
+// bear, less a part for each rank.
+func Bound(cfg *fleet.Config, r *fleet.Route, id fleet.ServiceID, first func(*fleet.Route) time.Duration) time.Duration {
+	bound := Slack(cfg, r, first(r))
+	for i := range cfg.Routes {
+		o := &cfg.Routes[i]
+		if o.Rank < r.Rank && uses(o, id) {
+			bound = min(bound, Slack(cfg, o, first(o)))
+		}
+	}
+	part := max(1-yield*float64(max(r.Rank, 0)), leastPart)
+	return time.Duration(part * float64(bound))
+}
+
+func uses(r *fleet.Route, id fleet.ServiceID) bool {
+	for _, s := range r.Stages {
+		if s.Service == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,108 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/fleet"
+)
+
+const ms = time.Millisecond
+
+// deployment has three stage services and routes of three ranks that share them.
+func deployment(t *testing.T) *fleet.Config {
+	t.Helper()
+	svc := func(id fleet.ServiceID, batch int, piece time.Duration) fleet.Service {
+		return fleet.Service{ID: id, Calls: &fleet.Calls{Slots: 1, Batch: batch, Fixed: 150 * ms, Piece: piece, Room: 1 << 30, Keep: 4 * time.Second}}
+	}
+	split := []fleet.Weight{{Service: "engine", Part: 1}}
+	chain := []fleet.Stage{
+		{Service: "archive", Size: 8_000}, {Service: "school", After: []int{0}, Size: 60_000},
+		{Service: "parcel", After: []int{1}, Size: 6_000},
+	}
+	cfg := &fleet.Config{
+		Version: 1,
+		Services: []fleet.Service{
+			{ID: "engine", Engine: &fleet.Engine{}}, svc("archive", 8, 16*ms), svc("school", 30, 4*ms), svc("parcel", 60, 2*ms),
+		},
+		Routes: []fleet.Route{
+			{ID: "plan", Host: "a", Prefix: "/", Split: split, Rank: 0, Aim: 920 * ms, Stages: []fleet.Stage{{Service: "archive", Size: 3_000_000}}},
+			{ID: "note", Host: "b", Prefix: "/", Split: split, Rank: 1, Aim: 1900 * ms, Stages: chain},
+			{ID: "chat", Host: "c", Prefix: "/", Split: split, Rank: 2, Aim: 2400 * ms, Stages: chain},
+		},
+	}
+	assert.NilError(t, cfg.Index())
+	return cfg
+}
+
+func first(*fleet.Route) time.Duration { return 250 * ms }
+
+func none(fleet.ServiceID) Backlog { return Backlog{} }
+
+func assertVerdict(t *testing.T, v Verdict, reason string) {
+	t.Helper()
+	assert.Equal(t, v.Reason, reason)
+	assert.Equal(t, v.OK, reason == "")
+	if !v.OK {
+		assert.Assert(t, v.Retry >= retryLeast)
+	}
+}
+
+// TestJudge guards against requests that are taken although their stages make them
+// late, and against less urgent ones that fill a queue which more urgent ones need.
+func TestJudge(t *testing.T) {
+	cfg := deployment(t)
+	plan, note, chat := &cfg.Routes[0], &cfg.Routes[1], &cfg.Routes[2]
+	for _, tc := range []struct {
+		name    string
+		route   *fleet.Route
+		pieces  []int
+		at      fleet.ServiceID
+		backlog Backlog
+		reason  string
+	}{
+		{"idle", plan, []int{3}, "archive", Backlog{}, ""},
+		{"idle chain", note, []int{1, 8, 16}, "archive", Backlog{}, ""},
+		{"some backlog", plan, []int{3}, "archive", Backlog{Waiting: 20, Rate: 100}, ""},
+		{"too much backlog", plan, []int{3}, "archive", Backlog{Waiting: 60, Rate: 100}, ReasonLate},
+		{"coming work counts", plan, []int{3}, "archive", Backlog{Coming: 60, Rate: 100}, ReasonLate},
+		{"less urgent work yields", note, []int{1, 8, 16}, "archive", Backlog{Waiting: 60, Rate: 100}, ReasonYield},
+		{"no stage, no wait", plan, []int{0}, "archive", Backlog{Waiting: 600, Rate: 100}, ""},
+		{"unknown rate", plan, []int{3}, "archive", Backlog{Waiting: 600}, ""},
+		{"a later queue empties meanwhile", note, []int{1, 8, 16}, "parcel", Backlog{Waiting: 400, Rate: 1000}, ""},
+		{"a later queue is too long", note, []int{1, 8, 16}, "parcel", Backlog{Waiting: 2000, Rate: 1000}, ReasonLate},
+		{"the least urgent yields first", chat, []int{1, 8, 16}, "parcel", Backlog{Waiting: 1250, Rate: 1000}, ReasonYield},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			need := &fleet.Need{Pieces: tc.pieces}
+			f := Predict(cfg, tc.route, need, 250*ms, func(id fleet.ServiceID) Backlog {
+				if id == tc.at {
+					return tc.backlog
+				}
+				return Backlog{}
+			})
+			assertVerdict(t, Judge(cfg, tc.route, f, 5*time.Second, first), tc.reason)
+		})
+	}
+}
+
+// TestBoundOrder guards against a less urgent route that is served more than a more
+// urgent one of the same service.
+func TestBoundOrder(t *testing.T) {
+	cfg := deployment(t)
+	for _, id := range []fleet.ServiceID{"school", "parcel"} {
+		note, chat := Bound(cfg, &cfg.Routes[1], id, first), Bound(cfg, &cfg.Routes[2], id, first)
+		assert.Assert(t, chat <= note, "%s: chat waits %v, note %v", id, chat, note)
+	}
+	assert.Assert(t, Bound(cfg, &cfg.Routes[1], "archive", first) < Bound(cfg, &cfg.Routes[0], "archive", first))
+}
+
+// TestPredictIdle guards against forecasts that refuse where nothing waits.
+func TestPredictIdle(t *testing.T) {
+	cfg := deployment(t)
+	f := Predict(cfg, &cfg.Routes[1], &fleet.Need{Pieces: []int{1, 8, 16}}, 250*ms, none)
+	assert.Equal(t, f.Total, 166*ms+182*ms+182*ms+250*ms)
+	assertVerdict(t, Judge(cfg, &cfg.Routes[1], f, 300*ms, first), "")
+}
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -352,6 +352,17 @@
 	return soonest + time.Duration(rounds*float64(full)) + q.calls.Fixed, true
 }
 
+// Rate returns the pieces a second that the service's upstreams make in full calls.
+func (q *Queue[T]) Rate(now time.Time) (rate float64) {
+	for _, w := range q.workers {
+		if now.Before(w.restTill) {
+			continue
+		}
+		rate += float64(q.calls.Batch) / q.took(w, q.calls.Batch).Seconds()
+	}
+	return rate
+}
+
 // left is the expected time until the worker's call ends.
 func (w *worker) left(now time.Time, c *fleet.Calls) time.Duration {
 	if w.flight == 0 {
--- /dev/null
+++ b/entry/coming.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"hornbeamcove.example/core/admit"
+	"hornbeamcove.example/core/fleet"
+)
+
+// coming counts the pieces of admitted requests that have not reached the queue of
+// their service. It is safe for concurrent use.
+type coming struct {
+	mu     sync.Mutex
+	pieces map[fleet.ServiceID]int
+}
+
+func (c *coming) add(id fleet.ServiceID, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pieces[id] += n; c.pieces[id] <= 0 {
+		delete(c.pieces, id)
+	}
+}
+
+// loads returns this router's part in the work before each stage service.
+func (s *Server) loads(now time.Time) map[fleet.ServiceID]Load {
+	out := map[fleet.ServiceID]Load{}
+	s.coming.mu.Lock()
+	for id, n := range s.coming.pieces {
+		out[id] = Load{Coming: n}
+	}
+	s.coming.mu.Unlock()
+	s.shops.mu.Lock()
+	defer s.shops.mu.Unlock()
+	for id, sh := range s.shops.all {
+		l := out[id]
+		sh.mu.Lock()
+		l.Waiting = sh.q.Len()
+		if s.shops.owner(id) == s.cfg.Name {
+			l.Rate = sh.q.Rate(now)
+		}
+		sh.mu.Unlock()
+		out[id] = l
+	}
+	return out
+}
+
+// admitStages refuses a request whose stages can't be run in time, and counts its
+// pieces otherwise.
+func (x *exchange) admitStages() *refusal {
+	if len(x.route.Stages) == 0 {
+		return nil
+	}
+	now := time.Now()
+	backlogs := map[fleet.ServiceID]admit.Backlog{}
+	for _, st := range x.route.Stages {
+		if _, ok := backlogs[st.Service]; !ok {
+			backlogs[st.Service] = x.s.peers.backlog(now, st.Service)
+		}
+	}
+	cfg := x.view.Config
+	f := admit.Predict(cfg, x.route, &x.need, x.s.firstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id] })
+	v := admit.Judge(cfg, x.route, f, x.left(), x.s.firstEvent)
+	if !v.OK {
+		x.s.log.Info("stages would be late", "request", x.need.ID, "reason", v.Reason, "wait_ms", v.Wait.Milliseconds(),
+			"total_ms", f.Total.Milliseconds(), "aim_ms", x.route.Aim.Milliseconds(), "retry_ms", v.Retry.Milliseconds())
+		return &refusal{http.StatusServiceUnavailable, "stages: " + v.Reason, v.Retry}
+	}
+	x.pending = make([]int, len(x.route.Stages))
+	for i, st := range x.route.Stages {
+		x.pending[i] = x.need.PieceCount(i)
+		x.s.coming.add(st.Service, x.pending[i])
+	}
+	return nil
+}
+
+// reached records that the pieces of a stage are no longer coming.
+func (x *exchange) reached(stage int) {
+	if x.pending == nil {
+		return
+	}
+	x.pendingMu.Lock()
+	n := x.pending[stage]
+	x.pending[stage] = 0
+	x.pendingMu.Unlock()
+	x.s.coming.add(x.route.Stages[stage].Service, -n)
+}
+
+// leave records that no more pieces of the request are coming.
+func (x *exchange) leave() {
+	for i := range x.pending {
+		x.reached(i)
+	}
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"hornbeamcove.example/core/budget"
@@ -31,6 +32,9 @@
 	print wire.Fingerprint
 	retry *budget.Retry
 
+	pendingMu sync.Mutex
+	pending   []int // pieces of each stage that have not reached their queue
+
 	began    Instant
 	deadline Instant
 
@@ -152,6 +156,7 @@
 		x.refuse(*f)
 		return
 	}
+	defer x.leave()
 	ctx, cancel := context.WithTimeout(r.Context(), x.left())
 	defer cancel()
 	x.serve(ctx)
@@ -190,7 +195,7 @@
 	if x.s.strikes.Out(time.Now(), x.print) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	}
-	return nil
+	return x.admitStages()
 }
 
 // target is the request's path and query as they came.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/wire"
@@ -21,7 +22,7 @@
 const (
 	// beatPeriod is how often a router tells its peers that it lives and what
 	// revisions it has reached.
-	beatPeriod = 250 * time.Millisecond
+	beatPeriod = 120 * time.Millisecond
 	beatLimit  = 400 * time.Millisecond
 	// aliveAge is the age of the last sign of life up to which a router owns queues;
 	// it covers two lost beats.
@@ -45,6 +46,14 @@
 	Boot    int64 // Unix nanoseconds of its start; a later run replaces an earlier one
 	Leaving bool  // draining
 	Age     time.Duration
+	Loads   map[fleet.ServiceID]Load
+}
+
+// Load is a router's part in the work before a stage service.
+type Load struct {
+	Coming  int     // pieces of its requests that have not reached the service's queue
+	Waiting int     // pieces in the queue, if it owns it
+	Rate    float64 // pieces a second, if it owns the queue
 }
 
 // Beat is what routers tell each other periodically.
@@ -162,10 +171,12 @@
 
 func (p *peers) compose(now time.Time) Beat {
 	v := p.s.view.Load()
+	loads := p.s.loads(now)
 	b := Beat{From: p.self, At: v.At, Strikes: p.s.strikes.Recent(now, strikeAge)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.From.Leaving = p.s.draining.Load()
+	b.From.Loads = loads
 	for _, m := range p.seen {
 		if age := now.Sub(m.at); age < countAge {
 			m.Member.Age = age
@@ -248,6 +259,24 @@
 	return m.Address, true
 }
 
+// backlog sums up the work before a stage service.
+func (p *peers) backlog(now time.Time, id fleet.ServiceID) (b admit.Backlog) {
+	own := p.s.loads(now)[id]
+	b = admit.Backlog{Waiting: own.Waiting, Coming: own.Coming, Rate: own.Rate}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.seen {
+		if now.Sub(m.at) >= aliveAge {
+			continue
+		}
+		l := m.Loads[id]
+		b.Coming += l.Coming
+		b.Waiting += l.Waiting
+		b.Rate = max(b.Rate, l.Rate)
+	}
+	return b
+}
+
 // whenLost calls lost when a router is no longer alive. The returned function ends
 // the watch.
 func (p *peers) whenLost(name wire.HostID, lost func()) (stop func()) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -69,6 +69,7 @@
 	peers   *peers
 	strikes crash.Strikes
 	learned learned
+	coming  coming
 
 	seedList atomic.Pointer[[]wire.Address]
 	lost     [2]atomic.Bool // whether the store's areas can't be read
@@ -105,6 +106,7 @@
 		budgets: map[fleet.ServiceID]*retries{},
 		stopped: make(chan struct{}),
 	}
+	s.coming.pieces = map[fleet.ServiceID]int{}
 	s.learned.routes = map[fleet.RouteID]time.Duration{}
 	s.seedList.Store(&cfg.Seeds)
 	s.view.Store(&View{})
@@ -385,13 +387,13 @@
 
 // firstEvent is the expected time from sending a request to its first event, or to
 // the answer of a plain service.
-func (s *Server) firstEvent(x *exchange) time.Duration {
+func (s *Server) firstEvent(r *fleet.Route) time.Duration {
 	s.learned.mu.Lock()
 	defer s.learned.mu.Unlock()
-	if d, ok := s.learned.routes[x.route.ID]; ok {
+	if d, ok := s.learned.routes[r.ID]; ok {
 		return d
 	}
-	if x.route.Kind == fleet.Stream {
+	if r.Kind == fleet.Stream {
 		return firstGuess
 	}
 	return plainGuess
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -90,6 +90,7 @@
 	} else {
 		o.Inputs = rs.inputs(st.After)
 	}
+	x.reached(i)
 	m, err := rs.s.order(ctx, o)
 	if err != nil {
 		return err
@@ -234,7 +235,7 @@
 		after = max(after, svc.Calls.Took(x.need.PieceCount(j))+s.expect(x, j))
 	}
 	if after == 0 {
-		return s.firstEvent(x)
+		return s.firstEvent(x.route)
 	}
 	return after
 }
