--- a/entry/send.go
+++ b/entry/send.go
@@ -83,12 +83,28 @@
 		return
 	}
 	timeout := isTimeout(err)
+	if timeout && x.left() <= ownTimeout {
+		// The request ran out of time, which says little about the upstream unless
+		// the route is usually much faster.
+		if took, ok := x.s.learned.known(x.route.ID); ok && x.took() > lateFactor*took {
+			t.full(time.Now())
+		}
+		return
+	}
 	t.bad(time.Now(), !sent, sent && !timeout)
 	if sent && !timeout {
 		x.suspect(t)
 	}
 }
 
+const (
+	// ownTimeout is the time left below which a timeout counts as the request's own.
+	ownTimeout = 5 * time.Millisecond
+	// lateFactor is how many times the usual time a request must have taken for its
+	// timeout to count against the upstream.
+	lateFactor = 5
+)
+
 func isTimeout(err error) bool {
 	var ne interface{ Timeout() bool }
 	return errors.As(err, &ne) && ne.Timeout()
--- a/entry/server.go
+++ b/entry/server.go
@@ -385,12 +385,18 @@
 	l.routes[id] = old + time.Duration(learnWeight*float64(min(d, learnedLimit)-old))
 }
 
+// known returns the mean time to the first event of a route, if any was measured.
+func (l *learned) known(id fleet.RouteID) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, ok := l.routes[id]
+	return d, ok
+}
+
 // firstEvent is the expected time from sending a request to its first event, or to
 // the answer of a plain service.
 func (s *Server) firstEvent(r *fleet.Route) time.Duration {
-	s.learned.mu.Lock()
-	defer s.learned.mu.Unlock()
-	if d, ok := s.learned.routes[r.ID]; ok {
+	if d, ok := s.learned.known(r.ID); ok {
 		return d
 	}
 	if r.Kind == fleet.Stream {
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -135,14 +135,15 @@
 
 // giveUp answers a request for which there is no more to try.
 func (x *exchange) giveUp(ctx context.Context) {
+	over := ctx.Err() != nil || x.left() <= ownTimeout
 	switch {
 	case x.r.Context().Err() != nil:
 		x.refuse(refusal{status: 499, reason: "caller left"}) // nobody reads it
-	case !x.maybeRan() && ctx.Err() != nil:
+	case !x.maybeRan() && over:
 		x.refuse(refusal{http.StatusServiceUnavailable, "timeout", 0})
 	case !x.maybeRan():
 		x.refuse(refusal{http.StatusServiceUnavailable, "no upstream", retryNone})
-	case ctx.Err() != nil:
+	case over:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
 	default:
 		x.refuse(refusal{status: http.StatusBadGateway, reason: "upstream failed"})
