--- /dev/null
+++ b/core/crash/strikes_test.go
@@ -0,0 +1,64 @@
+package crash
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// TestStrikes guards against a request that crashes one upstream after the other as
+// its caller sends it again, and against refusing a request that met one crash.
+func TestStrikes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hit := func(s *Strikes, ups ...int) {
+		for _, u := range ups {
+			s.Add(now, Strike{Print: "p", Upstream: wire.UpstreamID(fmt.Sprint("u", u)), Born: 1})
+		}
+	}
+	t.Run("two crashes", func(t *testing.T) {
+		s := new(Strikes)
+		hit(s, 1, 2)
+		assert.Assert(t, !s.Out(now, "p"))
+	})
+	t.Run("three crashes", func(t *testing.T) {
+		s := new(Strikes)
+		hit(s, 1, 2, 3)
+		assert.Assert(t, s.Out(now, "p"))
+		assert.Assert(t, !s.Out(now, "q"))
+	})
+	t.Run("the same crash told by several routers", func(t *testing.T) {
+		s := new(Strikes)
+		hit(s, 1, 1, 1, 2)
+		assert.Assert(t, !s.Out(now, "p"))
+		assert.Equal(t, len(s.Recent(now, time.Second)), 2)
+	})
+	t.Run("another run of the same upstream", func(t *testing.T) {
+		s := new(Strikes)
+		hit(s, 1, 2)
+		s.Add(now, Strike{Print: "p", Upstream: "u1", Born: 2})
+		assert.Assert(t, s.Out(now, "p"))
+	})
+	t.Run("a success clears", func(t *testing.T) {
+		s := new(Strikes)
+		hit(s, 1, 2, 3)
+		s.Clear("p")
+		assert.Assert(t, !s.Out(now, "p"))
+	})
+	t.Run("old ones end", func(t *testing.T) {
+		s := new(Strikes)
+		hit(s, 1, 2, 3)
+		assert.Assert(t, !s.Out(now.Add(strikeLife+time.Second), "p"))
+		assert.Equal(t, len(s.Recent(now.Add(time.Minute), time.Second)), 0)
+	})
+	t.Run("the number is bounded", func(t *testing.T) {
+		s := new(Strikes)
+		for i := range maxStrikes + 10 {
+			s.Add(now.Add(time.Duration(i)), Strike{Print: wire.Fingerprint(fmt.Sprint(i))})
+		}
+		assert.Equal(t, len(s.Recent(now, time.Hour)), maxStrikes)
+	})
+}
