entry, fakes: play the platform's store and replicas on loopback

fakes/site stands in for the store and the replicas of each kind, with their faults. A router whose context ends does not wait for the balancer any more; only a signal starts the drain.

--- /dev/null
+++ b/entry/rig_test.go
@@ -0,0 +1,286 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes/site"
+	"hornbeamcove.example/platform"
+)
+
+// waitLimit bounds the wait for an event that must come; no test needs it when all
+// is well.
+const waitLimit = 20 * time.Second
+
+// rig is a site with routers in this process.
+type rig struct {
+	t    *testing.T
+	site *site.Site
+	log  *logBuffer
+}
+
+// logBuffer keeps the log of a rig's routers.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// node is one router of a rig.
+type node struct {
+	*Server
+	signals chan os.Signal
+	ended   chan error
+}
+
+const (
+	deskHost   = "desk.example"
+	streamHost = "chat.example"
+	planHost   = "plan.example"
+)
+
+var routes = []site.Route{
+	{Name: "lookup", Host: deskHost, Prefix: "/safe/", Kind: "safe", Service: "desk", Timeout: 8000, Aim: 300, Attempts: 2},
+	{Name: "submit", Host: deskHost, Prefix: "/once/", Kind: "unsafe", Service: "desk", Timeout: 8000, Aim: 300, Attempts: 1},
+	{Name: "open", Host: deskHost, Prefix: "/open/", Kind: "safe", Service: "desk", Timeout: 8000, Aim: 300, Attempts: 1, Anonymous: true},
+	{Name: "short", Host: deskHost, Prefix: "/short/", Kind: "unsafe", Service: "desk", Timeout: 150, Aim: 100, Attempts: 1},
+	{Name: "chat", Host: streamHost, Prefix: "/resume/", Kind: "streaming", Service: "engine", Timeout: 15000, Aim: 2000, Gap: 400, Attempts: 2, Resume: true, Sticky: true},
+	{Name: "note", Host: streamHost, Prefix: "/once/", Kind: "streaming", Service: "engine", Timeout: 15000, Aim: 2000, Gap: 400, Attempts: 1, Sticky: true},
+	{
+		Name: "plan", Host: planHost, Prefix: "/", Kind: "streaming", Service: "engine", Timeout: 15000, Aim: 5000, Gap: 400, Attempts: 2, Resume: true, Sticky: true,
+		Stages: []site.Stage{{Service: "archive", Bytes: 8000}, {Service: "school", After: []int{0}, Bytes: 60000}, {Service: "archive", Bytes: 3000000}},
+	},
+}
+
+var services = []site.Service{
+	{Name: "desk"},
+	{Name: "engine", Engine: true},
+	{Name: "archive", Pieces: map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 20.0, "item_ms": 2.0, "headroom_mb": 44.0, "handle_s": 4.0}},
+	{Name: "school", Pieces: map[string]any{"slots": 1, "queue": 2, "batch": 30, "call_ms": 20.0, "item_ms": 1.0, "headroom_mb": 5.4, "handle_s": 4.0}},
+}
+
+var keys = map[string]string{"key-1": "folders"}
+
+// newRig starts a site with its configuration and without replicas.
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	s, err := site.New()
+	assert.NilError(t, err)
+	r := &rig{t: t, site: s, log: new(logBuffer)}
+	t.Cleanup(func() {
+		_ = s.Close()
+		if t.Failed() {
+			t.Log(r.log)
+		}
+	})
+	s.Store.PutJSON("op/config", site.Config(1, routes, services, keys))
+	return r
+}
+
+// replica adds a replica whose first actions are given; after them it serves.
+func (r *rig) replica(id, service string, acts ...site.Action) *site.Replica {
+	r.t.Helper()
+	var mu sync.Mutex
+	p := &site.Replica{ID: id, Service: service, Centre: "a", Work: 5 * time.Millisecond, Act: func(*http.Request) site.Action {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(acts) == 0 {
+			return site.Serve
+		}
+		a := acts[0]
+		acts = acts[1:]
+		return a
+	}}
+	if service == "engine" {
+		p.Events = 6
+	}
+	assert.NilError(r.t, r.site.Add(p))
+	return p
+}
+
+func freeAddr(t *testing.T) wire.Address {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return wire.Address(ln.Addr().String())
+}
+
+func (r *rig) settings(name string, seeds ...wire.Address) Settings {
+	return Settings{
+		Name: wire.HostID(name), Centre: "a", Centres: map[wire.DataCentreID]wire.RegionID{"a": "east", "b": "east"},
+		Callers: freeAddr(r.t), Ready: freeAddr(r.t), Peers: freeAddr(r.t), Admin: freeAddr(r.t), Store: wire.Address(r.site.Addr()),
+		Seeds: seeds, Memory: 284, Files: 4096, Stop: 8, Retries: 0.2, Slack: 50, Level: "info",
+	}
+}
+
+// start starts a router.
+func (r *rig) start(cfg Settings) *node {
+	r.t.Helper()
+	s, err := New(cfg, "", r.log)
+	assert.NilError(r.t, err)
+	n := &node{Server: s, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { n.ended <- s.Run(ctx, n.signals, func(os.Signal) bool { return false }) }()
+	r.t.Cleanup(func() {
+		cancel()
+		_ = s.front.Close()
+		n.wait(r.t)
+	})
+	return n
+}
+
+// wait waits for the end of a router.
+func (n *node) wait(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-n.ended:
+		n.ended <- err
+		assert.NilError(t, err)
+	case <-time.After(waitLimit):
+		t.Fatal("the router did not end")
+	}
+}
+
+func (n *node) terminate() { n.signals <- syscall.SIGTERM }
+
+// router starts one router and waits until it knows n upstreams.
+func (r *rig) router(n int) *node {
+	r.t.Helper()
+	nd := r.start(r.settings("r1"))
+	r.knows(nd, n)
+	return nd
+}
+
+// knows waits until a router has a configuration and n upstreams.
+func (r *rig) knows(nd *node, n int) {
+	r.t.Helper()
+	r.until(fmt.Sprintf("the router knows %d upstreams", n), func() bool {
+		v := nd.view.Load()
+		got := 0
+		for _, us := range v.Ups {
+			got += len(us)
+		}
+		return v.Config != nil && got == n && nd.unready() == ""
+	})
+}
+
+// until waits for a condition.
+func (r *rig) until(what string, f func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(waitLimit); !f(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("not within %v: %s", waitLimit, what)
+		}
+	}
+}
+
+// call is one request of a caller.
+type call struct {
+	method, host, target, body, id, key string
+	header                              http.Header
+}
+
+func get(host, target string) call {
+	return call{method: http.MethodGet, host: host, target: target, id: "id-" + target, key: "key-1"}
+}
+
+func post(host, target, body string) call {
+	return call{method: http.MethodPost, host: host, target: target, body: body, id: "id-" + target, key: "key-1"}
+}
+
+// do sends a request to a router and returns the answer with its whole body, and the
+// error with which the body ended.
+func (n *node) do(t *testing.T, c call) (*http.Response, string, error) {
+	t.Helper()
+	return n.doContext(t, context.Background(), c)
+}
+
+func (n *node) doContext(t *testing.T, ctx context.Context, c call) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+string(n.cfg.Callers)+c.target, strings.NewReader(c.body))
+	assert.NilError(t, err)
+	req.Host = c.host
+	for k, vs := range c.header {
+		req.Header[k] = vs
+	}
+	req.Header.Set("Request-Id", c.id)
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// assertStatus sends a request and compares status and, unless empty, body.
+func (n *node) assertStatus(t *testing.T, c call, status int, body string) *http.Response {
+	t.Helper()
+	resp, got, err := n.do(t, c)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, status, "body %q", got)
+	if body != "" {
+		assert.Equal(t, got, body)
+	}
+	return resp
+}
+
+// assertRuns compares the number of times that replicas began to work on a request.
+func (r *rig) assertRuns(id string, want int) {
+	r.t.Helper()
+	got := 0
+	for _, run := range r.site.Runs() {
+		if run.ID == id && run.Executed {
+			got++
+		}
+	}
+	assert.Equal(r.t, got, want, "runs of %s", id)
+}
+
+// events is the whole stream that answers a target.
+func events(target string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(site.Event(target, i))
+	}
+	return b.String()
+}
+
+func (n *node) readiness(t *testing.T) int {
+	t.Helper()
+	resp, err := http.Get("http://" + string(n.cfg.Ready) + platform.ReadyPath)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
--- /dev/null
+++ b/entry/serve_test.go
@@ -0,0 +1,320 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/fakes/site"
+)
+
+// TestForward guards against a request that reaches its upstream changed, with the
+// caller's key, or with headers that callers may not set.
+func TestForward(t *testing.T) {
+	r := newRig(t)
+	r.replica("i-1", "desk")
+	n := r.router(1)
+	c := post(deskHost, "/once/a%2Fb?x=1&y=%20", "kit 7")
+	c.header = http.Header{
+		"Tenant-Name": {"other"}, "Kv-From": {"10.0.0.1:80/h"}, "Cache-Hold": {"h"}, "Other": {"kept"},
+		"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Request-Deadline": {"5000"}, "Model-Name": {"m"},
+	}
+	resp := n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	assert.Equal(t, resp.Header.Get("Server-Signature"), "i-1")
+	assert.Equal(t, resp.Header.Get("Request-Id"), c.id)
+	runs := r.site.Runs()
+	assert.Equal(t, len(runs), 1)
+	run := runs[0]
+	assert.Equal(t, run.Method+" "+run.Target+" "+run.Body, "POST "+c.target+" kit 7")
+	h := run.Header
+	for name, want := range map[string]string{
+		"Tenant-Name": "folders", "Authorization": "", "Kv-From": "", "Cache-Hold": "", "Other": "kept", "X-Hop": "",
+		"Expected-Instance": "i-1", "Model-Name": "m", "Request-Id": c.id,
+	} {
+		assert.Equal(t, h.Get(name), want, name)
+	}
+	left, err := strconv.Atoi(h.Get("Request-Deadline"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 5000, "%d ms left", left)
+}
+
+// TestRefusals guards against a request that runs without a route or key, and
+// against a refusal without the time to come back.
+func TestRefusals(t *testing.T) {
+	r := newRig(t)
+	r.replica("i-1", "desk")
+	n := r.router(1)
+	bad := get(deskHost, "/safe/1")
+	bad.key = "key-9"
+	none := get(deskHost, "/safe/2")
+	none.key = ""
+	open := get(deskHost, "/open/3")
+	open.key = ""
+	large := post(deskHost, "/once/4", strings.Repeat("x", 1<<20+1))
+	wrong := get(deskHost, "/safe/5")
+	wrong.header = http.Header{"Request-Deadline": {"soon"}}
+	for _, tc := range []struct {
+		name   string
+		c      call
+		status int
+		runs   int
+	}{
+		{"unknown key", bad, http.StatusUnauthorized, 0},
+		{"no key", none, http.StatusUnauthorized, 0},
+		{"anonymous", open, http.StatusOK, 1},
+		{"no route", get("other.example", "/safe/1"), http.StatusNotFound, 0},
+		{"path beside the prefix", get(deskHost, "/safer/1"), http.StatusNotFound, 0},
+		{"body too large", large, http.StatusRequestEntityTooLarge, 0},
+		{"deadline that can't be read", wrong, http.StatusBadRequest, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n.assertStatus(t, tc.c, tc.status, "")
+			r.assertRuns(tc.c.id, tc.runs)
+		})
+	}
+	t.Run("no upstream", func(t *testing.T) {
+		resp := n.assertStatus(t, get(streamHost, "/once/1"), http.StatusServiceUnavailable, "")
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > 0 && after < 5, "Retry-After %v", after)
+	})
+}
+
+// TestNoConfiguration guards against a router that takes callers before it knows
+// what to do with them.
+func TestNoConfiguration(t *testing.T) {
+	r := newRig(t)
+	r.site.Store.SetMode(site.Busy)
+	n := r.start(r.settings("r1"))
+	r.until("the router answers", func() bool { return n.readiness(t) == http.StatusServiceUnavailable })
+	resp := n.assertStatus(t, get(deskHost, "/safe/1"), http.StatusServiceUnavailable, "")
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	r.site.Store.SetMode(site.Up)
+	r.until("the router is ready", func() bool { return n.readiness(t) == http.StatusOK })
+}
+
+// TestFaults guards, for each way in which an upstream can fail, against a request
+// that runs twice although it must not, one that is given up although another
+// upstream could run it, and an answer that is not the request's own.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name               string
+		act                site.Action
+		safe, once         int // status
+		safeRuns, onceRuns int
+	}{
+		{"full", site.Reject, 200, 200, 1, 1},
+		{"answer lost", site.Lose, 200, 502, 2, 1},
+		{"answer cut", site.Cut, 200, 502, 2, 1},
+		{"crash", site.Crash, 200, 502, 2, 1},
+		{"second answer", site.Double, 200, 200, 1, 1},
+		{"no length", site.Unframed, 200, 200, 1, 1},
+		{"failure", site.Fail, 200, 500, 2, 1},
+		{"rejected before it was read", site.Early, 200, 200, 1, 1},
+		{"no answer", site.Mute, 200, 504, 2, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, kind := range []struct {
+				path   string
+				status int
+				runs   int
+			}{{"/safe/", tc.safe, tc.safeRuns}, {"/once/", tc.once, tc.onceRuns}} {
+				t.Run(kind.path, func(t *testing.T) {
+					if kind.status == http.StatusGatewayTimeout {
+						kind.path = "/short/" // the same, and ends soon
+					}
+					r := newRig(t)
+					// Whichever replica is chosen first fails once.
+					failed := make(chan struct{}, 1)
+					failed <- struct{}{}
+					act := func(*http.Request) site.Action {
+						select {
+						case <-failed:
+							return tc.act
+						default:
+							return site.Serve
+						}
+					}
+					for _, id := range []string{"i-1", "i-2"} {
+						p := &site.Replica{ID: id, Service: "desk", Centre: "a", Work: 5 * time.Millisecond, Act: act}
+						assert.NilError(t, r.site.Add(p))
+					}
+					n := r.router(2)
+					c := post(deskHost, kind.path+"1", strings.Repeat("b", 20_000))
+					body := ""
+					if kind.status == http.StatusOK {
+						body = site.Body(c.target)
+					}
+					n.assertStatus(t, c, kind.status, body)
+					r.assertRuns(c.id, kind.runs)
+					// Nothing of it may reach the requests that follow.
+					for i := range 6 {
+						next := get(deskHost, fmt.Sprint("/safe/next", i))
+						n.assertStatus(t, next, http.StatusOK, site.Body(next.target))
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestTimeout guards against a request that is still unanswered after its route's
+// timeout, and against a promise that it did not run.
+func TestTimeout(t *testing.T) {
+	r := newRig(t)
+	r.replica("i-1", "desk", site.Mute)
+	n := r.router(1)
+	n.assertStatus(t, post(deskHost, "/short/1", "x"), http.StatusGatewayTimeout, "")
+	r.assertRuns("id-/short/1", 1)
+}
+
+// TestStream guards against events that are missing, doubled or held back when a
+// stream breaks off and goes on at another upstream.
+func TestStream(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		act  site.Action
+		runs int
+	}{
+		{"whole", site.Serve, 1},
+		{"cut within an event", site.Cut, 2},
+		{"cut between events", site.Lose, 2},
+		{"full", site.Reject, 1},
+		{"failed before the first event", site.Fail, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			first := make(chan struct{}, 1)
+			first <- struct{}{}
+			for _, id := range []string{"e-1", "e-2"} {
+				p := &site.Replica{ID: id, Service: "engine", Centre: "a", Work: 3 * time.Millisecond, Events: 6, Act: func(*http.Request) site.Action {
+					select {
+					case <-first:
+						return tc.act
+					default:
+						return site.Serve
+					}
+				}}
+				assert.NilError(t, r.site.Add(p))
+			}
+			n := r.router(2)
+			c := post(streamHost, "/resume/1", "prompt")
+			if tc.act == site.Fail {
+				n.assertStatus(t, c, http.StatusInternalServerError, "")
+				return
+			}
+			n.assertStatus(t, c, http.StatusOK, events(c.target, 6))
+			r.assertRuns(c.id, tc.runs)
+		})
+	}
+	t.Run("a caller resumes", func(t *testing.T) {
+		r := newRig(t)
+		r.replica("e-1", "engine")
+		n := r.router(1)
+		c := post(streamHost, "/resume/1", "prompt")
+		c.header = http.Header{"Last-Event-Id": {"4"}}
+		n.assertStatus(t, c, http.StatusOK, site.Event(c.target, 5)+site.Event(c.target, 6))
+	})
+	t.Run("one that must not be repeated is broken off", func(t *testing.T) {
+		r := newRig(t)
+		r.replica("e-1", "engine", site.Lose)
+		r.replica("e-2", "engine", site.Lose)
+		n := r.router(2)
+		c := post(streamHost, "/once/1", "prompt")
+		_, body, err := n.do(t, c)
+		assert.Assert(t, err != nil, "the answer looks complete: %q", body)
+		assert.Equal(t, body, events(c.target, 2))
+		r.assertRuns(c.id, 1)
+	})
+	t.Run("with no upstream left it is broken off", func(t *testing.T) {
+		r := newRig(t)
+		r.replica("e-1", "engine", site.Lose)
+		n := r.router(1)
+		_, body, err := n.do(t, post(streamHost, "/resume/1", "prompt"))
+		assert.Assert(t, err != nil, "the answer looks complete: %q", body)
+	})
+}
+
+// TestCallerLeaves guards against work for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	for _, host := range []string{deskHost, streamHost} {
+		t.Run(host, func(t *testing.T) {
+			r := newRig(t)
+			r.replica("i-1", "desk", site.Mute)
+			r.replica("e-1", "engine", site.Mute)
+			n := r.router(2)
+			ctx, cancel := context.WithCancel(context.Background())
+			gone := make(chan struct{})
+			go func() {
+				defer close(gone)
+				_, _, _ = n.doContext(t, ctx, post(host, "/once/1", "x"))
+			}()
+			r.until("the upstream runs the request", func() bool { return len(r.site.Runs()) == 1 })
+			cancel()
+			<-gone
+			r.until("the upstream stops", func() bool { return !r.site.Runs()[0].Ended.IsZero() })
+		})
+	}
+}
+
+// TestSmuggling guards against a request within the body of another one that reaches
+// an upstream as a request of its own.
+func TestSmuggling(t *testing.T) {
+	const inner = "GET /safe/inner HTTP/1.1\r\nHost: " + deskHost + "\r\nRequest-Id: inner\r\n\r\n"
+	head := "POST /once/1 HTTP/1.1\r\nHost: " + deskHost + "\r\nRequest-Id: outer\r\nAuthorization: Bearer key-1\r\n"
+	for _, tc := range []struct{ name, request string }{
+		{"length and chunks", head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner},
+		{"two lengths", head + "Content-Length: 5\r\nContent-Length: 90\r\n\r\nhello" + inner},
+		{"spaced chunked", head + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + inner},
+		{"line in a header", head + "Other: a\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\nhello" + inner},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.replica("i-1", "desk")
+			n := r.router(1)
+			conn, err := net.Dial("tcp", string(n.cfg.Callers))
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, tc.request)
+			assert.NilError(t, err)
+			_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			_, _ = io.Copy(io.Discard, conn)
+			for _, run := range r.site.Runs() {
+				assert.Assert(t, run.ID != "inner" || run.Header.Get("Tenant-Name") == "", "the inner request ran: %+v", run)
+				assert.Assert(t, !strings.Contains(run.Body, "inner"), "the body holds the inner request: %q", run.Body)
+			}
+		})
+	}
+}
+
+// TestKeptConnection guards against an answer that goes to another request of the
+// caller's connection.
+func TestKeptConnection(t *testing.T) {
+	r := newRig(t)
+	r.replica("i-1", "desk", site.Serve, site.Double, site.Serve, site.Unframed)
+	n := r.router(1)
+	conn, err := net.Dial("tcp", string(n.cfg.Callers))
+	assert.NilError(t, err)
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for i := range 6 {
+		target := fmt.Sprint("/safe/", i)
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %d\r\nAuthorization: Bearer key-1\r\n\r\n", target, deskHost, i)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), site.Body(target))
+		assert.Equal(t, resp.Header.Get("Request-Id"), fmt.Sprint(i))
+	}
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -179,8 +179,11 @@
 	s.log.Info("router started", "pid", os.Getpid(), "centre", s.cfg.Centre, "callers", s.cfg.Callers, "store", s.cfg.Store,
 		"seeds", s.cfg.Seeds, "memory", s.cfg.Memory)
 	s.start(ctx, lns)
-	reason := s.wait(ctx, signals, isReload)
-	s.drain(reason)
+	if reason := s.wait(ctx, signals, isReload); ctx.Err() == nil {
+		s.drain(reason)
+	} else {
+		s.close()
+	}
 	cancel()
 	s.log.Info("router stopped", "requests", s.requests.Load())
 	return s.mets.Close()
@@ -322,10 +325,15 @@
 		s.counter("requests_cut", s.requests.Load())
 		_ = s.front.Close()
 	}
-	for _, srv := range []*http.Server{s.ready, s.admin} {
+	s.close()
+	s.log.Info("drain ended", "took", time.Since(began).String())
+}
+
+// close closes all listeners and connections for HTTP.
+func (s *Server) close() {
+	for _, srv := range []*http.Server{s.front, s.ready, s.admin} {
 		_ = srv.Close()
 	}
-	s.log.Info("drain ended", "took", time.Since(began).String())
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/fakes/site/replica.go
@@ -0,0 +1,384 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Action is what a replica does with a request.
+type Action int
+
+// Actions of replicas.
+const (
+	Serve    Action = iota
+	Reject          // says that it is full and did not run the request
+	Lose            // runs the request and resets the connection instead of answering
+	Mute            // runs the request and never answers
+	Double          // answers twice
+	Unframed        // answers without a length and closes the connection
+	Cut             // breaks off in the middle of its answer
+	Early           // rejects the request before it has read its body
+	Fail            // answers 500
+	Crash           // resets all connections and refuses new ones for crashTime
+)
+
+const crashTime = 300 * time.Millisecond
+
+// Run is one request as a replica saw it.
+type Run struct {
+	Replica, ID          string
+	Method, Target, Body string
+	Header               http.Header
+	Executed             bool // the replica began to work on it
+	Began, Ended         time.Time
+}
+
+// Replica is one replica of a service. Set its fields before Start.
+type Replica struct {
+	ID, Service, Centre string
+	Born                int64
+	Work                time.Duration // of a request, or between events
+	Events              int           // of a stream; 0 for a plain service
+	Act                 func(r *http.Request) Action
+	Site                *Site
+
+	ln    net.Listener
+	srv   *http.Server
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	made  map[string]bool // stage results that are kept
+	next  int
+	calls [][]string // pieces of each stage call
+}
+
+// Addr returns the replica's address.
+func (p *Replica) Addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ln.Addr().String()
+}
+
+// Calls returns the pieces of each stage call, as "request/stage/piece".
+func (p *Replica) Calls() [][]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([][]string(nil), p.calls...)
+}
+
+// Kept returns the number of stage results that the replica keeps.
+func (p *Replica) Kept() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.made)
+}
+
+// Entry is the replica's entry in the store, in a state.
+func (p *Replica) Entry(state string) map[string]any {
+	return map[string]any{
+		"service": p.Service, "address": p.Addr(), "zone": p.Centre, "version": "v1", "slots": 8,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": p.Born,
+	}
+}
+
+func (p *Replica) start(addr string) (err error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ln = ln
+	if p.made == nil {
+		p.made = map[string]bool{}
+	}
+	p.conns = map[net.Conn]bool{}
+	p.srv = &http.Server{Handler: p, ConnState: func(c net.Conn, st http.ConnState) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if st == http.StateClosed || st == http.StateHijacked {
+			delete(p.conns, c)
+			return
+		}
+		p.conns[c] = true
+	}}
+	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(ln) }(p.srv, p.ln)
+	return nil
+}
+
+// stop closes the listener and resets all connections.
+func (p *Replica) stop() {
+	p.mu.Lock()
+	for c := range p.conns {
+		resetConn(c)
+	}
+	srv := p.srv
+	p.mu.Unlock()
+	_ = srv.Close()
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// crash makes the replica unreachable for crashTime; its results are gone.
+func (p *Replica) crash() {
+	addr := p.Addr()
+	p.stop()
+	p.mu.Lock()
+	clear(p.made)
+	p.mu.Unlock()
+	time.AfterFunc(crashTime, func() {
+		if !p.Site.closed.Load() {
+			_ = p.start(addr) // the address was free a moment ago
+		}
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expected-Instance"); want != "" && want != p.ID {
+		w.Header().Set("Instance-Id", p.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/stage-run":
+		p.stageRun(w, r)
+		return
+	case "/stage-free":
+		p.stageFree(r)
+		return
+	}
+	act := Serve
+	if p.Act != nil {
+		act = p.Act(r)
+	}
+	if act == Early {
+		p.reject(w, r, http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run := p.Site.begin(Run{
+		Replica: p.ID, ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
+		Header: r.Header.Clone(), Executed: act != Reject,
+	})
+	defer p.Site.end(run)
+	if act != Reject && !p.Site.keeps(r.Header.Get("Input-Count")) {
+		p.Site.unrun(run)
+		p.reject(w, r, http.StatusConflict)
+		return
+	}
+	p.answer(w, r, act)
+}
+
+func (p *Replica) reject(w http.ResponseWriter, r *http.Request, status int) {
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.WriteHeader(status)
+}
+
+func (p *Replica) answer(w http.ResponseWriter, r *http.Request, act Action) {
+	id := r.Header.Get("Request-Id")
+	switch act {
+	case Reject:
+		p.reject(w, r, http.StatusServiceUnavailable)
+		return
+	case Crash:
+		p.crash()
+		panic(http.ErrAbortHandler)
+	case Mute:
+		<-r.Context().Done()
+		return
+	}
+	if p.Events > 0 && act != Fail {
+		p.stream(w, r, act)
+		return
+	}
+	if !sleepFor(r, p.Work) {
+		return
+	}
+	if act == Fail {
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Server-Signature", p.ID)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	body := Body(r.RequestURI)
+	switch act {
+	case Lose:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			resetConn(c)
+		}
+	case Double, Unframed, Cut:
+		p.raw(w, id, body, act)
+	default:
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Server-Signature", p.ID)
+		w.Header().Set("Server-Load", "1,0,8")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// Body is the answer of a plain service to a target.
+func Body(target string) string { return "answer to " + target }
+
+// raw writes an answer that the library would not write.
+func (p *Replica) raw(w http.ResponseWriter, id, body string, act Action) {
+	c, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + p.ID + "\r\n"
+	framed := head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	switch act {
+	case Double:
+		_, _ = rw.WriteString(framed + body)
+		_ = rw.Flush()
+		time.Sleep(time.Millisecond)
+		_, _ = rw.WriteString(framed + body)
+	case Unframed:
+		_, _ = rw.WriteString(head + "\r\n" + body)
+	case Cut:
+		_, _ = rw.WriteString(framed + body[:len(body)/2])
+	}
+	_ = rw.Flush()
+	if act == Double {
+		time.Sleep(2 * p.Work)
+	}
+	_ = c.Close()
+}
+
+// Event is one event of the stream that answers a target.
+func Event(target string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, target, n)
+}
+
+func (p *Replica) stream(w http.ResponseWriter, r *http.Request, act Action) {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Request-Id", r.Header.Get("Request-Id"))
+	h.Set("Server-Signature", p.ID)
+	rc := http.NewResponseController(w)
+	for n := from + 1; n <= p.Events; n++ {
+		if !sleepFor(r, p.Work) {
+			return
+		}
+		if n == from+3 {
+			switch act {
+			case Cut: // in the middle of an event
+				_, _ = io.WriteString(w, Event(r.RequestURI, n)[:8])
+				_ = rc.Flush()
+				panic(http.ErrAbortHandler)
+			case Lose:
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if _, err := io.WriteString(w, Event(r.RequestURI, n)); err != nil || rc.Flush() != nil {
+			return
+		}
+	}
+}
+
+func sleepFor(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return r.Context().Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+type stageItem struct {
+	ID     string   `json:"id"`
+	Stage  int      `json:"stage"`
+	Piece  int      `json:"piece"`
+	Key    string   `json:"key"`
+	Inputs []string `json:"inputs"`
+}
+
+func (p *Replica) stageRun(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Items []stageItem `json:"items"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	act := Serve
+	if p.Act != nil {
+		act = p.Act(r)
+	}
+	switch act {
+	case Reject:
+		p.reject(w, r, http.StatusServiceUnavailable)
+		return
+	case Crash:
+		p.crash()
+		panic(http.ErrAbortHandler)
+	case Lose:
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(p.Work)
+	var out []map[string]string
+	var names []string
+	for _, it := range call.Items {
+		names = append(names, fmt.Sprintf("%s/%d/%d", it.ID, it.Stage, it.Piece))
+		if !p.Site.keeps(strings.Join(it.Inputs, ",")) {
+			out = append(out, map[string]string{"reason": "gone"})
+			continue
+		}
+		out = append(out, map[string]string{"handle": p.keep(it)})
+	}
+	p.mu.Lock()
+	p.calls = append(p.calls, names)
+	p.mu.Unlock()
+	writeJSON(w, map[string]any{"items": out})
+}
+
+func (p *Replica) keep(it stageItem) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	h := fmt.Sprintf("%s/%s-%d-%d-%d", p.ln.Addr(), it.ID, it.Stage, it.Piece, p.next)
+	p.made[h] = true
+	return h
+}
+
+func (p *Replica) stageFree(r *http.Request) {
+	var call struct {
+		Handles []string `json:"handles"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range call.Handles {
+		delete(p.made, h)
+	}
+}
+
+func (p *Replica) holds(handle string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.made[handle]
+}
