--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -19,7 +19,8 @@
 	}
 	split := []fleet.Weight{{Service: "engine", Part: 1}}
 	chain := []fleet.Stage{
-		{Service: "archive", Size: 8_000}, {Service: "school", After: []int{0}, Size: 60_000},
+		{Service: "archive", Size: 8_000},
+		{Service: "school", After: []int{0}, Size: 60_000},
 		{Service: "parcel", After: []int{1}, Size: 6_000},
 	}
 	cfg := &fleet.Config{
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -34,8 +34,10 @@
 	slowFactor = 1.7
 	// paceWeight is the weight of a new sample in an upstream's pace.
 	paceWeight = 0.3
-	// restMin and restMax bound the rest of an upstream after failed calls.
-	restMin = 200 * time.Millisecond
+	// restMin and restMax bound the rest of an upstream after calls that failed one
+	// after the other. The first is short: an upstream that loses some of its
+	// answers still makes most results.
+	restMin = 50 * time.Millisecond
 	restMax = 3 * time.Second
 	// idlePoll bounds the time until Next should be asked again.
 	idlePoll = 50 * time.Millisecond
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -207,3 +207,38 @@
 		assertNext(t, q, start, "u1", 1)
 	})
 }
+
+// TestRest guards against a service that loses most of its capacity when upstreams
+// lose a third of their answers, and against calls to one that is down.
+func TestRest(t *testing.T) {
+	play := func(fails func(n int) bool) (calls int) {
+		q := newQueue("a")
+		now := start
+		for now.Before(at(10 * time.Second)) {
+			if q.Len() == 0 {
+				p := piece("p", time.Minute, time.Minute)
+				p.Size = 0
+				q.Push(now, pieces(8, p)...)
+			}
+			ps, _, _ := q.Next(now, "u0")
+			if len(ps) == 0 {
+				now = now.Add(time.Millisecond)
+				continue
+			}
+			calls++
+			failed := fails(calls)
+			now = now.Add(q.calls.Took(8))
+			q.Done(now, "u0", Result{Failed: failed})
+		}
+		return calls
+	}
+	whole := play(func(int) bool { return false })
+	t.Run("a third of the answers lost", func(t *testing.T) {
+		got := play(func(n int) bool { return n%3 == 0 })
+		assert.Assert(t, got*100 >= 90*whole, "%d calls of %d", got, whole)
+	})
+	t.Run("down", func(t *testing.T) {
+		got := play(func(int) bool { return true })
+		assert.Assert(t, got <= 12, "%d calls", got)
+	})
+}
