--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -20,6 +20,9 @@
 	// leastPart is the least part of its slack that a route may use, however low
 	// its rank.
 	leastPart = 0.3
+	// margin is the part of its aim that a request may be expected to take:
+	// forecasts are from figures that are a few hundred milliseconds old.
+	margin = 0.88
 	// retryLeast is the least time after which a refused caller is asked to return.
 	retryLeast = 200 * time.Millisecond
 )
@@ -111,8 +114,8 @@
 	for _, w := range f.Waits {
 		waits += w
 	}
-	if waits > 0 && f.Total > aim {
-		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total-aim, retryLeast)}
+	if most := time.Duration(margin * float64(aim)); waits > 0 && f.Total > most {
+		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total-most, retryLeast)}
 	}
 	for i, w := range f.Waits {
 		if bound := Bound(cfg, r, r.Stages[i].Service, first); w > bound {
