admit: learn the usual error of forecasts

Change: the mean error of a route's forecasts and its mean deviation are added to the forecast; the margin is 0.9.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -20,9 +20,9 @@
 	// leastPart is the least part of its slack that a route may use, however low
 	// its rank.
 	leastPart = 0.3
-	// margin is the part of its aim that a request may be expected to take:
-	// forecasts are from figures that are a few hundred milliseconds old.
-	margin = 0.88
+	// margin is the part of its aim that a request may be expected to take, with
+	// the usual error of forecasts added.
+	margin = 0.9
 	// retryLeast is the least time after which a refused caller is asked to return.
 	retryLeast = 200 * time.Millisecond
 )
@@ -45,8 +45,9 @@
 
 // Forecast is the expected course of a request's stages.
 type Forecast struct {
-	Waits []time.Duration // in the queue of each stage
-	Total time.Duration   // until the first event or the answer
+	Waits  []time.Duration // in the queue of each stage
+	Stages time.Duration   // until all stages are done
+	Total  time.Duration   // until the first event or the answer
 }
 
 // Predict forecasts a request: first is the expected time from the end of its stages
@@ -67,9 +68,9 @@
 		calls := cfg.Service(s.Service).Calls
 		f.Waits[i] = backlog(s.Service).wait(begin)
 		ends[i] += f.Waits[i] + calls.Took(min(count, calls.Batch))
-		f.Total = max(f.Total, ends[i])
+		f.Stages = max(f.Stages, ends[i])
 	}
-	f.Total += first
+	f.Total = f.Stages + first
 	return f
 }
 
@@ -103,9 +104,10 @@
 	ReasonYield = "yields"        // more urgent requests need the time that is left
 )
 
-// Judge decides on a request by its forecast. left is the time until its deadline.
-// firsts gives the expected time to the first event of other routes.
-func Judge(cfg *fleet.Config, r *fleet.Route, f Forecast, left time.Duration, first func(*fleet.Route) time.Duration) Verdict {
+// Judge decides on a request by its forecast. left is the time until its deadline,
+// late the usual error of the route's forecasts, and first gives the expected time to
+// the first event of a route.
+func Judge(cfg *fleet.Config, r *fleet.Route, f Forecast, left, late time.Duration, first func(*fleet.Route) time.Duration) Verdict {
 	aim := min(r.Aim, left)
 	if r.Aim <= 0 {
 		aim = left
@@ -114,8 +116,8 @@
 	for _, w := range f.Waits {
 		waits += w
 	}
-	if most := time.Duration(margin * float64(aim)); waits > 0 && f.Total > most {
-		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total-most, retryLeast)}
+	if most := time.Duration(margin * float64(aim)); waits > 0 && f.Total+late > most {
+		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total+late-most, retryLeast)}
 	}
 	for i, w := range f.Waits {
 		if bound := Bound(cfg, r, r.Stages[i].Service, first); w > bound {
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -84,7 +84,7 @@
 				}
 				return Backlog{}
 			})
-			assertVerdict(t, Judge(cfg, tc.route, f, 5*time.Second, first), tc.reason)
+			assertVerdict(t, Judge(cfg, tc.route, f, 5*time.Second, 0, first), tc.reason)
 		})
 	}
 }
@@ -105,5 +105,29 @@
 	cfg := deployment(t)
 	f := Predict(cfg, &cfg.Routes[1], &fleet.Need{Pieces: []int{1, 8, 16}}, 250*ms, none)
 	assert.Equal(t, f.Total, 166*ms+182*ms+182*ms+250*ms)
-	assertVerdict(t, Judge(cfg, &cfg.Routes[1], f, 300*ms, first), "")
+	assertVerdict(t, Judge(cfg, &cfg.Routes[1], f, 300*ms, 0, first), "")
+}
+
+// TestErrors guards against forecasts that are wrong in the same way again and again:
+// those of a large fleet are from figures that are older.
+func TestErrors(t *testing.T) {
+	e := new(Errors)
+	assert.Equal(t, e.Usual("note"), time.Duration(0))
+	for i := range 200 {
+		e.Learn("note", 200*ms+time.Duration(i%3)*50*ms)
+		e.Learn("plan", -100*ms)
+	}
+	usual := e.Usual("note")
+	assert.Assert(t, usual > 250*ms && usual < 350*ms, "usual error %v", usual)
+	assert.Equal(t, e.Usual("plan"), time.Duration(0))
+	for range 100 {
+		e.Learn("note", 0)
+	}
+	assert.Assert(t, e.Usual("note") < 50*ms, "usual error %v after a calm time", e.Usual("note"))
+
+	cfg := deployment(t)
+	plan := &cfg.Routes[0]
+	f := Predict(cfg, plan, &fleet.Need{Pieces: []int{3}}, 250*ms, func(fleet.ServiceID) Backlog { return Backlog{Waiting: 25, Rate: 100} })
+	assertVerdict(t, Judge(cfg, plan, f, 5*time.Second, 0, first), "")
+	assertVerdict(t, Judge(cfg, plan, f, 5*time.Second, 300*ms, first), ReasonLate)
 }
--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -73,7 +73,7 @@
 	q := &request{route: r, need: fleet.Need{Pieces: pieces}, born: p.now, coming: make([]bool, len(pieces))}
 	if p.judge {
 		f := Predict(p.cfg, r, &q.need, first(r), p.backlog)
-		if !Judge(p.cfg, r, f, 5*time.Second, first).OK {
+		if !Judge(p.cfg, r, f, 5*time.Second, 0, first).OK {
 			p.refused++
 			return
 		}
--- a/entry/coming.go
+++ b/entry/coming.go
@@ -62,12 +62,14 @@
 	}
 	cfg := x.view.Config
 	f := admit.Predict(cfg, x.route, &x.need, x.s.firstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id] })
-	v := admit.Judge(cfg, x.route, f, x.left(), x.s.firstEvent)
+	late := x.s.errors.Usual(x.route.ID)
+	v := admit.Judge(cfg, x.route, f, x.left(), late, x.s.firstEvent)
 	if !v.OK {
 		x.s.log.Info("stages would be late", "request", x.need.ID, "reason", v.Reason, "wait_ms", v.Wait.Milliseconds(),
-			"total_ms", f.Total.Milliseconds(), "aim_ms", x.route.Aim.Milliseconds(), "retry_ms", v.Retry.Milliseconds())
+			"total_ms", f.Total.Milliseconds(), "error_ms", late.Milliseconds(), "aim_ms", x.route.Aim.Milliseconds(), "retry_ms", v.Retry.Milliseconds())
 		return &refusal{http.StatusServiceUnavailable, "stages: " + v.Reason, v.Retry}
 	}
+	x.forecast = f.Stages
 	x.pending = make([]int, len(x.route.Stages))
 	for i, st := range x.route.Stages {
 		x.pending[i] = x.need.PieceCount(i)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -35,6 +35,8 @@
 	pendingMu sync.Mutex
 	pending   []int // pieces of each stage that have not reached their queue
 
+	forecast time.Duration // of the stages
+
 	began    Instant
 	deadline Instant
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -20,6 +20,7 @@
 	"github.com/sourcegraph/conc/panics"
 	"github.com/uber-go/tally/v4"
 
+	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/budget"
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/crash"
@@ -70,6 +71,7 @@
 	strikes crash.Strikes
 	learned learned
 	coming  coming
+	errors  admit.Errors
 
 	seedList atomic.Pointer[[]wire.Address]
 	lost     [2]atomic.Bool // whether the store's areas can't be read
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -70,7 +70,11 @@
 			return nil
 		})
 	}
-	return rs, p.Wait()
+	begun := time.Now()
+	if err = p.Wait(); err == nil {
+		s.errors.Learn(x.route.ID, time.Since(begun)-x.forecast)
+	}
+	return rs, err
 }
 
 // stage makes the results of one stage and frees those that only it has read.
