admit: spread the returns of refused callers over a quarter of their time

Cause: callers refused in a burst came back after the excess of their forecast alone, into the same burst, and were refused for good. Change: Retry-After is drawn between that excess and a quarter of the time left.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -127,6 +127,22 @@
 	return Verdict{OK: true, Wait: waits}
 }
 
+// returnPart is the part of a caller's time, as 1/returnPart, within which it is asked
+// to return: callers wait for up to a third of it.
+const returnPart = 4
+
+// Return is the time after which a caller that is refused should come back. It lies
+// between the time after which there is room at the earliest and a part of the time
+// that the caller has left, so that the callers of a burst return spread over the
+// time after it and not into it; draw is a number from 0 up to 1.
+func Return(earliest, left time.Duration, draw float64) time.Duration {
+	latest := left / returnPart
+	if latest <= earliest {
+		return earliest
+	}
+	return earliest + time.Duration(draw*float64(latest-earliest))
+}
+
 // Bound is the longest wait in a service's queue with which a request of route r is
 // admitted: no longer than what the more urgent routes that use the service can
 // bear, less a part for each rank.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -131,3 +131,24 @@
 	assertVerdict(t, Judge(cfg, plan, f, 5*time.Second, 0, first), "")
 	assertVerdict(t, Judge(cfg, plan, f, 5*time.Second, 300*ms, first), ReasonLate)
 }
+
+// TestReturn guards against callers of a burst that return together, or after the
+// time that they wait at most.
+func TestReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		earliest, left time.Duration
+		draw           float64
+		want           time.Duration
+	}{
+		{"at the earliest", 200 * ms, 6 * time.Second, 0, 200 * ms},
+		{"spread", 200 * ms, 6 * time.Second, 0.5, 850 * ms},
+		{"within a third of the time", 200 * ms, 6 * time.Second, 0.999, 1499 * ms},
+		{"little time", 400 * ms, time.Second, 0.5, 400 * ms},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := Return(tc.earliest, tc.left, tc.draw)
+			assert.Assert(t, got.Round(ms) == tc.want, "got %v", got)
+		})
+	}
+}
