entry: wait for a quiet moment before a stop closes the listener

Change: after the rotation the listener stays until no request has come for 300 ms, or until a second before the drain's end.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -148,6 +148,8 @@
 func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n := s.requests.Add(1)
 	defer s.requests.Add(-1)
+	now := time.Now()
+	s.arrived.Store(&now)
 	x := &exchange{s: s, w: w, r: r, view: s.view.Load(), began: instant()}
 	x.deadline = x.began.Add(defaultLeft)
 	if n > maxRequests {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -229,6 +229,27 @@
 	n.wait(t)
 }
 
+// TestDrainLateCallers guards against a stop that resets the connections of callers
+// that the balancer has sent although the router is no longer ready: at the end of
+// the rotation 38 requests of an incident found their connection closed.
+func TestDrainLateCallers(t *testing.T) {
+	r := newRig(t)
+	r.replica("i-1", "desk")
+	cfg := r.settings("r1")
+	cfg.Stop = 5
+	n := r.start(cfg)
+	r.knows(n, 1)
+	n.terminate()
+	r.until("the router is not ready", func() bool { return n.readiness(t) == http.StatusServiceUnavailable })
+	// Requests come until after the rotation, which ends after half of the grace.
+	began := time.Now()
+	for i := 0; time.Since(began) < cfg.grace()/2+quietTime; i++ {
+		n.assertStatus(t, get(deskHost, fmt.Sprint("/safe/", i)), http.StatusOK, "")
+		time.Sleep(quietTime / 10)
+	}
+	n.wait(t)
+}
+
 // TestCrashingRequest guards against a request that crashes one upstream after the
 // other.
 func TestCrashingRequest(t *testing.T) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -77,6 +77,7 @@
 	lost     [2]atomic.Bool // whether the store's areas can't be read
 	draining atomic.Bool
 	requests atomic.Int64
+	arrived  atomic.Pointer[time.Time] // of the last request
 	work     conc.WaitGroup
 
 	mu      sync.Mutex
@@ -112,6 +113,7 @@
 	s.learned.routes = map[fleet.RouteID]time.Duration{}
 	s.seedList.Store(&cfg.Seeds)
 	s.view.Store(&View{})
+	s.arrived.Store(&started)
 	s.shops = newShops(s)
 	s.peers = newPeers(s)
 	s.front = &http.Server{
@@ -308,7 +310,14 @@
 	rotationTime = 3 * time.Second
 	// stopSlack is kept clear of the time at which the process is killed.
 	stopSlack = 700 * time.Millisecond
-	drainPoll = 50 * time.Millisecond
+	// quietTime is how long no request must have come before the listener is closed:
+	// connections that wait to be accepted are reset with it. It is longer than a
+	// host without processor quota stands still.
+	quietTime = 300 * time.Millisecond
+	// closeSlack is the time before the end of the drain at which the listener is
+	// closed although requests still come.
+	closeSlack = time.Second
+	drainPoll  = 50 * time.Millisecond
 )
 
 // drain lets the requests under way finish. Readiness turns false at once; new
@@ -321,6 +330,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.grace()-stopSlack)
 	defer cancel()
 	sleep(ctx, min(rotationTime, s.cfg.grace()/2))
+	s.quiet(began.Add(s.cfg.grace() - stopSlack - closeSlack))
 	// Shutdown closes the listener and idle connections and waits for the others.
 	if err := s.front.Shutdown(ctx); err != nil {
 		s.log.Warn("requests cut off by the stop", "requests", s.requests.Load(), "err", err)
@@ -331,6 +341,16 @@
 	s.log.Info("drain ended", "took", time.Since(began).String())
 }
 
+// quiet waits until no request is served and none has come for a while, or until end.
+func (s *Server) quiet(end time.Time) {
+	for now := time.Now(); now.Before(end); now = time.Now() {
+		if s.requests.Load() == 0 && now.Sub(*s.arrived.Load()) >= quietTime {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
 // close closes all listeners and connections for HTTP.
 func (s *Server) close() {
 	for _, srv := range []*http.Server{s.front, s.ready, s.admin} {
