--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -43,6 +43,7 @@
 	runs     int               // upstreams on which the request may have run
 	sends    int               // upstreams that it reached, those that rejected it included
 	tried    []wire.UpstreamID // that failed or rejected it
+	again    []wire.UpstreamID // whose idle connection had ended; each is tried once more
 	upstream wire.UpstreamID   // the last one chosen
 	why      string            // the choice was made
 	started  bool              // the answer's head was sent to the caller
@@ -156,6 +157,10 @@
 		x.refuse(refusal{http.StatusServiceUnavailable, "overload", retryBusy})
 		return
 	}
+	if s.closing.Load() {
+		x.refuse(refusal{http.StatusServiceUnavailable, "stopping", retryLeast})
+		return
+	}
 	if f := x.admit(); f != nil {
 		x.refuse(*f)
 		return
--- a/soak/process.go
+++ b/soak/process.go
@@ -18,11 +18,10 @@
 	callers, ready, peers string
 	settings              string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	stopped time.Time // of the last SIGTERM, kill or pause, while it lasts
-	paused  bool
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	paused bool // by a fault that it belongs to
 }
 
 var settingsText = template.Must(template.New("settings").Parse(`name = "{{.Name}}"
