entry: survive upstreams that drop idle connections without notice

Cause: TestKeptConnection and TestStageFaults/crash failed once on a busy machine. A reset of a connection that was used before excluded its upstream, the only one; and refused dials counted as tries of a piece, so that four of them within the 350 ms of a restart ended the request. Change: a repeatable request goes once more to the same upstream after a stale connection; one that must not be repeated uses no connection idle for over 1 s; a call that was not connected doesn't count as a try.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -34,6 +34,10 @@
 	// doesn't state its own; idleSlack is kept clear of a stated one.
 	idleAge   = 4 * time.Second
 	idleSlack = 700 * time.Millisecond
+	// freshIdle is the time for which a connection may have been unused for a request
+	// that must not be repeated: an upstream may have dropped it without notice, and
+	// such a request is lost with it.
+	freshIdle = time.Second
 	// inlineBody is the size of a request up to which it is written before the
 	// answer is read; a peer may answer a longer one before it has read it.
 	inlineBody = 4 << 10
@@ -71,6 +75,7 @@
 	r      *bufio.Reader
 	w      *bufio.Writer
 	until  time.Time // up to which it may be used again
+	since  time.Time // from when on it was not used
 	reused bool
 }
 
@@ -209,6 +214,7 @@
 	if rp.resp.Close || rp.resp.ContentLength < 0 && len(rp.resp.TransferEncoding) == 0 || c.r.Buffered() > 0 {
 		return false
 	}
+	c.since = now
 	c.until = now.Add(idleTime(rp.resp.Header.Get("Keep-Alive")))
 	return c.SetDeadline(time.Time{}) == nil
 }
--- a/entry/send.go
+++ b/entry/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"hornbeamcove.example/core/crash"
@@ -33,7 +34,11 @@
 	if x.svc.Conns <= 0 {
 		most = maxIdleConns
 	}
-	c, err := t.conn(ctx, most)
+	idle := idleAge
+	if !x.route.Repeatable() {
+		idle = freshIdle
+	}
+	c, err := t.conn(ctx, most, idle)
 	if err != nil {
 		x.failed(t, err, errors.Is(err, errConnLimit) || ctx.Err() != nil)
 		return nil, unreachable
@@ -48,7 +53,14 @@
 		stop()
 		t.drop(c)
 		t.end()
-		x.failed(t, err, ctx.Err() != nil)
+		// The end of a connection that was used before says nothing about its upstream,
+		// where the request may go once more.
+		stale := c.reused && ctx.Err() == nil && !isTimeout(err)
+		x.failed(t, err, stale || ctx.Err() != nil)
+		if stale && !slices.Contains(x.again, t.ID) {
+			x.again = append(x.again, t.ID)
+			x.tried = x.tried[:len(x.tried)-1]
+		}
 		return nil, broken
 	}
 	rp.release = func(reuse bool) {
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -318,3 +318,29 @@
 		assert.Equal(t, resp.Header.Get("Request-Id"), fmt.Sprint(i))
 	}
 }
+
+// TestStaleConnection guards against a request that fails because its upstream had
+// dropped an idle connection without notice.
+func TestStaleConnection(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t)
+			p := r.replica("i-1", "desk")
+			n := r.router(1)
+			n.assertStatus(t, get(deskHost, "/safe/first"), http.StatusOK, "")
+			tg := n.targets.get(n.view.Load().Ups["desk"][0])
+			r.until("a connection is idle", func() bool {
+				tg.mu.Lock()
+				defer tg.mu.Unlock()
+				return len(tg.idle) == 1
+			})
+			tg.mu.Lock()
+			tg.idle[0].since = time.Now().Add(-2 * freshIdle)
+			tg.mu.Unlock()
+			p.Forget()
+			c := post(deskHost, path+"1", "x")
+			n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+			r.assertRuns(c.id, 1)
+		})
+	}
+}
--- a/entry/shop.go
+++ b/entry/shop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -388,7 +389,7 @@
 	for i, p := range ps {
 		end.Reserved += p.Size
 		if err != nil {
-			sh.again(p, end.Full)
+			sh.again(p, end.Full || !reached(err))
 			continue
 		}
 		r := results[i]
@@ -450,6 +451,12 @@
 	}
 }
 
+// reached reports whether an upstream may have begun a call that failed.
+func reached(err error) bool {
+	var op *net.OpError
+	return !errors.As(err, &op) || op.Op != "dial"
+}
+
 var errFull = errors.New("the upstream is full")
 
 // send makes one stage call and returns the result of each piece.
--- a/entry/target.go
+++ b/entry/target.go
@@ -112,10 +112,11 @@
 	})
 }
 
-// conn returns an idle connection or a new one. The error is a *sendError.
-func (t *target) conn(ctx context.Context, most int) (*upstreamConn, error) {
+// conn returns a connection that has been idle for less than idle, or a new one. The
+// error is a *sendError.
+func (t *target) conn(ctx context.Context, most int, idle time.Duration) (*upstreamConn, error) {
 	for {
-		c := t.takeIdle()
+		c := t.takeIdle(idle)
 		if c == nil {
 			break
 		}
@@ -142,12 +143,16 @@
 	return c, nil
 }
 
-func (t *target) takeIdle() *upstreamConn {
+// takeIdle returns the connection that was used last, if that was within idle.
+func (t *target) takeIdle(idle time.Duration) *upstreamConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	for len(t.idle) > 0 {
 		c := t.idle[len(t.idle)-1]
+		if now.Sub(c.since) > idle {
+			return nil // the others have been idle for longer
+		}
 		t.idle = t.idle[:len(t.idle)-1]
 		if now.Before(c.until) {
 			return c
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -57,9 +57,11 @@
 	srv   *http.Server
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	made  map[string]bool // stage results that are kept
-	next  int
-	calls [][]string // pieces of each stage call
+	// forgotten holds connections that were dropped without notice.
+	forgotten map[net.Conn]bool
+	made      map[string]bool // stage results that are kept
+	next      int
+	calls     [][]string // pieces of each stage call
 }
 
 // Addr returns the address under which others reach the replica.
@@ -108,7 +110,7 @@
 	if p.made == nil {
 		p.made = map[string]bool{}
 	}
-	p.conns = map[net.Conn]bool{}
+	p.conns, p.forgotten = map[net.Conn]bool{}, map[net.Conn]bool{}
 	p.srv = &http.Server{Handler: p, ConnState: func(c net.Conn, st http.ConnState) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -118,7 +120,7 @@
 		}
 		p.conns[c] = true
 	}}
-	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(ln) }(p.srv, p.ln)
+	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(forgetfulListener{ln, p}) }(p.srv, p.ln)
 	return nil
 }
 
@@ -133,7 +135,51 @@
 	_ = srv.Close()
 }
 
+// Forget makes the replica drop its idle connections without notice: what arrives on
+// them next is reset.
+func (p *Replica) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.forgotten[c] = true
+	}
+}
+
+// forgetful resets connections that were forgotten when something arrives on them.
+type forgetful struct {
+	net.Conn
+	p *Replica
+}
+
+func (c *forgetful) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.p.mu.Lock()
+	gone := c.p.forgotten[c]
+	c.p.mu.Unlock()
+	if gone && n > 0 {
+		resetConn(c.Conn)
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+type forgetfulListener struct {
+	net.Listener
+	p *Replica
+}
+
+func (l forgetfulListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &forgetful{c, l.p}, nil
+}
+
 func resetConn(c net.Conn) {
+	if f, ok := c.(*forgetful); ok {
+		c = f.Conn
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
