admit: let refused callers return while they can still be on time

Change: the return lies within the time that the caller can wait and be on time; only callers that are late anyway return later.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -96,6 +96,7 @@
 	Reason string // empty if OK
 	Wait   time.Duration
 	Retry  time.Duration // after which the caller may find room
+	Spare  time.Duration // for which the caller can wait and be on time if no queue is left
 }
 
 // Reasons of refusals.
@@ -116,12 +117,13 @@
 	for _, w := range f.Waits {
 		waits += w
 	}
+	spare := max(aim-f.Total+waits, 0)
 	if most := time.Duration(margin * float64(aim)); waits > 0 && f.Total+late > most {
-		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total+late-most, retryLeast)}
+		return Verdict{Reason: ReasonLate, Wait: waits, Retry: max(f.Total+late-most, retryLeast), Spare: spare}
 	}
 	for i, w := range f.Waits {
 		if bound := Bound(cfg, r, r.Stages[i].Service, first); w > bound {
-			return Verdict{Reason: ReasonYield, Wait: w, Retry: max(w-bound, retryLeast)}
+			return Verdict{Reason: ReasonYield, Wait: w, Retry: max(w-bound, retryLeast), Spare: spare}
 		}
 	}
 	return Verdict{OK: true, Wait: waits}
@@ -132,13 +134,14 @@
 const returnPart = 4
 
 // Return is the time after which a caller that is refused should come back. It lies
-// between the time after which there is room at the earliest and a part of the time
-// that the caller has left, so that the callers of a burst return spread over the
-// time after it and not into it; draw is a number from 0 up to 1.
-func Return(earliest, left time.Duration, draw float64) time.Duration {
-	latest := left / returnPart
-	if latest <= earliest {
-		return earliest
+// between the time after which there is room at the earliest and the time until which
+// it can still be on time without a queue; a caller that can't be is asked to return
+// within a part of the time that it has left. The callers of a burst return spread
+// over that time; draw is a number from 0 up to 1.
+func Return(earliest, spare, left time.Duration, draw float64) time.Duration {
+	latest := spare
+	if spare <= earliest {
+		latest = max(left/returnPart, earliest)
 	}
 	return earliest + time.Duration(draw*float64(latest-earliest))
 }
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -136,18 +136,19 @@
 // time that they wait at most.
 func TestReturn(t *testing.T) {
 	for _, tc := range []struct {
-		name           string
-		earliest, left time.Duration
-		draw           float64
-		want           time.Duration
+		name                  string
+		earliest, spare, left time.Duration
+		draw                  float64
+		want                  time.Duration
 	}{
-		{"at the earliest", 200 * ms, 6 * time.Second, 0, 200 * ms},
-		{"spread", 200 * ms, 6 * time.Second, 0.5, 850 * ms},
-		{"within a third of the time", 200 * ms, 6 * time.Second, 0.999, 1499 * ms},
-		{"little time", 400 * ms, time.Second, 0.5, 400 * ms},
+		{"while it can be on time", 200 * ms, 700 * ms, 6 * time.Second, 0.5, 450 * ms},
+		{"at the earliest", 200 * ms, 700 * ms, 6 * time.Second, 0, 200 * ms},
+		{"late anyway, spread", 200 * ms, 100 * ms, 6 * time.Second, 0.5, 850 * ms},
+		{"within a third of the time", 200 * ms, 0, 6 * time.Second, 0.999, 1499 * ms},
+		{"little time", 400 * ms, 0, time.Second, 0.5, 400 * ms},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			got := Return(tc.earliest, tc.left, tc.draw)
+			got := Return(tc.earliest, tc.spare, tc.left, tc.draw)
 			assert.Assert(t, got.Round(ms) == tc.want, "got %v", got)
 		})
 	}
