--- a/core/admit/error.go
+++ b/core/admit/error.go
@@ -11,9 +11,9 @@
 	// errorWeight is the weight of a new sample in the mean error of a route's
 	// forecasts and in its mean deviation.
 	errorWeight = 0.06
-	// deviations is the number of mean deviations that are added to the mean error:
-	// about five of six requests then take no longer.
-	deviations = 1
+	// deviations is the number of mean deviations that are added to the mean error. A
+	// whole one keeps five of six requests in time and refuses many that would be.
+	deviations = 0.3
 	// maxError bounds one sample.
 	maxError = 5 * time.Second
 	// maxRoutes bounds the routes remembered.
