--- a/entry/watch.go
+++ b/entry/watch.go
@@ -13,6 +13,10 @@
 	// watchWait is the time for which the store holds a watch without changes. It
 	// bounds how long a connection that has gone silent goes unnoticed.
 	watchWait = 1500 * time.Millisecond
+	// watchPause is the time after a change before the next watch, so that changes
+	// that come in a row are read with one call of each router. The users' shortest
+	// bound on a change is two seconds.
+	watchPause = 200 * time.Millisecond
 	// retryMin and retryMax bound the pause between failed reads of the store.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
@@ -33,6 +37,9 @@
 		case err == nil:
 			s.tell(ctx, update{area: area, page: page, full: !listed})
 			at, listed, pause = max(page.At, at), true, retryMin
+			if len(page.Records) > 0 {
+				sleep(ctx, watchPause)
+			}
 			continue
 		case errors.Is(err, platform.ErrCompacted):
 			s.log.Warn("history of the store is gone, reading all", "area", area, "revision", at)
