--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -26,19 +26,19 @@
 	// roomPart is the part of an upstream's room that is used, in percent: sizes of
 	// results are approximate.
 	roomPart = 92
-	// tightTime is the time for which an upstream that had no room is given no more
+	// fullTime is the time for which an upstream that had no room is given no more
 	// results than it kept then.
-	tightTime = 500 * time.Millisecond
+	fullTime = 500 * time.Millisecond
 	// slowFactor is how many times slower than the fastest an upstream may be before
 	// it only gets what the others can't take.
 	slowFactor = 1.7
 	// paceWeight is the weight of a new sample in an upstream's pace.
 	paceWeight = 0.3
-	// restMin and restMax bound the rest of an upstream after calls that failed one
+	// backoffMin and backoffMax bound the back-off of an upstream after calls that failed one
 	// after the other. The first is short: an upstream that loses some of its
 	// answers still makes most results.
-	restMin = 50 * time.Millisecond
-	restMax = 3 * time.Second
+	backoffMin = 50 * time.Millisecond
+	backoffMax = 3 * time.Second
 	// idlePoll bounds the time until Next should be asked again.
 	idlePoll = 50 * time.Millisecond
 )
@@ -74,13 +74,13 @@
 	reserved fleet.Bytes // for results of calls in progress
 	kept     map[fleet.Handle]kept
 	used     fleet.Bytes
-	// tight is what the upstream kept when it last had no room, up to tightTill:
+	// fullAt is what the upstream kept when it last had no room, up to fullUntil:
 	// it may keep results that this queue doesn't know of.
-	tight     fleet.Bytes
-	tightTill time.Time
-	pace      float64 // time of calls over the expected time, 0 before the first
-	rest      time.Duration
-	restTill  time.Time
+	fullAt       fleet.Bytes
+	fullUntil    time.Time
+	pace         float64 // time of calls over the expected time, 0 before the first
+	backoff      time.Duration
+	backoffUntil time.Time
 }
 
 type kept struct {
@@ -146,8 +146,8 @@
 	switch {
 	case w == nil || len(q.waiting) == 0 || w.flight >= max(q.calls.Slots, 1):
 		return nil, late, idlePoll
-	case now.Before(w.restTill):
-		return nil, late, min(w.restTill.Sub(now), idlePoll)
+	case now.Before(w.backoffUntil):
+		return nil, late, min(w.backoffUntil.Sub(now), idlePoll)
 	case q.slow(w) && len(q.waiting) <= q.calls.Batch*q.faster(now, w):
 		return nil, late, idlePoll
 	}
@@ -173,8 +173,8 @@
 // room is what the upstream can keep beside the results that it keeps and makes.
 func (q *Queue[T]) room(now time.Time, w *worker) fleet.Bytes {
 	most := q.calls.Room * roomPart / 100
-	if now.Before(w.tightTill) {
-		most = min(most, w.tight)
+	if now.Before(w.fullUntil) {
+		most = min(most, w.fullAt)
 	}
 	return most - w.used - w.reserved
 }
@@ -216,7 +216,7 @@
 // serving counts the upstreams of a data centre that can take calls.
 func (q *Queue[T]) serving(now time.Time, c wire.DataCentreID) (n int) {
 	for _, w := range q.workers {
-		if w.centre == c && !now.Before(w.restTill) {
+		if w.centre == c && !now.Before(w.backoffUntil) {
 			n++
 		}
 	}
@@ -280,15 +280,15 @@
 		w.used += size
 	}
 	if r.NoRoom {
-		w.tight = w.used
-		w.tightTill = now.Add(tightTime)
+		w.fullAt = w.used
+		w.fullUntil = now.Add(fullTime)
 	}
 	if r.Failed || r.Full || r.NoRoom && len(r.Made) == 0 {
-		w.rest = min(max(2*w.rest, restMin), restMax)
-		w.restTill = now.Add(w.rest)
+		w.backoff = min(max(2*w.backoff, backoffMin), backoffMax)
+		w.backoffUntil = now.Add(w.backoff)
 		return
 	}
-	w.rest = 0
+	w.backoff = 0
 	sample := float64(now.Sub(w.began)) / float64(q.calls.Took(w.size))
 	if w.pace == 0 {
 		w.pace = sample
@@ -330,7 +330,7 @@
 	soonest := time.Duration(-1)
 	pace := 0.0
 	for _, w := range q.workers {
-		if now.Before(w.restTill) || q.slow(w) {
+		if now.Before(w.backoffUntil) || q.slow(w) {
 			continue
 		}
 		able++
@@ -357,7 +357,7 @@
 // Rate returns the pieces a second that the service's upstreams make in full calls.
 func (q *Queue[T]) Rate(now time.Time) (rate float64) {
 	for _, w := range q.workers {
-		if now.Before(w.restTill) {
+		if now.Before(w.backoffUntil) {
 			continue
 		}
 		rate += float64(q.calls.Batch) / q.took(w, q.calls.Batch).Seconds()
@@ -411,7 +411,7 @@
 // faster counts the upstreams that are not slow and can take calls.
 func (q *Queue[T]) faster(now time.Time, than *worker) (n int) {
 	for _, w := range q.workers {
-		if w != than && !q.slow(w) && !now.Before(w.restTill) {
+		if w != than && !q.slow(w) && !now.Before(w.backoffUntil) {
 			n++
 		}
 	}
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -145,10 +145,10 @@
 	assertNext(t, q, now, "u0", 0)
 	q.Free([]fleet.Handle{"h0"})
 	assertNext(t, q, now, "u0", 1)
-	now = now.Add(tightTime)
+	now = now.Add(fullTime)
 	q.Done(now, "u0", Result{Reserved: 3_000_000, NoRoom: true})
-	t.Run("it rests when nothing was made", func(t *testing.T) {
-		assertNext(t, q, now.Add(restMin/2), "u0", 0)
+	t.Run("it backs off when nothing was made", func(t *testing.T) {
+		assertNext(t, q, now.Add(backoffMin/2), "u0", 0)
 	})
 }
 
@@ -208,9 +208,9 @@
 	})
 }
 
-// TestRest guards against a service that loses most of its capacity when upstreams
+// TestBackoff guards against a service that loses most of its capacity when upstreams
 // lose a third of their answers, and against calls to one that is down.
-func TestRest(t *testing.T) {
+func TestBackoff(t *testing.T) {
 	play := func(fails func(n int) bool) (calls int) {
 		q := newQueue("a")
 		now := start
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -78,13 +78,13 @@
 			d.Upstreams[u.ID] = s.targets.get(u).dump(now)
 		}
 	}
-	s.shops.mu.Lock()
-	defer s.shops.mu.Unlock()
-	for id, sh := range s.shops.all {
-		sh.mu.Lock()
-		d.Queues[id] = sh.q.View()
-		sh.mu.Unlock()
-		d.Owners[id] = s.shops.owner(id)
+	s.queues.mu.Lock()
+	defer s.queues.mu.Unlock()
+	for id, sq := range s.queues.all {
+		sq.mu.Lock()
+		d.Queues[id] = sq.q.View()
+		sq.mu.Unlock()
+		d.Owners[id] = s.queues.owner(id)
 	}
 	return d
 }
--- a/entry/coming.go
+++ b/entry/coming.go
@@ -32,16 +32,16 @@
 		out[id] = Load{Coming: n}
 	}
 	s.coming.mu.Unlock()
-	s.shops.mu.Lock()
-	defer s.shops.mu.Unlock()
-	for id, sh := range s.shops.all {
+	s.queues.mu.Lock()
+	defer s.queues.mu.Unlock()
+	for id, sq := range s.queues.all {
 		l := out[id]
-		sh.mu.Lock()
-		l.Waiting = sh.q.Len()
-		if s.shops.owner(id) == s.cfg.Name {
-			l.Rate = sh.q.Rate(now)
+		sq.mu.Lock()
+		l.Waiting = sq.q.Len()
+		if s.queues.owner(id) == s.cfg.Name {
+			l.Rate = sq.q.Rate(now)
 		}
-		sh.mu.Unlock()
+		sq.mu.Unlock()
 		out[id] = l
 	}
 	return out
--- a/entry/control.go
+++ b/entry/control.go
@@ -252,7 +252,7 @@
 	}
 	c.s.targets.retain(now, all)
 	c.s.view.Store(v)
-	c.s.shops.update(v)
+	c.s.queues.update(v)
 }
 
 // export returns what the router knows, for its peers.
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -85,7 +85,7 @@
 		r.knows(n, 3)
 		r.until("the routers know each other", func() bool { return len(n.peers.alive(time.Now())) == 2 })
 	}
-	assert.Equal(t, nodes[0].shops.owner("archive"), nodes[1].shops.owner("archive"))
+	assert.Equal(t, nodes[0].queues.owner("archive"), nodes[1].queues.owner("archive"))
 	var wg sync.WaitGroup
 	for i := range 12 {
 		wg.Go(func() {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -403,21 +403,21 @@
 	}
 }
 
-// Make makes the pieces of a stage; see shop.
+// Make makes the pieces of a stage; see stageQueues.make.
 func (p *Peer) Make(o Order, answer *Made) error {
-	*answer = p.s.shops.make(context.Background(), o)
+	*answer = p.s.queues.make(context.Background(), o)
 	return nil
 }
 
 // Cancel withdraws what is still waiting for a request.
 func (p *Peer) Cancel(o Order, _ *int) error {
-	p.s.shops.cancel(o)
+	p.s.queues.cancel(o)
 	return nil
 }
 
 // Free gives up results of a service.
 func (p *Peer) Free(f Freed, _ *int) error {
-	p.s.shops.free(f)
+	p.s.queues.free(f)
 	return nil
 }
 
--- a/entry/shop.go
+++ b/entry/queue.go
@@ -70,28 +70,28 @@
 	reasonNoAnswer = "no answer" // the owner of the queue did not answer
 )
 
-// shops are the queues of the stage services that this router owns.
-type shops struct {
+// stageQueues are the queues of the stage services that this router owns.
+type stageQueues struct {
 	s     *Server
 	http  *http.Client // one connection a call, so that a stray answer meets no other call
 	frees *http.Client
 
 	mu  sync.Mutex
-	all map[fleet.ServiceID]*shop
+	all map[fleet.ServiceID]*stageQueue
 }
 
-func newShops(s *Server) *shops {
-	return &shops{
+func newStageQueues(s *Server) *stageQueues {
+	return &stageQueues{
 		s:     s,
 		http:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}},
 		frees: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleAge}},
-		all:   map[fleet.ServiceID]*shop{},
+		all:   map[fleet.ServiceID]*stageQueue{},
 	}
 }
 
-// shop is the queue of one stage service.
-type shop struct {
-	ss  *shops
+// stageQueue is the queue of one stage service.
+type stageQueue struct {
+	qs  *stageQueues
 	id  fleet.ServiceID
 	mu  sync.Mutex
 	q   *batch.Queue[*work]
@@ -119,7 +119,7 @@
 }
 
 // update takes over the services and upstreams of a new snapshot.
-func (ss *shops) update(v *View) {
+func (qs *stageQueues) update(v *View) {
 	if v.Config == nil {
 		return
 	}
@@ -128,54 +128,54 @@
 		if svc.Calls == nil {
 			continue
 		}
-		sh := ss.get(svc)
-		sh.mu.Lock()
-		sh.q.SetCalls(*svc.Calls)
-		sh.q.SetUpstreams(v.Ups[svc.ID])
-		clear(sh.ups)
+		sq := qs.get(svc)
+		sq.mu.Lock()
+		sq.q.SetCalls(*svc.Calls)
+		sq.q.SetUpstreams(v.Ups[svc.ID])
+		clear(sq.ups)
 		for _, u := range v.Ups[svc.ID] {
-			sh.ups[u.ID] = u
+			sq.ups[u.ID] = u
 		}
-		sh.dispatch()
-		sh.mu.Unlock()
+		sq.dispatch()
+		sq.mu.Unlock()
 	}
 }
 
-func (ss *shops) get(svc *fleet.Service) *shop {
-	ss.mu.Lock()
-	defer ss.mu.Unlock()
-	sh := ss.all[svc.ID]
-	if sh == nil {
-		sh = &shop{
-			ss: ss, id: svc.ID, q: batch.New[*work](*svc.Calls),
+func (qs *stageQueues) get(svc *fleet.Service) *stageQueue {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	sq := qs.all[svc.ID]
+	if sq == nil {
+		sq = &stageQueue{
+			qs: qs, id: svc.ID, q: batch.New[*work](*svc.Calls),
 			ups: map[wire.UpstreamID]fleet.Upstream{}, freed: map[wire.UpstreamID][]fleet.Handle{},
 		}
-		sh.timer = time.AfterFunc(time.Hour, sh.poll)
-		ss.all[svc.ID] = sh
+		sq.timer = time.AfterFunc(time.Hour, sq.poll)
+		qs.all[svc.ID] = sq
 	}
-	return sh
+	return sq
 }
 
-func (ss *shops) find(id fleet.ServiceID) *shop {
-	ss.mu.Lock()
-	defer ss.mu.Unlock()
-	return ss.all[id]
+func (qs *stageQueues) find(id fleet.ServiceID) *stageQueue {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	return qs.all[id]
 }
 
 // owner returns the router that owns the queue of a service, as this router sees it.
-func (ss *shops) owner(id fleet.ServiceID) wire.HostID {
-	return route.Owner(string(id), ss.s.peers.alive(time.Now()))
+func (qs *stageQueues) owner(id fleet.ServiceID) wire.HostID {
+	return route.Owner(string(id), qs.s.peers.alive(time.Now()))
 }
 
 // make makes the pieces of an order and returns when all are made or one can't be.
-func (ss *shops) make(ctx context.Context, o Order) Made {
-	sh := ss.find(o.Service)
-	if sh == nil {
+func (qs *stageQueues) make(ctx context.Context, o Order) Made {
+	sq := qs.find(o.Service)
+	if sq == nil {
 		return Made{Reason: reasonNoMaker}
 	}
 	now := time.Now()
 	j := &job{order: o, latest: now.Add(o.Left), made: make([]fleet.Handle, o.Pieces), left: o.Pieces, done: make(chan struct{})}
-	if m, ok := sh.accept(now, j); !ok {
+	if m, ok := sq.accept(now, j); !ok {
 		return m
 	}
 	t := time.NewTimer(o.Left)
@@ -183,12 +183,12 @@
 	select {
 	case <-j.done:
 	case <-ctx.Done():
-		sh.withdraw(j, reasonLeft)
+		sq.withdraw(j, reasonLeft)
 	case <-t.C:
-		sh.withdraw(j, reasonLate)
+		sq.withdraw(j, reasonLate)
 	}
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
 	if j.reason != "" {
 		return Made{Reason: j.reason}
 	}
@@ -196,15 +196,15 @@
 }
 
 // accept queues the pieces of a job unless they can't be made in time.
-func (sh *shop) accept(now time.Time, j *job) (m Made, ok bool) {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
+func (sq *stageQueue) accept(now time.Time, j *job) (m Made, ok bool) {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
 	o := j.order
 	aim := now.Add(o.Aim)
-	if len(sh.ups) == 0 {
+	if len(sq.ups) == 0 {
 		return Made{Reason: reasonNoMaker}, false
 	}
-	if d, _ := sh.q.Estimate(now, o.Pieces, aim); d > o.Left {
+	if d, _ := sq.q.Estimate(now, o.Pieces, aim); d > o.Left {
 		return Made{Reason: reasonBusy, Retry: d - o.Left}, false
 	}
 	ps := make([]batch.Piece[*work], o.Pieces)
@@ -214,42 +214,42 @@
 			Aim: aim, Latest: j.latest,
 		}
 	}
-	if !sh.q.Push(now, ps...) {
+	if !sq.q.Push(now, ps...) {
 		return Made{Reason: reasonBusy, Retry: time.Second}, false
 	}
-	sh.dispatch()
+	sq.dispatch()
 	return Made{}, true
 }
 
 // withdraw ends a job early.
-func (sh *shop) withdraw(j *job, reason string) {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	sh.fail(j, reason)
+func (sq *stageQueue) withdraw(j *job, reason string) {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.fail(j, reason)
 }
 
 // fail ends a job without success and gives up what was made for it. The caller
 // holds mu.
-func (sh *shop) fail(j *job, reason string) {
+func (sq *stageQueue) fail(j *job, reason string) {
 	if j.left == 0 || j.reason != "" {
 		return
 	}
 	j.reason = reason
 	close(j.done)
-	sh.q.Remove(func(w *work) bool { return w.job == j })
-	sh.giveUp(slices.DeleteFunc(slices.Clone(j.made), func(h fleet.Handle) bool { return h == "" }))
+	sq.q.Remove(func(w *work) bool { return w.job == j })
+	sq.giveUp(slices.DeleteFunc(slices.Clone(j.made), func(h fleet.Handle) bool { return h == "" }))
 }
 
 // cancel withdraws the jobs of a request.
-func (ss *shops) cancel(o Order) {
-	sh := ss.find(o.Service)
-	if sh == nil {
+func (qs *stageQueues) cancel(o Order) {
+	sq := qs.find(o.Service)
+	if sq == nil {
 		return
 	}
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
 	var jobs []*job
-	sh.q.Remove(func(w *work) bool {
+	sq.q.Remove(func(w *work) bool {
 		if w.order.Request != o.Request || w.order.Stage != o.Stage {
 			return false
 		}
@@ -257,43 +257,43 @@
 		return true
 	})
 	for _, j := range jobs {
-		sh.fail(j, reasonLeft)
+		sq.fail(j, reasonLeft)
 	}
 }
 
 // free gives up results.
-func (ss *shops) free(f Freed) {
-	sh := ss.find(f.Service)
-	if sh == nil {
+func (qs *stageQueues) free(f Freed) {
+	sq := qs.find(f.Service)
+	if sq == nil {
 		return
 	}
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	sh.giveUp(f.Handles)
-	sh.dispatch()
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.giveUp(f.Handles)
+	sq.dispatch()
 }
 
 // giveUp collects results to be given up. The caller holds mu.
-func (sh *shop) giveUp(hs []fleet.Handle) {
-	first := len(sh.freed) == 0
-	known, unknown := sh.q.Free(hs)
+func (sq *stageQueue) giveUp(hs []fleet.Handle) {
+	first := len(sq.freed) == 0
+	known, unknown := sq.q.Free(hs)
 	for id, freed := range known {
-		sh.freed[id] = append(sh.freed[id], freed...)
+		sq.freed[id] = append(sq.freed[id], freed...)
 	}
 	for _, h := range unknown {
-		if id, ok := sh.maker(h); ok {
-			sh.freed[id] = append(sh.freed[id], h)
+		if id, ok := sq.maker(h); ok {
+			sq.freed[id] = append(sq.freed[id], h)
 		}
 	}
-	if first && len(sh.freed) > 0 {
-		time.AfterFunc(freeDelay, sh.sendFreed)
+	if first && len(sq.freed) > 0 {
+		time.AfterFunc(freeDelay, sq.sendFreed)
 	}
 }
 
 // maker returns the upstream that keeps a result, by its address.
-func (sh *shop) maker(h fleet.Handle) (wire.UpstreamID, bool) {
+func (sq *stageQueue) maker(h fleet.Handle) (wire.UpstreamID, bool) {
 	addr := platform.Maker(h)
-	for id, u := range sh.ups {
+	for id, u := range sq.ups {
 		if u.Address == addr {
 			return id, true
 		}
@@ -302,34 +302,34 @@
 }
 
 // sendFreed tells upstreams of the results that were given up.
-func (sh *shop) sendFreed() {
-	sh.mu.Lock()
-	freed := sh.freed
-	sh.freed = map[wire.UpstreamID][]fleet.Handle{}
-	ups := maps.Clone(sh.ups)
-	sh.mu.Unlock()
+func (sq *stageQueue) sendFreed() {
+	sq.mu.Lock()
+	freed := sq.freed
+	sq.freed = map[wire.UpstreamID][]fleet.Handle{}
+	ups := maps.Clone(sq.ups)
+	sq.mu.Unlock()
 	for id, hs := range freed {
 		u, ok := ups[id]
 		if !ok {
 			continue // results don't outlive their upstream
 		}
-		sh.ss.s.work.Go(func() {
-			if err := sh.sendFree(u, hs); err != nil {
-				sh.ss.s.log.Debug("results not given up", "upstream", u.ID, "results", len(hs), "err", err)
-				sh.ss.s.count("frees_failed")
+		sq.qs.s.work.Go(func() {
+			if err := sq.sendFree(u, hs); err != nil {
+				sq.qs.s.log.Debug("results not given up", "upstream", u.ID, "results", len(hs), "err", err)
+				sq.qs.s.count("frees_failed")
 			}
 		})
 	}
 }
 
-func (sh *shop) sendFree(u fleet.Upstream, hs []fleet.Handle) (err error) {
+func (sq *stageQueue) sendFree(u fleet.Upstream, hs []fleet.Handle) (err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 	defer cancel()
 	req, err := platform.StageFree(u, hs)
 	if err != nil {
 		return err
 	}
-	resp, err := sh.ss.frees.Do(req.WithContext(ctx))
+	resp, err := sq.qs.frees.Do(req.WithContext(ctx))
 	if err != nil {
 		return err
 	}
@@ -339,21 +339,21 @@
 }
 
 // poll asks the queue again after the time that it named.
-func (sh *shop) poll() {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	sh.dispatch()
+func (sq *stageQueue) poll() {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.dispatch()
 }
 
 // dispatch starts all calls that can start now. The caller holds mu.
-func (sh *shop) dispatch() {
+func (sq *stageQueue) dispatch() {
 	now := time.Now()
 	next := time.Duration(-1)
-	for _, id := range slices.Sorted(maps.Keys(sh.ups)) {
+	for _, id := range slices.Sorted(maps.Keys(sq.ups)) {
 		for {
-			ps, late, wait := sh.q.Next(now, id)
+			ps, late, wait := sq.q.Next(now, id)
 			for _, p := range late {
-				sh.fail(p.Value.job, reasonLate)
+				sq.fail(p.Value.job, reasonLate)
 			}
 			if len(ps) == 0 {
 				if wait > 0 && (next < 0 || wait < next) {
@@ -361,55 +361,55 @@
 				}
 				break
 			}
-			u, limit := sh.ups[id], sh.q.Limit(id, len(ps))
-			sh.ss.s.work.Go(func() { sh.call(u, ps, limit) })
+			u, limit := sq.ups[id], sq.q.Limit(id, len(ps))
+			sq.qs.s.work.Go(func() { sq.call(u, ps, limit) })
 		}
 	}
-	if sh.q.Len() > 0 && next >= 0 {
-		sh.timer.Reset(next)
+	if sq.q.Len() > 0 && next >= 0 {
+		sq.timer.Reset(next)
 	}
 }
 
 // call makes one stage call and hands out its results.
-func (sh *shop) call(u fleet.Upstream, ps []batch.Piece[*work], limit time.Duration) {
+func (sq *stageQueue) call(u fleet.Upstream, ps []batch.Piece[*work], limit time.Duration) {
 	began := time.Now()
-	results, status, err := sh.ss.send(u, ps, limit)
+	results, status, err := sq.qs.send(u, ps, limit)
 	if err != nil {
-		sh.ss.s.log.Warn("stage call failed", "service", sh.id, "upstream", u.ID, "pieces", len(ps),
+		sq.qs.s.log.Warn("stage call failed", "service", sq.id, "upstream", u.ID, "pieces", len(ps),
 			"request", ps[0].Value.order.Request, "took", time.Since(began).String(), "limit", limit.String(), "status", status, "err", err)
-		sh.ss.s.count("stage_calls", "outcome", "failed")
+		sq.qs.s.count("stage_calls", "outcome", "failed")
 	} else {
-		sh.ss.s.count("stage_calls", "outcome", "done")
-		sh.ss.s.counter("stage_pieces", int64(len(ps)))
+		sq.qs.s.count("stage_calls", "outcome", "done")
+		sq.qs.s.counter("stage_pieces", int64(len(ps)))
 	}
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
 	end := batch.Result{Failed: err != nil, Full: errors.Is(err, errFull), Made: map[fleet.Handle]fleet.Bytes{}}
 	var unused []fleet.Handle
 	for i, p := range ps {
 		end.Reserved += p.Size
 		if err != nil {
-			sh.again(p, end.Full || !reached(err))
+			sq.again(p, end.Full || !reached(err))
 			continue
 		}
 		r := results[i]
 		if r.Handle == "" {
 			end.NoRoom = end.NoRoom || r.Reason == platform.FailRoom
-			sh.unmade(p, r.Reason)
+			sq.unmade(p, r.Reason)
 			continue
 		}
 		end.Made[r.Handle] = p.Size
-		if !sh.hand(p.Value, r.Handle) {
+		if !sq.hand(p.Value, r.Handle) {
 			unused = append(unused, r.Handle)
 		}
 	}
-	sh.q.Done(time.Now(), u.ID, end)
-	sh.giveUp(unused)
-	sh.dispatch()
+	sq.q.Done(time.Now(), u.ID, end)
+	sq.giveUp(unused)
+	sq.dispatch()
 }
 
 // hand gives a result to its job and reports whether it was still wanted.
-func (sh *shop) hand(w *work, h fleet.Handle) bool {
+func (sq *stageQueue) hand(w *work, h fleet.Handle) bool {
 	if w.reason != "" || w.made[w.piece] != "" {
 		return false
 	}
@@ -421,20 +421,20 @@
 }
 
 // unmade handles a piece that the upstream could not make.
-func (sh *shop) unmade(p batch.Piece[*work], reason platform.Failure) {
-	sh.ss.s.count("stage_unmade", "reason", string(reason))
+func (sq *stageQueue) unmade(p batch.Piece[*work], reason platform.Failure) {
+	sq.qs.s.count("stage_unmade", "reason", string(reason))
 	switch reason {
 	case platform.FailLate:
-		sh.fail(p.Value.job, reasonLate)
+		sq.fail(p.Value.job, reasonLate)
 	case platform.FailGone:
-		sh.fail(p.Value.job, reasonGone)
+		sq.fail(p.Value.job, reasonGone)
 	default:
-		sh.again(p, reason == platform.FailRoom)
+		sq.again(p, reason == platform.FailRoom)
 	}
 }
 
 // again queues a piece once more; rejected says that no work was done on it.
-func (sh *shop) again(p batch.Piece[*work], rejected bool) {
+func (sq *stageQueue) again(p batch.Piece[*work], rejected bool) {
 	w := p.Value
 	if w.reason != "" {
 		return
@@ -443,11 +443,11 @@
 		w.tries++
 	}
 	if w.tries >= maxTries {
-		sh.fail(w.job, reasonFailed)
+		sq.fail(w.job, reasonFailed)
 		return
 	}
-	if !sh.q.Push(time.Now(), p) {
-		sh.fail(w.job, reasonBusy)
+	if !sq.q.Push(time.Now(), p) {
+		sq.fail(w.job, reasonBusy)
 	}
 }
 
@@ -460,7 +460,7 @@
 var errFull = errors.New("the upstream is full")
 
 // send makes one stage call and returns the result of each piece.
-func (ss *shops) send(u fleet.Upstream, ps []batch.Piece[*work], limit time.Duration) (rs []platform.StageResult, status int, err error) {
+func (qs *stageQueues) send(u fleet.Upstream, ps []batch.Piece[*work], limit time.Duration) (rs []platform.StageResult, status int, err error) {
 	now := time.Now()
 	items := make([]platform.StagePiece, len(ps))
 	for i, p := range ps {
@@ -476,7 +476,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(limit, stageFloor))
 	defer cancel()
-	resp, err := ss.http.Do(req.WithContext(ctx))
+	resp, err := qs.http.Do(req.WithContext(ctx))
 	if err != nil {
 		return nil, 0, err
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -66,7 +66,7 @@
 	updates chan update
 	asked   chan chan State
 	targets *targets
-	shops   *shops
+	queues  *stageQueues
 	peers   *peers
 	strikes crash.Strikes
 	learned learned
@@ -115,7 +115,7 @@
 	s.seedList.Store(&cfg.Seeds)
 	s.view.Store(&View{})
 	s.arrived.Store(&started)
-	s.shops = newShops(s)
+	s.queues = newStageQueues(s)
 	s.peers = newPeers(s)
 	s.front = &http.Server{
 		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle,
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -158,9 +158,9 @@
 
 // giveUp tells the owner of a service's queue that results are no longer needed.
 func (s *Server) giveUp(f Freed) {
-	owner := s.shops.owner(f.Service)
+	owner := s.queues.owner(f.Service)
 	if owner == s.cfg.Name {
-		s.shops.free(f)
+		s.queues.free(f)
 		return
 	}
 	s.work.Go(func() {
@@ -191,9 +191,9 @@
 		if o.Left <= 0 {
 			return Made{Reason: reasonLate}, nil
 		}
-		owner := s.shops.owner(o.Service)
+		owner := s.queues.owner(o.Service)
 		if owner == s.cfg.Name {
-			return s.shops.make(ctx, o), ctx.Err()
+			return s.queues.make(ctx, o), ctx.Err()
 		}
 		if m, err = s.orderFrom(ctx, owner, o); err == nil || ctx.Err() != nil {
 			return m, ctx.Err()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -96,17 +96,17 @@
 func (rt *router) claim() bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	if rt.paused {
+	if rt.claimed {
 		return false
 	}
-	rt.paused = true
+	rt.claimed = true
 	return true
 }
 
 func (rt *router) release() {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
-	rt.paused = false
+	rt.claimed = false
 }
 
 func restart(s os.Signal) func(*Run, *rand.Rand) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -18,10 +18,10 @@
 	callers, ready, peers string
 	settings              string
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	ended  chan struct{}
-	paused bool // by a fault that it belongs to
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	claimed bool // by a fault that it belongs to
 }
 
 var settingsText = template.Must(template.New("settings").Parse(`name = "{{.Name}}"
