--- a/soak/cmd/hbsoak/main.go
+++ b/soak/cmd/hbsoak/main.go
@@ -28,6 +28,7 @@
 	routers := fs.Int("routers", 3, "router processes")
 	callers := fs.Int("callers", 12, "callers at the same time")
 	faults := fs.Duration("faults", 10*time.Second, "time for which faults are injected")
+	program := fs.String("program", "", "router program to run; it is built from the workspace if empty")
 	keep := fs.String("keep", "", "folder for the logs of runs in which something was found")
 	if err = ff.Parse(fs, args, ff.WithEnvVarPrefix("HBSOAK")); err != nil {
 		return err
@@ -37,13 +38,14 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	program, err := soak.Build(dir)
-	if err != nil {
-		return err
+	if *program == "" {
+		if *program, err = soak.Build(dir); err != nil {
+			return err
+		}
 	}
 	broken := 0
 	for i := range *seeds {
-		o := soak.Options{Seed: *first + uint64(i), Routers: *routers, Callers: *callers, Faults: *faults, Program: program}
+		o := soak.Options{Seed: *first + uint64(i), Routers: *routers, Callers: *callers, Faults: *faults, Program: *program}
 		if o.Dir, err = os.MkdirTemp(dir, "run"); err != nil {
 			return err
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -122,7 +122,7 @@
 		n       int
 		work    time.Duration
 		events  int
-	}{{"desk", 3, 10 * time.Millisecond, 0}, {"engine", 5, 8 * time.Millisecond, streamEvents}, {"archive", 4, 25 * time.Millisecond, 0}, {"school", 3, 25 * time.Millisecond, 0}} {
+	}{{"desk", 3, 10 * time.Millisecond, 0}, {"engine", 5, 40 * time.Millisecond, streamEvents}, {"archive", 4, 25 * time.Millisecond, 0}, {"school", 3, 25 * time.Millisecond, 0}} {
 		for i := range s.n {
 			if err = r.add(s.service, i, s.work, s.events); err != nil {
 				return err
