--- a/agent/conns.go
+++ b/agent/conns.go
@@ -182,17 +182,15 @@
 
 // watch keeps one connection open on which nothing is sent. It breaks when the
 // upstream's process ends, also while no call is in flight; an upstream that
-// closes idle connections causes calls of lost too. After a break lost is called
-// once more when the upstream can be reached again.
+// closes idle connections causes calls of lost too. After a break, and at the start,
+// lost is called once more when the upstream can be reached.
 func (p *conns) watch(ctx context.Context, lost func()) {
 	pause := watchMin
-	broken := false
 	for ctx.Err() == nil {
 		c, err := p.get(ctx, true)
 		if err == nil {
-			if broken {
-				lost()
-			}
+			// The upstream may have restarted before the connection was made, too.
+			lost()
 			stop := c.bind(ctx)
 			_, _ = c.r.ReadByte()
 			stop()
@@ -202,7 +200,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		broken = true
 		lost()
 		select {
 		case <-time.After(pause):
--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -46,3 +46,29 @@
 	cancel()
 	<-ended
 }
+
+// TestWatchAtStart guards against a restart that falls between the first report and
+// the connection that watches for the next: TestWatch met it once on a busy machine.
+func TestWatchAtStart(t *testing.T) {
+	s := fakes.NewService(wire.KindPlain, fakes.WithDelay(0))
+	assert.NilError(t, s.Start(t.Context(), ""))
+	defer s.Close()
+	h, err := NewHTTP(wire.KindPlain, s.URL())
+	assert.NilError(t, err)
+	assert.NilError(t, s.Restart())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	lost := make(chan struct{}, 64)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.Watch(ctx, func() { lost <- struct{}{} })
+	}()
+	select {
+	case <-lost:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the upstream was not looked at")
+	}
+	cancel()
+	<-ended
+}
