--- a/soak/check.go
+++ b/soak/check.go
@@ -121,8 +121,8 @@
 				c.fail("unasked", "%s ran at %s, and nobody sent it", id, run.Replica)
 			case run.Method != s.method || run.Target != s.target || run.Body != s.body:
 				c.fail("changed", "%s arrived as %s %s with %d bytes, not %s %s with %d", id, run.Method, run.Target, len(run.Body), s.method, s.target, len(s.body))
-			case run.Header.Get("Tenant-Name") != team || run.Header.Get("Authorization") != "":
-				c.fail("key", "%s arrived for team %q with %q", id, run.Header.Get("Tenant-Name"), run.Header.Get("Authorization"))
+			case run.Header.Get(site.HeaderTeam) != team || run.Header.Get("Authorization") != "":
+				c.fail("key", "%s arrived for team %q with %q", id, run.Header.Get(site.HeaderTeam), run.Header.Get("Authorization"))
 			}
 		}
 	}
--- a/soak/load.go
+++ b/soak/load.go
@@ -90,12 +90,12 @@
 		return
 	}
 	req.Host = k.host
-	req.Header.Set("Request-Id", s.id)
-	req.Header.Set("Request-Deadline", fmt.Sprint(callerLimit.Milliseconds()))
+	req.Header.Set(site.HeaderID, s.id)
+	req.Header.Set(site.HeaderDeadline, fmt.Sprint(callerLimit.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+key)
 	if k.pieces != "" {
-		req.Header.Set("Piece-Count", k.pieces)
-		req.Header.Set("Piece-Key", s.id)
+		req.Header.Set(site.HeaderPieces, k.pieces)
+		req.Header.Set(site.HeaderPieceKey, s.id)
 	}
 	// The library must not send a request again by itself.
 	req.GetBody = nil
