entry: never promise that a request has not run after an attempt that may have

Cause: read in the code: stages that failed before a second attempt at a stream gave 503 although the first attempt may have run the request. Change: refuse turns such a status into 502, for all refusals. Measured: TestTruthful.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -91,6 +91,7 @@
 // refuse answers a request that is not served. An answer that has begun is broken
 // off instead, so that it does not look complete.
 func (x *exchange) refuse(f refusal) {
+	f = x.truthful(f)
 	x.account(f.status, f.reason)
 	if x.started {
 		panic(http.ErrAbortHandler)
@@ -113,6 +114,18 @@
 	_, _ = io.WriteString(x.w, f.reason+"\n") // the caller may have left
 }
 
+// truthful returns the refusal that may be sent: a status that says that the request
+// has not run gives way to one that doesn't if it may have.
+func (x *exchange) truthful(f refusal) refusal {
+	switch f.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		if x.maybeRan() {
+			return refusal{status: http.StatusBadGateway, reason: f.reason}
+		}
+	}
+	return f
+}
+
 // account writes the log line and the metrics of a request's end.
 func (x *exchange) account(status int, reason string) {
 	s := x.s
--- /dev/null
+++ b/entry/exchange_test.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTruthful guards against a refusal that says that a request has not run although
+// an earlier attempt may have run it, for instance when its stages fail afterwards.
+func TestTruthful(t *testing.T) {
+	for _, tc := range []struct{ status, fresh, ran int }{
+		{http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusBadGateway},
+		{http.StatusTooManyRequests, http.StatusTooManyRequests, http.StatusBadGateway},
+		{http.StatusRequestTimeout, http.StatusRequestTimeout, http.StatusBadGateway},
+		{http.StatusGatewayTimeout, http.StatusGatewayTimeout, http.StatusGatewayTimeout},
+		{http.StatusBadGateway, http.StatusBadGateway, http.StatusBadGateway},
+	} {
+		t.Run(http.StatusText(tc.status), func(t *testing.T) {
+			f := refusal{tc.status, "stages failed", retryNone}
+			assert.Equal(t, new(exchange).truthful(f).status, tc.fresh)
+			got := (&exchange{runs: 1}).truthful(f)
+			assert.Equal(t, got.status, tc.ran)
+			assert.Equal(t, got.retry != 0, tc.ran == tc.status)
+		})
+	}
+}
