entry: look for a crash after the end of a reused connection too

Cause: read in the change: since a stale connection doesn't count against its upstream, a request that crashes upstreams over kept connections got no strikes. Change: the upstream is looked at after a stale connection as well. Measured: TestCrashingRequest over used connections fails without the change; it and its neighbours pass twice with it.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -279,6 +279,10 @@
 		assert.NilError(t, r.site.Add(p))
 	}
 	n := r.router(8)
+	// Most upstreams are reached over connections that were used before.
+	for i := range 40 {
+		n.assertStatus(t, get(deskHost, fmt.Sprint("/safe/warm", i)), http.StatusOK, "")
+	}
 	count := func() (runs int) {
 		for _, run := range r.site.Runs() {
 			if run.Target == "/safe/bad" {
--- a/entry/send.go
+++ b/entry/send.go
@@ -28,7 +28,7 @@
 )
 
 // send sends the request to a target and reads the head of its answer. stall bounds
-// the wait for it. The caller must call done on an answered reply.
+// the wait for it. The caller must call release on an answered reply.
 func (x *exchange) send(ctx context.Context, t *target, o platform.Outgoing, stall time.Duration) (rp *reply, out outcome) {
 	most := max(x.svc.Conns*connPart/100/x.s.peers.routers(time.Now()), 1)
 	if x.svc.Conns <= 0 {
@@ -57,6 +57,9 @@
 		// where the request may go once more.
 		stale := c.reused && ctx.Err() == nil && !isTimeout(err)
 		x.failed(t, err, stale || ctx.Err() != nil)
+		if stale {
+			x.suspect(t) // unless it crashed
+		}
 		if stale && !slices.Contains(x.again, t.ID) {
 			x.again = append(x.again, t.ID)
 			x.tried = x.tried[:len(x.tried)-1]
