--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -89,7 +90,7 @@
 		}
 	}
 	for _, us := range out {
-		slices.SortFunc(us, func(a, b Upstream) int { return cmpID(a.ID, b.ID) })
+		slices.SortFunc(us, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return out
 }
@@ -99,13 +100,3 @@
 
 // Len returns the number of listed and of lapsed upstreams.
 func (r *Roster) Len() (listed, lapsed int) { return len(r.entries), len(r.lapsed) }
-
-func cmpID(a, b wire.UpstreamID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/entry/place.go
+++ b/entry/place.go
@@ -119,18 +119,17 @@
 // stage of the route that it has.
 func (x *exchange) makers() map[wire.DataCentreID]float64 {
 	shares := map[wire.DataCentreID]float64{}
-	for n, i := range x.route.Stages {
+	for n, st := range x.route.Stages {
 		count := map[wire.DataCentreID]float64{}
-		ups := x.view.Ups[i.Service]
+		ups := x.view.Ups[st.Service]
 		for _, u := range ups {
 			count[u.Centre] += 1 / float64(len(ups))
 		}
 		for c, v := range count {
-			if old, ok := shares[c]; n == 0 || ok {
+			if old, ok := shares[c]; n == 0 {
 				shares[c] = v
-				if n > 0 {
-					shares[c] = min(old, v)
-				}
+			} else if ok {
+				shares[c] = min(old, v)
 			}
 		}
 		for c := range shares {
@@ -152,14 +151,12 @@
 		return load
 	}
 	x.why = "least load"
-	best := 0
 	offset := int(draw() * float64(len(open)))
 	order := make([]int, len(open))
 	for i := range order {
 		order[i] = (i + offset) % len(open)
 	}
-	best = slices.MinFunc(order, func(a, b int) int { return cmp.Compare(score(a), score(b)) })
-	return best
+	return slices.MinFunc(order, func(a, b int) int { return cmp.Compare(score(a), score(b)) })
 }
 
 // acquire chooses a target, and waits a little while all of them are cold. It
