core/link: count a datagram before it is written

Cause: countingConn counted a datagram after the write returned, so the answer could be read and the counters compared before the count moved. TestTraffic failed in 9 of 300 runs beside other work. Change: count before the write and take back the bytes that were not written. Before: 9 of 300 runs of `go test -race -count 300 -run '^TestTraffic$' ./core/link` failed.

--- a/core/link/traffic.go
+++ b/core/link/traffic.go
@@ -29,11 +29,14 @@
 	return &countingConn{UDPConn: c, packetConn: ipv4.NewPacketConn(c)}
 }
 
-// WriteMsgUDP implements quic.OOBCapablePacketConn.
+// WriteMsgUDP implements quic.OOBCapablePacketConn. It counts a message before it writes
+// it, since the answer may arrive before the write returns, and takes back what was not
+// written.
 func (c *countingConn) WriteMsgUDP(b, oob []byte, addr *net.UDPAddr) (n, oobn int, err error) {
-	n, oobn, err = c.UDPConn.WriteMsgUDP(b, oob, addr)
-	c.sentBytes.Add(int64(n))
+	c.sentBytes.Add(int64(len(b)))
 	c.sentMessages.Add(1)
+	n, oobn, err = c.UDPConn.WriteMsgUDP(b, oob, addr)
+	c.sentBytes.Add(int64(n - len(b)))
 	return n, oobn, err
 }
 
