entry: hand the rig's listeners to its routers

Change: Server opens its listeners through a function; the rig keeps the listener of each address and hands it to the router that listens there first. After: no port is free between the choice and its use, so the error can't occur; `go test ./entry` passed.

--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -32,6 +32,8 @@
 	t    *testing.T
 	site *site.Site
 	log  *logBuffer
+	// reserved holds the listeners of addresses that no router has used yet.
+	reserved sync.Map
 }
 
 // logBuffer collects the log of a rig's routers.
@@ -118,19 +120,31 @@
 	return p
 }
 
-func freeAddr(t *testing.T) wire.Address {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	return wire.Address(ln.Addr().String())
+// reserveAddr returns the address of a new listener, which it keeps for the router that
+// listens there first. Were the port freed, another socket could take it meanwhile.
+func (r *rig) reserveAddr() wire.Address {
+	r.t.Helper()
+	ln, err := listenTCP("127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = ln.Close() })
+	addr := wire.Address(ln.Addr().String())
+	r.reserved.Store(addr, ln)
+	return addr
+}
+
+// openListener returns the reserved listener at an address, or a new one if there is none.
+func (r *rig) openListener(addr wire.Address) (net.Listener, error) {
+	if ln, ok := r.reserved.LoadAndDelete(addr); ok {
+		return ln.(net.Listener), nil
+	}
+	return listenTCP(addr)
 }
 
 // settings returns settings with free listen addresses.
 func (r *rig) settings(name string, seeds ...wire.Address) Settings {
 	return Settings{
 		Name: wire.HostID(name), Centre: "a", Centres: map[wire.DataCentreID]wire.RegionID{"a": "east", "b": "east"},
-		Callers: freeAddr(r.t), Ready: freeAddr(r.t), Peers: freeAddr(r.t), Admin: freeAddr(r.t), Store: wire.Address(r.site.Addr()),
+		Callers: r.reserveAddr(), Ready: r.reserveAddr(), Peers: r.reserveAddr(), Admin: r.reserveAddr(), Store: wire.Address(r.site.Addr()),
 		Seeds: seeds, Memory: 284, Files: 4096, Stop: stopGraceSeconds, Retries: 0.2, Slack: 50, Level: "info",
 	}
 }
@@ -140,6 +154,7 @@
 	r.t.Helper()
 	s, err := New(cfg, "", r.log)
 	assert.NilError(r.t, err)
+	s.openListener = r.openListener
 	n := &node{Server: s, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { n.ended <- s.Run(ctx, n.signals, func(os.Signal) bool { return false }) }()
--- a/entry/server.go
+++ b/entry/server.go
@@ -93,6 +93,7 @@
 	mu           sync.Mutex
 	retryBudgets map[fleet.ServiceID]*serviceBudget
 
+	openListener                           listenFunc
 	callerServer, readyServer, adminServer *http.Server
 	stopped                                chan struct{}
 }
@@ -119,6 +120,7 @@
 		updates: make(chan update), stateRequests: make(chan chan State),
 		targets:      &targets{byID: map[wire.UpstreamID]*target{}},
 		retryBudgets: map[fleet.ServiceID]*serviceBudget{},
+		openListener: listenTCP,
 		stopped:      make(chan struct{}),
 	}
 	s.stopCtx, s.cancelStopCtx = context.WithCancel(context.Background())
@@ -211,12 +213,17 @@
 
 type listeners struct{ callers, ready, peers, admin net.Listener }
 
+// listenFunc opens a listener at an address. It returns the errors of net.Listen.
+type listenFunc func(wire.Address) (net.Listener, error)
+
+func listenTCP(addr wire.Address) (net.Listener, error) { return net.Listen("tcp", string(addr)) }
+
 func (s *Server) listen() (l listeners, err error) {
 	for _, e := range []struct {
 		ln   *net.Listener
 		addr wire.Address
 	}{{&l.callers, s.cfg.Callers}, {&l.ready, s.cfg.Ready}, {&l.peers, s.cfg.Peers}, {&l.admin, s.cfg.Admin}} {
-		if *e.ln, err = net.Listen("tcp", string(e.addr)); err != nil {
+		if *e.ln, err = s.openListener(e.addr); err != nil {
 			return l, err
 		}
 	}
