matrix: slow every upstream in the cell that breaks guarantee 1

Cause: the fault slowed the upstream that executed the first call after the cell was armed. The order of goroutines decided which one that was. Only late answers of a last stage reach another request whole, which is what guarantee 1 counts; if an upstream of another stage was slow, the naive router broke guarantee 4 instead. Change: in this cell all upstreams are slow, so late answers of a last stage exist in every order. The cell still requires guarantee 1.

--- a/matrix/naive_test.go
+++ b/matrix/naive_test.go
@@ -196,6 +196,22 @@
 	}
 }
 
+// allSlow makes every upstream slow. If only the one that executes the first call is slow,
+// the order of goroutines decides whether late answers of a last stage exist, which are
+// the ones that reach another request whole.
+var allSlow = fault{name: "all slow", inject: func(w *world, _ faultTarget) {
+	set := func(on bool) {
+		w.withLock(func() {
+			for _, u := range w.upstreams {
+				u.slow = on
+			}
+		})
+	}
+	set(true)
+	time.Sleep(faultDuration)
+	set(false)
+}}
+
 // TestNaiveBreaks guards against a checker that detects nothing: it must report
 // that the naive router breaks each of the nine guarantees in the given cell.
 func TestNaiveBreaks(t *testing.T) {
@@ -203,7 +219,7 @@
 		guarantee   int
 		fault, step string
 	}{
-		{guaranteeResults, "slow", "execute"},
+		{guaranteeResults, "all slow", "execute"},
 		{guaranteeColdStart, "cold without warning", "execute"},
 		{guaranteeCentreOut, "data centre out", "accept"},
 		{guaranteeWholeAnswer, "error", "stream"},
@@ -231,7 +247,7 @@
 
 // faultNamed returns the fault with a name, or nil.
 func faultNamed(name string) *fault {
-	for _, f := range faults() {
+	for _, f := range append(faults(), allSlow) {
 		if f.name == name {
 			return &f
 		}
