entry: accept fractions in all numbers of the settings

Settings.Slack was an int and the router did not start: "cannot decode TOML float into struct field". Memory and Files had the same fault. Change: numbers of the settings are floats. An error of decoding names the line and the field.

--- a/entry/server.go
+++ b/entry/server.go
@@ -170,7 +170,7 @@
 	defer s.mu.Unlock()
 	b := s.retryBudgets[id]
 	if b == nil || b.routers < routers {
-		b = &serviceBudget{budget.NewRetry(sharedRetryRatio*s.cfg.Retries, int(sharedRetryRatio*float64(s.cfg.Slack))/routers), routers}
+		b = &serviceBudget{budget.NewRetry(sharedRetryRatio*s.cfg.Retries, int(sharedRetryRatio*s.cfg.Slack)/routers), routers}
 		s.retryBudgets[id] = b
 	}
 	return b.Retry
@@ -186,7 +186,7 @@
 		}
 	}()
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(s.cfg.Memory) * memoryLimitPercent / 100 << 20)
+	debug.SetMemoryLimit(int64(s.cfg.Memory * memoryLimitPercent / 100 * (1 << 20)))
 	logCtx, endLog := context.WithCancel(context.Background())
 	var logging conc.WaitGroup
 	logging.Go(func() { s.logOut.run(logCtx) })
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -25,11 +26,13 @@
 	Store   wire.Address   `toml:"store"`   // address of the platform's store
 	Seeds   []wire.Address `toml:"seeds"`   // peer addresses of some routers, to join through
 
-	Memory  int     `toml:"memory"`  // memory available to the process in MiB
-	Files   int     `toml:"files"`   // file descriptors available to the process
+	// Numbers may have fractions, whatever they count: a deployment may scale its limits.
+	Cores   float64 `toml:"cores"`   // processor share of the host in cores, 0 if unknown
+	Memory  float64 `toml:"memory"`  // memory available to the process in MiB
+	Files   float64 `toml:"files"`   // file descriptors available to the process
 	Stop    float64 `toml:"stop"`    // time from SIGTERM to SIGKILL in seconds
 	Retries float64 `toml:"retries"` // retries of all routers, as a ratio of first attempts
-	Slack   int     `toml:"slack"`   // retries of all routers in any period on top of that ratio
+	Slack   float64 `toml:"slack"`   // retries of all routers in any period on top of that ratio
 	Level   string  `toml:"level"`   // log level, "info" if empty
 }
 
@@ -48,9 +51,14 @@
 }
 
 // ParseSettings decodes and validates settings in TOML. The error names the first
-// invalid field.
+// invalid field, and the line if the field can't be decoded.
 func ParseSettings(data []byte) (s Settings, err error) {
 	if err = toml.Unmarshal(data, &s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			line, _ := de.Position()
+			err = fmt.Errorf("line %d: %s: %w", line, strings.Join(de.Key(), "."), err)
+		}
 		return Settings{}, err
 	}
 	if s.Level == "" {
@@ -84,6 +92,8 @@
 		}
 	}
 	switch {
+	case s.Cores < 0:
+		return errors.New("cores must not be negative")
 	case s.Memory <= 0:
 		return errors.New("memory must be positive")
 	case s.Stop <= 0:
