core/shard, entry: divide the queues of large stage services

Cause: one router owned the queue of a stage service for the whole fleet. Change: a service with more than 24 upstreams has a queue in each data centre (two from 13 upstreams on). Each queue has its own upstreams and an owner in its data centre; owners are spread by processor share. An order goes to the queue of the data centre that reads the results, unless another has a wait that is shorter by the fixed time of a call. Orders whose owner fails go to another one. Orders of routers without divided services are placed for them. Peers watch for lost owners in one place instead of a goroutine and a timer for each order; heartbeats carry loads of owned queues and of services with work only.

Sites with up to 24 upstreams in each service keep one queue and its owner. Conclusion: the owner was the cause.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -7,6 +7,7 @@
 
 	"hornbeamcove.example/core/batch"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -21,8 +22,8 @@
 	Draining  bool                             `json:"draining"`
 	Alive     []wire.HostID                    `json:"alive"` // routers that may own queues
 	Upstreams map[wire.UpstreamID]UpstreamDump `json:"upstreams"`
-	Queues    map[fleet.ServiceID]batch.View   `json:"queues"`
-	Owners    map[fleet.ServiceID]wire.HostID  `json:"owners"` // owner of each service's queue
+	Queues    map[shard.ID]batch.View          `json:"queues"`
+	Owners    map[shard.ID]wire.HostID         `json:"owners"` // owner of each service's queue
 }
 
 // UpstreamDump is the state of one upstream as a router sees it.
@@ -62,8 +63,11 @@
 	v := s.view.Load()
 	d := Dump{
 		Name: s.cfg.Name, Revisions: v.Revisions, Requests: s.inFlight.Load(), Draining: s.draining.Load(),
-		Alive: s.peers.ownerCandidates(now), Upstreams: map[wire.UpstreamID]UpstreamDump{},
-		Queues: map[fleet.ServiceID]batch.View{}, Owners: map[fleet.ServiceID]wire.HostID{},
+		Upstreams: map[wire.UpstreamID]UpstreamDump{},
+		Queues:    map[shard.ID]batch.View{}, Owners: map[shard.ID]wire.HostID{},
+	}
+	for _, r := range s.peers.ownerCandidates(now) {
+		d.Alive = append(d.Alive, r.Name)
 	}
 	if v.Config != nil {
 		d.Config = v.Config.Version
@@ -81,7 +85,7 @@
 	}
 	s.queues.mu.Lock()
 	defer s.queues.mu.Unlock()
-	for id, sq := range s.queues.byService {
+	for id, sq := range s.queues.byID {
 		sq.mu.Lock()
 		d.Queues[id] = sq.q.View()
 		sq.mu.Unlock()
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -7,7 +7,7 @@
 
 	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/fleet"
-	"hornbeamcove.example/core/route"
+	"hornbeamcove.example/core/shard"
 )
 
 // unqueuedPieces counts by service the pieces of admitted requests that have not yet
@@ -25,9 +25,10 @@
 	}
 }
 
-// stageLoads returns this router's share of the pending work of each stage service.
-func (s *Server) stageLoads(now time.Time) map[fleet.ServiceID]Load {
-	alive := s.peers.ownerCandidates(now)
+// stageLoads returns this router's share of the pending work of each stage service. owned
+// holds the work of the queues that it owns, of which those of divided services are left
+// out. Undivided queues that the router owned before still count with what waits in them.
+func (s *Server) stageLoads(owned map[shard.ID]Load) map[fleet.ServiceID]Load {
 	loads := map[fleet.ServiceID]Load{}
 	s.unqueued.mu.Lock()
 	for id, n := range s.unqueued.byService {
@@ -36,15 +37,19 @@
 	s.unqueued.mu.Unlock()
 	s.queues.mu.Lock()
 	defer s.queues.mu.Unlock()
-	for id, sq := range s.queues.byService {
-		load := loads[id]
-		sq.mu.Lock()
-		load.Waiting = sq.q.Len()
-		if route.Owner(string(id), alive) == s.cfg.Name {
-			load.Rate = sq.q.Rate(now)
+	for id, sq := range s.queues.byID {
+		if id.Centre != "" {
+			continue
+		}
+		l, ok := owned[id]
+		if !ok {
+			sq.mu.Lock()
+			l.Waiting = sq.q.Len()
+			sq.mu.Unlock()
+		}
+		if l.Coming = loads[id.Service].Coming; l != (Load{}) {
+			loads[id.Service] = l
 		}
-		sq.mu.Unlock()
-		loads[id] = load
 	}
 	return loads
 }
@@ -56,11 +61,13 @@
 		return nil
 	}
 	now := time.Now()
-	ownLoads := x.s.stageLoads(now)
+	owned := x.s.queues.ownedLoads(now)
+	own := x.s.stageLoads(owned)
+	services := x.s.queues.layout.Load().services
 	backlogs := map[fleet.ServiceID]admit.Backlog{}
 	for _, st := range x.route.Stages {
-		if _, ok := backlogs[st.Service]; !ok {
-			backlogs[st.Service] = x.s.peers.backlog(now, st.Service, ownLoads[st.Service])
+		if _, ok := backlogs[st.Service]; !ok && len(services[st.Service]) > 0 {
+			backlogs[st.Service] = x.s.peers.backlog(now, services[st.Service], own[st.Service], owned)
 		}
 	}
 	cfg := x.view.Config
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/fakes/site"
 	"hornbeamcove.example/platform"
 )
@@ -82,11 +83,12 @@
 	first := r.settings("r1")
 	second := r.settings("r2", first.Peers)
 	nodes := []*node{r.start(first), r.start(second)}
+	archiveQueue := shard.ID{Service: "archive"}
 	for _, n := range nodes {
 		r.waitForUpstreams(n, 3)
 		r.waitFor("the routers have discovered each other", func() bool { return len(n.peers.ownerCandidates(time.Now())) == 2 })
 	}
-	assert.Equal(t, nodes[0].queues.owner("archive"), nodes[1].queues.owner("archive"))
+	r.waitFor("the routers agree on the owner", func() bool { return nodes[0].queues.owner(archiveQueue) == nodes[1].queues.owner(archiveQueue) })
 	var wg sync.WaitGroup
 	for i := range 12 {
 		wg.Go(func() {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -12,6 +12,7 @@
 	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -46,11 +47,14 @@
 	Leaving bool                     // whether the router drains
 	Age     time.Duration            // time since the sender last heard of the router
 	Loads   map[fleet.ServiceID]Load // stage work of the router, by service
+	Shards  map[shard.ID]Load        // queues of divided services that the router owns
+	CPU     float64                  // processor share of its host in cores, 0 if unknown
 }
 
-// Load is a router's share of the outstanding work for a stage service.
+// Load is a router's share of the outstanding work for a stage service, or for one queue of
+// a divided service.
 type Load struct {
-	Coming  int     // pieces of the router's requests that have not reached the service's queue
+	Coming  int     // pieces of the router's requests that have not reached a queue; only by service
 	Waiting int     // pieces in the queue, if the router owns it
 	Rate    float64 // throughput of the queue in pieces per second, if the router owns it
 }
@@ -71,6 +75,7 @@
 
 	mu      sync.Mutex
 	members map[wire.HostID]*peerRecord
+	watches map[*peerWatch]struct{}
 	clients map[wire.Address]*rpc.Client
 }
 
@@ -83,8 +88,9 @@
 func newPeers(s *Server) *peers {
 	return &peers{
 		s:       s,
-		self:    Member{Name: s.cfg.Name, Address: s.cfg.Peers, Centre: s.cfg.Centre, Boot: time.Now().UnixNano()},
+		self:    Member{Name: s.cfg.Name, Address: s.cfg.Peers, Centre: s.cfg.Centre, Boot: time.Now().UnixNano(), CPU: s.cfg.Cores},
 		members: map[wire.HostID]*peerRecord{},
+		watches: map[*peerWatch]struct{}{},
 		clients: map[wire.Address]*rpc.Client{},
 	}
 }
@@ -94,7 +100,10 @@
 	tick := p.s.clock.Subscribe(heartbeatInterval, "peers")
 	defer tick.Close()
 	for {
-		for _, addr := range p.neighbours(time.Now()) {
+		now := time.Now()
+		p.s.queues.reassign(now)
+		p.cancelLost(now)
+		for _, addr := range p.neighbours(now) {
 			p.s.background.Go(func() { p.sendHeartbeat(ctx, addr) })
 		}
 		select {
@@ -174,12 +183,14 @@
 // that it knows.
 func (p *peers) composeHeartbeat(now time.Time) Beat {
 	v := p.s.view.Load()
-	loads := p.s.stageLoads(now)
+	owned := p.s.queues.ownedLoads(now)
+	loads := p.s.stageLoads(owned)
 	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.From.Leaving = p.s.draining.Load()
 	b.From.Loads = loads
+	b.From.Shards = dividedOnly(owned)
 	for _, m := range p.members {
 		if age := now.Sub(m.seenAt); age < memberTimeout {
 			m.Member.Age = age
@@ -223,23 +234,24 @@
 
 // ownerCandidates returns the routers that may own queues, sorted by name. Routers that
 // drain are left out. If none remains, it returns this router alone.
-func (p *peers) ownerCandidates(now time.Time) []wire.HostID {
+func (p *peers) ownerCandidates(now time.Time) []shard.Router {
+	self := shard.Router{Name: p.self.Name, Centre: p.self.Centre, CPU: p.self.CPU}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var names []wire.HostID
+	var rs []shard.Router
 	if !p.s.draining.Load() {
-		names = append(names, p.self.Name)
+		rs = append(rs, self)
 	}
 	for n, m := range p.members {
 		if now.Sub(m.seenAt) < ownerTimeout && !m.Leaving {
-			names = append(names, n)
+			rs = append(rs, shard.Router{Name: n, Centre: m.Centre, CPU: m.CPU})
 		}
 	}
-	if len(names) == 0 {
-		names = append(names, p.self.Name)
+	if len(rs) == 0 {
+		rs = append(rs, self)
 	}
-	slices.Sort(names)
-	return names
+	slices.SortFunc(rs, func(a, b shard.Router) int { return cmp.Compare(a.Name, b.Name) })
+	return rs
 }
 
 // routerCount returns the number of routers among which limits are divided: those heard
@@ -267,50 +279,99 @@
 	return m.Address, true
 }
 
-// backlog returns the outstanding work for a stage service: own, this router's load,
-// and the loads that live peers have reported.
-func (p *peers) backlog(now time.Time, id fleet.ServiceID, own Load) (b admit.Backlog) {
-	b = admit.Backlog{Waiting: own.Waiting, Unqueued: own.Coming, Rate: own.Rate}
+// backlog returns the outstanding work for a stage service: that of this router, which is
+// given, and the loads that live peers have reported.
+func (p *peers) backlog(now time.Time, shards []shard.Shard, own Load, owned map[shard.ID]Load) admit.Backlog {
+	loads := maps.Clone(owned)
+	service := shards[0].ID.Service
+	undivided := shard.ID{Service: service}
+	total := own
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	for _, m := range p.members {
 		if now.Sub(m.seenAt) >= ownerTimeout {
 			continue
 		}
-		l := m.Loads[id]
-		b.Unqueued += l.Coming
-		b.Waiting += l.Waiting
-		b.Rate = max(b.Rate, l.Rate)
+		l := m.Loads[service]
+		total.Coming += l.Coming
+		total.Waiting += l.Waiting
+		total.Rate = max(total.Rate, l.Rate)
+		for id, l := range m.Shards {
+			sum := loads[id]
+			loads[id] = Load{Waiting: sum.Waiting + l.Waiting, Rate: max(sum.Rate, l.Rate)}
+		}
 	}
+	p.mu.Unlock()
+	loads[undivided] = total
+	b := serviceBacklog(shards, loads)
+	b.Unqueued = total.Coming
 	return b
 }
 
-// onPeerLost calls lost once when the peer called name is no longer alive. The caller
-// must call stop, exactly once, to end the watch.
-func (p *peers) onPeerLost(name wire.HostID, lost func()) (stop func()) {
-	tick := p.s.clock.Subscribe(heartbeatInterval, "owner "+string(name))
-	quit := make(chan struct{})
-	p.s.background.Go(func() {
-		defer tick.Close()
-		for {
-			select {
-			case now := <-tick.C:
-				if !p.isAlive(now.Now, name) {
-					lost()
-					return
-				}
-			case <-quit:
-				return
-			}
+// shardWait returns the expected queueing time of a queue, as its owner last reported it.
+func (p *peers) shardWait(now time.Time, owner wire.HostID, id shard.ID) time.Duration {
+	if owner == p.self.Name {
+		if sq := p.s.queues.find(id); sq != nil {
+			sq.mu.Lock()
+			defer sq.mu.Unlock()
+			return Load{Waiting: sq.q.Len(), Rate: sq.q.Rate(now)}.waitIn()
 		}
-	})
-	return func() { close(quit) }
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch m := p.members[owner]; {
+	case m == nil:
+		return 0
+	case id.Centre == "":
+		return m.Loads[id.Service].waitIn()
+	default:
+		return m.Shards[id].waitIn()
+	}
+}
+
+// dividedOnly returns the loads of the queues of divided services.
+func dividedOnly(loads map[shard.ID]Load) map[shard.ID]Load {
+	out := map[shard.ID]Load{}
+	for id, l := range loads {
+		if id.Centre != "" {
+			out[id] = l
+		}
+	}
+	return out
 }
 
-// isAlive reports whether a peer was heard of within ownerTimeout.
-func (p *peers) isAlive(now time.Time, name wire.HostID) bool {
+// peerWatch is a call to lost when a peer is no longer alive.
+type peerWatch struct {
+	name wire.HostID
+	lost func()
+}
+
+// onPeerLost calls lost once when the peer called name is no longer alive. The caller
+// must call stop to end the watch.
+func (p *peers) onPeerLost(name wire.HostID, lost func()) (stop func()) {
+	w := &peerWatch{name, lost}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m := p.members[name]
-	return m != nil && now.Sub(m.seenAt) < ownerTimeout
+	p.watches[w] = struct{}{}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.watches, w)
+	}
+}
+
+// cancelLost calls and ends the watches of the peers that are no longer alive.
+func (p *peers) cancelLost(now time.Time) {
+	p.mu.Lock()
+	var lost []*peerWatch
+	for w := range p.watches {
+		if m := p.members[w.name]; m == nil || now.Sub(m.seenAt) >= ownerTimeout {
+			lost = append(lost, w)
+			delete(p.watches, w)
+		}
+	}
+	p.mu.Unlock()
+	for _, w := range lost {
+		w.lost()
+	}
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -7,11 +7,12 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hornbeamcove.example/core/batch"
 	"hornbeamcove.example/core/fleet"
-	"hornbeamcove.example/core/route"
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -31,10 +32,11 @@
 	minStageTimeout = 20 * time.Millisecond
 )
 
-// Order asks the router that owns a service's queue to make the pieces of one stage.
+// Order asks the router that owns a queue to make the pieces of one stage.
 type Order struct {
 	Request wire.RequestID
 	Service fleet.ServiceID
+	Shard   shard.ID          // queue that takes the order; zero from routers that don't divide services
 	Stage   int               // index of the stage in the route
 	Pieces  int               // number of pieces
 	Key     string            // input key, for a first stage
@@ -57,6 +59,7 @@
 // Freed lists results of a service that are no longer needed.
 type Freed struct {
 	Service fleet.ServiceID
+	Shard   shard.ID // as in Order
 	Handles []fleet.Handle
 }
 
@@ -69,9 +72,10 @@
 	reasonNoUpstream = "no maker"  // the service has no usable upstream
 	reasonCancelled  = "left"      // the request was cancelled
 	reasonNoAnswer   = "no answer" // the owner of the queue did not answer
+	reasonMoved      = "moved"     // the service is divided differently, so the queue is gone
 )
 
-// stageQueues holds a queue for each stage service. Only the queues that this router
+// stageQueues holds the queues of the stage services. Only the queues that this router
 // owns receive orders.
 type stageQueues struct {
 	s *Server
@@ -80,23 +84,28 @@
 	callClient *http.Client
 	freeClient *http.Client // frees results
 
-	mu        sync.Mutex
-	byService map[fleet.ServiceID]*stageQueue
+	layoutMu sync.Mutex // held while a layout is derived from the previous one
+	layout   atomic.Pointer[layout]
+
+	mu   sync.Mutex
+	byID map[shard.ID]*stageQueue
 }
 
 func newStageQueues(s *Server) *stageQueues {
-	return &stageQueues{
+	qs := &stageQueues{
 		s:          s,
 		callClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}},
 		freeClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: defaultIdleTimeout}},
-		byService:  map[fleet.ServiceID]*stageQueue{},
+		byID:       map[shard.ID]*stageQueue{},
 	}
+	qs.layout.Store(&layout{})
+	return qs
 }
 
-// stageQueue is the queue of one stage service.
+// stageQueue is one queue of a stage service.
 type stageQueue struct {
 	qs        *stageQueues
-	id        fleet.ServiceID
+	id        shard.ID
 	mu        sync.Mutex // guards the fields below
 	q         *batch.Queue[*pieceWork]
 	upstreams map[wire.UpstreamID]fleet.Upstream
@@ -127,58 +136,78 @@
 	if v.Config == nil {
 		return
 	}
+	l := qs.redivide(v)
 	for i := range v.Config.Services {
 		svc := &v.Config.Services[i]
 		if svc.StageCalls == nil {
 			continue
 		}
-		sq := qs.getOrCreate(svc)
-		sq.mu.Lock()
-		sq.q.SetCalls(*svc.StageCalls)
-		sq.q.SetUpstreams(v.Upstreams[svc.ID])
-		clear(sq.upstreams)
-		for _, u := range v.Upstreams[svc.ID] {
-			sq.upstreams[u.ID] = u
+		for _, sh := range l.services[svc.ID] {
+			sq := qs.getOrCreate(sh.ID, svc.StageCalls)
+			sq.mu.Lock()
+			sq.q.SetCalls(*svc.StageCalls)
+			sq.q.SetUpstreams(sh.Upstreams)
+			clear(sq.upstreams)
+			for _, u := range sh.Upstreams {
+				sq.upstreams[u.ID] = u
+			}
+			sq.dispatch()
+			sq.mu.Unlock()
 		}
-		sq.dispatch()
-		sq.mu.Unlock()
 	}
+	qs.retain(l)
 }
 
-// getOrCreate returns the queue of a service and creates it if there is none.
-func (qs *stageQueues) getOrCreate(svc *fleet.Service) *stageQueue {
+// getOrCreate returns the queue with the given ID and creates it if there is none.
+func (qs *stageQueues) getOrCreate(id shard.ID, calls *fleet.StageCalls) *stageQueue {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
-	sq := qs.byService[svc.ID]
+	sq := qs.byID[id]
 	if sq == nil {
 		sq = &stageQueue{
-			qs: qs, id: svc.ID, q: batch.New[*pieceWork](*svc.StageCalls),
+			qs: qs, id: id, q: batch.New[*pieceWork](*calls),
 			upstreams: map[wire.UpstreamID]fleet.Upstream{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
-		qs.byService[svc.ID] = sq
+		qs.byID[id] = sq
 	}
 	return sq
 }
 
-// find returns the queue of a service, or nil if there is none.
-func (qs *stageQueues) find(id fleet.ServiceID) *stageQueue {
+// find returns the queue with the given ID, or nil if there is none.
+func (qs *stageQueues) find(id shard.ID) *stageQueue {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
-	return qs.byService[id]
+	return qs.byID[id]
+}
+
+// findFor returns the queue that an order or a list of results to free names, or nil if
+// there is none.
+func (qs *stageQueues) findFor(service fleet.ServiceID, id shard.ID) *stageQueue {
+	if id == (shard.ID{}) {
+		id.Service = service
+	}
+	return qs.find(id)
 }
 
-// owner returns the router that owns the queue of a service, as this router sees it.
-func (qs *stageQueues) owner(id fleet.ServiceID) wire.HostID {
-	return route.Owner(string(id), qs.s.peers.ownerCandidates(time.Now()))
+// retire fails the jobs of a queue that is gone, so that their routers place them again.
+func (sq *stageQueue) retire() {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.pollTimer.Stop()
+	var jobs []*job
+	sq.q.Remove(func(w *pieceWork) bool { jobs = append(jobs, w.job); return true })
+	for _, j := range jobs {
+		sq.failJobLocked(j, reasonMoved)
+	}
 }
 
 // makePieces queues the pieces of an order and returns when all are made or one can't be.
 // When ctx is done or the order's time has passed, it cancels the job.
 func (qs *stageQueues) makePieces(ctx context.Context, o Order) Made {
-	sq := qs.find(o.Service)
+	sq := qs.findFor(o.Service, o.Shard)
 	if sq == nil {
-		return Made{Reason: reasonNoUpstream}
+		return Made{Reason: reasonMoved}
 	}
 	now := time.Now()
 	j := &job{order: o, deadline: now.Add(o.Left), handles: make([]fleet.Handle, o.Pieces), remaining: o.Pieces, done: make(chan struct{})}
@@ -250,7 +279,7 @@
 
 // cancel ends the jobs of a request's stage that still have pieces in the queue.
 func (qs *stageQueues) cancel(o Order) {
-	sq := qs.find(o.Service)
+	sq := qs.findFor(o.Service, o.Shard)
 	if sq == nil {
 		return
 	}
@@ -271,7 +300,7 @@
 
 // free releases results that are no longer needed.
 func (qs *stageQueues) free(f Freed) {
-	sq := qs.find(f.Service)
+	sq := qs.findFor(f.Service, f.Shard)
 	if sq == nil {
 		return
 	}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"time"
 
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -114,9 +115,17 @@
 }
 
 // Make queues the pieces of a stage and returns when all are made or one can't be; see
-// stageQueues.makePieces.
+// stageQueues.makePieces. An order that names no queue comes from a router that knows of one
+// queue for each service. If the service is divided, the order is placed with the owner of
+// one of its queues.
 func (p *Peer) Make(o Order, answer *Made) error {
-	*answer = p.s.queues.makePieces(context.Background(), o)
+	ctx := context.Background()
+	if o.Shard == (shard.ID{}) && p.s.queues.find(shard.ID{Service: o.Service}) == nil {
+		m, _, err := p.s.placeOrder(ctx, o)
+		*answer = m
+		return err
+	}
+	*answer = p.s.queues.makePieces(ctx, o)
 	return nil
 }
 
@@ -128,6 +137,10 @@
 
 // Free releases results that are no longer needed.
 func (p *Peer) Free(f Freed, _ *int) error {
+	if p.s.queues.findFor(f.Service, f.Shard) == nil {
+		p.s.freeResults(f)
+		return nil
+	}
 	p.s.queues.free(f)
 	return nil
 }
--- /dev/null
+++ b/entry/shards.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hornbeamcove.example/core/admit"
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
+)
+
+// layout is the division of the stage services into queues, and their owners, as this
+// router sees them. It must not change after it is published.
+type layout struct {
+	services map[fleet.ServiceID][]shard.Shard
+	owners   map[shard.ID]wire.HostID
+}
+
+// divide returns the layout of a snapshot, without owners. A service that has upstreams
+// stays although the configuration lacks it, because requests that arrived before may still
+// need it.
+func (l layout) divide(v *View) layout {
+	next := layout{services: map[fleet.ServiceID][]shard.Shard{}}
+	for id := range l.services {
+		if us := v.Upstreams[id]; len(us) > 0 {
+			next.services[id] = shard.Divide(id, us)
+		}
+	}
+	for i := range v.Config.Services {
+		if svc := &v.Config.Services[i]; svc.StageCalls != nil {
+			next.services[svc.ID] = shard.Divide(svc.ID, v.Upstreams[svc.ID])
+		}
+	}
+	return next
+}
+
+// assign returns the layout with the owners that the live routers give.
+func (l layout) assign(routers []shard.Router) layout {
+	var ids []shard.ID
+	for _, shards := range l.services {
+		for _, sh := range shards {
+			ids = append(ids, sh.ID)
+		}
+	}
+	l.owners = shard.Assign(ids, routers)
+	return l
+}
+
+// reassign publishes the owners of the queues among the routers that are alive now.
+func (qs *stageQueues) reassign(now time.Time) {
+	qs.layoutMu.Lock()
+	defer qs.layoutMu.Unlock()
+	l := qs.layout.Load().assign(qs.s.peers.ownerCandidates(now))
+	qs.layout.Store(&l)
+}
+
+// redivide publishes the layout of a new snapshot.
+func (qs *stageQueues) redivide(v *View) layout {
+	qs.layoutMu.Lock()
+	defer qs.layoutMu.Unlock()
+	l := qs.layout.Load().divide(v).assign(qs.s.peers.ownerCandidates(time.Now()))
+	qs.layout.Store(&l)
+	return l
+}
+
+// owner returns the router that owns a queue, as this router sees it, or "" if the service
+// has no such queue.
+func (qs *stageQueues) owner(id shard.ID) wire.HostID { return qs.layout.Load().owners[id] }
+
+// choose returns the queue for an order and its owner. Queues of the avoided owners are
+// taken only if there is no other. It returns false if no queue of the service is known.
+func (qs *stageQueues) choose(o *Order, avoid []wire.HostID) (id shard.ID, owner wire.HostID, ok bool) {
+	l := qs.layout.Load()
+	var cs, avoided []shard.Candidate
+	now := time.Now()
+	for _, sh := range l.services[o.Service] {
+		owner, ok := l.owners[sh.ID]
+		if !ok {
+			continue
+		}
+		c := shard.Candidate{ID: sh.ID}
+		if len(l.services[o.Service]) > 1 {
+			c.Wait = qs.s.peers.shardWait(now, owner, sh.ID)
+		}
+		if slices.Contains(avoid, owner) {
+			avoided = append(avoided, c)
+		} else {
+			cs = append(cs, c)
+		}
+	}
+	if len(cs) == 0 {
+		cs = avoided
+	}
+	i := shard.Choose(cs, o.Centre, detour(qs.s.view.Load().Config, o), rand.IntN)
+	if i < 0 {
+		return id, "", false
+	}
+	return cs[i].ID, l.owners[cs[i].ID], true
+}
+
+// detour returns how much shorter the wait in another data centre must be for an order to
+// go there: the fixed time of a call, which is also how long a queue keeps pieces for the
+// upstreams of their own data centre, or a quarter of it if little is transferred.
+func detour(cfg *fleet.Config, o *Order) time.Duration {
+	d := time.Duration(0)
+	if svc := cfg.Service(o.Service); svc != nil && svc.StageCalls != nil {
+		d = svc.StageCalls.CallOverhead
+	}
+	if o.Moved < localTransfer {
+		d /= 4
+	}
+	return d
+}
+
+// localTransfer is the transfer between data centres up to which an order changes its data
+// centre for a small gain.
+const localTransfer fleet.Bytes = 256 << 10
+
+// ownedLoads returns the work of the queues that this router owns.
+func (qs *stageQueues) ownedLoads(now time.Time) map[shard.ID]Load {
+	l := qs.layout.Load()
+	loads := map[shard.ID]Load{}
+	for id, owner := range l.owners {
+		if owner != qs.s.cfg.Name {
+			continue
+		}
+		if sq := qs.find(id); sq != nil {
+			sq.mu.Lock()
+			loads[id] = Load{Waiting: sq.q.Len(), Rate: sq.q.Rate(now)}
+			sq.mu.Unlock()
+		}
+	}
+	return loads
+}
+
+// waitIn returns the expected queueing time of a queue with the given load, 0 if its rate
+// is unknown.
+func (l Load) waitIn() time.Duration {
+	if l.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(l.Waiting) / l.Rate * float64(time.Second))
+}
+
+// serviceBacklog adds up the work of a service's queues. A queue whose owner has not
+// reported its rate counts with the mean rate of the others.
+func serviceBacklog(shards []shard.Shard, loads map[shard.ID]Load) (b admit.Backlog) {
+	known := 0
+	for _, sh := range shards {
+		l, ok := loads[sh.ID]
+		b.Waiting += l.Waiting
+		if ok && l.Rate > 0 {
+			b.Rate += l.Rate
+			known++
+		}
+	}
+	if known > 0 {
+		b.Rate *= float64(len(shards)) / float64(known)
+	}
+	return b
+}
+
+// retain removes the queues of services that are divided differently now, and ends their
+// jobs.
+func (qs *stageQueues) retain(l layout) {
+	qs.mu.Lock()
+	var gone []*stageQueue
+	for id, sq := range qs.byID {
+		_, owned := l.owners[id]
+		if _, ok := l.services[id.Service]; ok && !owned {
+			gone = append(gone, sq)
+			delete(qs.byID, id)
+		}
+	}
+	qs.mu.Unlock()
+	for _, sq := range gone {
+		sq.retire()
+	}
+}
+
+// holder returns the queue whose upstreams keep a result, and false if there is none.
+func (qs *stageQueues) holder(id fleet.ServiceID, h fleet.Handle) (shard.ID, bool) {
+	addr := platform.HandleAddress(h)
+	for _, sh := range qs.layout.Load().services[id] {
+		if slices.ContainsFunc(sh.Upstreams, func(u fleet.Upstream) bool { return u.Address == addr }) {
+			return sh.ID, true
+		}
+	}
+	return shard.ID{}, false
+}
--- /dev/null
+++ b/entry/shards_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/fakes/site"
+)
+
+// addArchives adds replicas of the archive service to a data centre.
+func (r *rig) addArchives(centre string, n int, serviceTime time.Duration) (ps []*site.Replica) {
+	r.t.Helper()
+	for i := range n {
+		p := &site.Replica{ID: fmt.Sprint("archive-", centre, i), Service: "archive", Centre: centre, ServiceTime: serviceTime}
+		assert.NilError(r.t, r.site.Add(p))
+		ps = append(ps, p)
+	}
+	return ps
+}
+
+// planCall returns a request that needs pieces of all stages.
+func planCall(i int) call {
+	c := post(planHost, fmt.Sprint("/fold/", i), "prompt")
+	c.header = http.Header{"Piece-Count": {"1,4,2"}, "Piece-Key": {"k"}}
+	return c
+}
+
+// dividedRig starts a site whose archive service has queues in two data centres, and a
+// router in each of them.
+func dividedRig(t *testing.T, serviceTime time.Duration) (r *rig, nodes []*node, archives []*site.Replica) {
+	r = newRig(t)
+	archives = append(r.addArchives("a", 13, serviceTime), r.addArchives("b", 12, serviceTime)...)
+	r.addReplica("s-1", "school")
+	r.addReplica("e-1", "engine")
+	first := r.settings("r1")
+	second := r.settings("r2", first.Peers)
+	second.Centre = "b"
+	nodes = []*node{r.start(first), r.start(second)}
+	for _, n := range nodes {
+		r.waitForUpstreams(n, 27)
+		r.waitFor("each queue has an owner in its data centre", func() bool {
+			return n.queues.owner(shard.ID{Service: "archive", Centre: "a"}) == "r1" && n.queues.owner(shard.ID{Service: "archive", Centre: "b"}) == "r2"
+		})
+	}
+	return r, nodes, archives
+}
+
+// assertServed sends plan requests to the routers in turn and asserts that all are
+// answered whole.
+func assertServed(t *testing.T, nodes []*node, requests int, interval time.Duration) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			c := planCall(i)
+			nodes[i%len(nodes)].assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+}
+
+// TestDividedService guards against orders and frees that miss the queue of their data
+// centre when a service has several queues.
+func TestDividedService(t *testing.T) {
+	r, nodes, archives := dividedRig(t, 5*time.Millisecond)
+	assertServed(t, nodes, 40, time.Millisecond)
+	r.waitFor("all results are freed", func() bool {
+		for _, p := range archives {
+			if p.ResultCount() > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Run("by a router of the former build", func(t *testing.T) {
+		for _, n := range nodes {
+			o := Order{Request: "q", Service: "archive", Stage: 2, Pieces: 2, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second}
+			var m Made
+			assert.NilError(t, nodes[0].peers.call(context.Background(), n.cfg.Peers, "Peer.Make", o, &m, waitTimeout))
+			assert.Equal(t, m.Reason, "")
+			assert.Equal(t, len(m.Handles), 2)
+			var reply int
+			assert.NilError(t, nodes[0].peers.call(context.Background(), n.cfg.Peers, "Peer.Free", Freed{Service: "archive", Handles: m.Handles}, &reply, waitTimeout))
+		}
+		r.waitFor("all results are freed", func() bool {
+			for _, p := range archives {
+				if p.ResultCount() > 0 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// TestDivisionChanges guards against requests that are lost when upstreams come and go so
+// that a service is divided differently, or when the owner of a queue leaves.
+func TestDivisionChanges(t *testing.T) {
+	t.Run("to one queue and back", func(t *testing.T) {
+		r, nodes, archives := dividedRig(t, 30*time.Millisecond)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for _, state := range []string{"draining", "ready"} {
+				time.Sleep(60 * time.Millisecond)
+				for _, p := range archives[:2] {
+					r.site.Store.PutJSON("servers/"+p.ID, p.Entry(state))
+				}
+			}
+		}()
+		assertServed(t, nodes, 40, 5*time.Millisecond)
+		<-done
+	})
+	t.Run("an owner stops", func(t *testing.T) {
+		_, nodes, _ := dividedRig(t, 30*time.Millisecond)
+		time.AfterFunc(60*time.Millisecond, nodes[1].terminate)
+		assertServed(t, nodes[:1], 40, 5*time.Millisecond)
+		nodes[1].wait(t)
+	})
+}
--- a/entry/stagecall.go
+++ b/entry/stagecall.go
@@ -19,7 +19,7 @@
 	start := time.Now()
 	results, status, err := sq.qs.send(u, ps, timeout)
 	if err != nil {
-		sq.qs.s.log.Warn("stage call failed", "service", sq.id, "upstream", u.ID, "pieces", len(ps),
+		sq.qs.s.log.Warn("stage call failed", "service", sq.id.Service, "queue", sq.id.String(), "upstream", u.ID, "pieces", len(ps),
 			"request", ps[0].Value.order.Request, "took", time.Since(start).String(), "limit", timeout.String(), "status", status, "err", err)
 		sq.qs.s.incCounter("stage_calls", "outcome", "failed")
 	} else {
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -12,6 +12,7 @@
 
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -42,6 +43,7 @@
 
 	mu      sync.Mutex
 	handles [][]fleet.Handle // by stage
+	shards  []shard.ID       // queue that made the results, by stage
 	freed   []bool           // by stage
 }
 
@@ -50,7 +52,7 @@
 // caller must release the results, also after an error.
 func (s *Server) runStages(ctx context.Context, x *exchange, centre wire.DataCentreID) (rs *stageResults, err error) {
 	stages := x.route.Stages
-	rs = &stageResults{s: s, route: x.route, handles: make([][]fleet.Handle, len(stages)), freed: make([]bool, len(stages))}
+	rs = &stageResults{s: s, route: x.route, handles: make([][]fleet.Handle, len(stages)), shards: make([]shard.ID, len(stages)), freed: make([]bool, len(stages))}
 	ready := make([]chan struct{}, len(stages))
 	for i := range ready {
 		ready[i] = make(chan struct{})
@@ -97,7 +99,7 @@
 		o.Inputs = rs.handlesOf(st.After)
 	}
 	x.markQueued(i)
-	m, err := rs.s.placeOrder(ctx, o)
+	m, madeBy, err := rs.s.placeOrder(ctx, o)
 	if err != nil {
 		return err
 	}
@@ -105,7 +107,7 @@
 		return &stageError{i, m.Reason, m.Retry}
 	}
 	rs.mu.Lock()
-	rs.handles[i] = m.Handles
+	rs.handles[i], rs.shards[i] = m.Handles, madeBy
 	rs.mu.Unlock()
 	for _, a := range st.After {
 		if fleet.LastConsumer(rs.route.Stages, a) == i {
@@ -153,19 +155,33 @@
 // free releases the results of stage i, once.
 func (rs *stageResults) free(i int) {
 	rs.mu.Lock()
-	hs := rs.handles[i]
+	hs, madeBy := rs.handles[i], rs.shards[i]
 	done := rs.freed[i]
 	rs.freed[i] = true
 	rs.mu.Unlock()
 	if done || len(hs) == 0 {
 		return
 	}
-	rs.s.freeResults(Freed{rs.route.Stages[i].Service, hs})
+	rs.s.freeResults(Freed{rs.route.Stages[i].Service, madeBy, hs})
 }
 
-// freeResults tells the owner of a service's queue which results are no longer needed.
+// freeResults tells the owner of a queue which results are no longer needed. If the queue
+// is gone, it tells the owners of the queues that have their upstreams now.
 func (s *Server) freeResults(f Freed) {
-	owner := s.queues.owner(f.Service)
+	owner := s.queues.owner(f.Shard)
+	if owner == "" {
+		for _, h := range f.Handles {
+			if id, ok := s.queues.holder(f.Service, h); ok {
+				s.freeResultsAt(s.queues.owner(id), Freed{f.Service, id, []fleet.Handle{h}})
+			}
+		}
+		return
+	}
+	s.freeResultsAt(owner, f)
+}
+
+// freeResultsAt tells a router which results of its queue are no longer needed.
+func (s *Server) freeResultsAt(owner wire.HostID, f Freed) {
 	if owner == s.cfg.Name {
 		s.queues.free(f)
 		return
@@ -173,7 +189,7 @@
 	s.background.Go(func() {
 		var reply int
 		if err := s.callOwner(context.Background(), owner, "Peer.Free", f, &reply, heartbeatTimeout); err != nil {
-			s.log.Debug("could not free results at queue owner", "service", f.Service, "owner", owner, "err", err)
+			s.log.Debug("could not free results at queue owner", "queue", f.Shard.String(), "owner", owner, "err", err)
 			s.incCounter("frees_failed")
 		}
 	})
@@ -190,31 +206,39 @@
 	return s.peers.call(ctx, addr, method, args, answer, timeout)
 }
 
-// placeOrder places an order with the owner of the service's queue. If the call
-// fails, it places the order again with the router that owns the queue by then. Pieces
-// may be made twice.
-func (s *Server) placeOrder(ctx context.Context, o Order) (m Made, err error) {
+// placeOrder places an order with the owner of a queue of the service, and returns the
+// queue too. If the call fails or the queue is gone, it places the order again, with another
+// owner if there is one. Pieces may be made twice.
+func (s *Server) placeOrder(ctx context.Context, o Order) (m Made, madeBy shard.ID, err error) {
 	deadline := time.Now().Add(o.Left)
+	var failed []wire.HostID
 	for range maxOrderAttempts {
 		o.Left = time.Until(deadline)
 		if o.Left <= 0 {
-			return Made{Reason: reasonLate}, nil
+			return Made{Reason: reasonLate}, madeBy, nil
+		}
+		id, owner, ok := s.queues.choose(&o, failed)
+		if !ok {
+			return Made{Reason: reasonNoUpstream}, madeBy, ctx.Err()
 		}
-		owner := s.queues.owner(o.Service)
+		o.Shard = id
 		if owner == s.cfg.Name {
-			return s.queues.makePieces(ctx, o), ctx.Err()
+			m, err = s.queues.makePieces(ctx, o), ctx.Err()
+		} else {
+			m, err = s.orderFrom(ctx, owner, o)
 		}
-		if m, err = s.orderFrom(ctx, owner, o); err == nil || ctx.Err() != nil {
-			return m, ctx.Err()
+		if ctx.Err() != nil || err == nil && m.Reason != reasonMoved {
+			return m, id, ctx.Err()
 		}
-		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "owner", owner, "err", err)
+		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "reason", m.Reason, "err", err)
 		s.incCounter("orders_failed")
+		failed = append(failed, owner)
 		o.Aim = max(o.Aim-orderRetryDelay, 0)
 		if !clock.Sleep(ctx, orderRetryDelay) {
-			return m, ctx.Err()
+			return m, madeBy, ctx.Err()
 		}
 	}
-	return Made{Reason: reasonNoAnswer}, nil
+	return Made{Reason: reasonNoAnswer}, madeBy, nil
 }
 
 // orderFrom places an order with another router and waits for the answer while that
