entry: free stage results only when all stages have read them

Cause: the results of a stage were freed when the last stage in the order of the route had read them. If an earlier one of its readers was slower, its inputs were gone and the request was refused. Change: each stage counts the stages that have read its results; a stage without pieces counts too, so its inputs are freed before the request ends. Test: TestTwoReaders; before: 503 "stage gone".

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -110,8 +110,8 @@
 func TestStages(t *testing.T) {
 	stages := []Stage{{ResultSize: 100}, {ResultSize: 8}, {After: []int{1}, ResultSize: 60}, {After: []int{2}, ResultSize: 6}}
 	assert.DeepEqual(t, FinalStages(stages), []int{0, 3})
-	assert.Equal(t, LastConsumer(stages, 0), -1)
-	assert.Equal(t, LastConsumer(stages, 1), 2)
+	assert.Equal(t, Consumers(stages, 0), 0)
+	assert.Equal(t, Consumers(stages, 1), 1)
 	spec := &RequestSpec{PieceCounts: []int{2, 1, 8, 16}}
 	assert.Equal(t, TransferBytes(stages, spec, 0), Bytes(100))
 	assert.Equal(t, TransferBytes(stages, spec, 2), Bytes(8+60*16))
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -57,16 +57,15 @@
 	return final
 }
 
-// LastConsumer returns the index of the last stage that reads the results of
-// stage i, or -1 if the request itself reads them.
-func LastConsumer(stages []Stage, i int) int {
-	last := -1
-	for j, s := range stages {
+// Consumers returns the number of stages that read the results of stage i, 0 if the
+// request itself reads them.
+func Consumers(stages []Stage, i int) (n int) {
+	for _, s := range stages {
 		if slices.Contains(s.After, i) {
-			last = j
+			n++
 		}
 	}
-	return last
+	return n
 }
 
 // TransferBytes returns the bytes sent between data centres if a piece of stage i is
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -51,6 +51,27 @@
 	})
 }
 
+// TestTwoReaders guards against results that are freed while one of the stages that read
+// them is still at work, because a later stage has read them already.
+func TestTwoReaders(t *testing.T) {
+	r := newRig(t)
+	archive, school := r.addReplica("a-1", "archive"), r.addReplica("s-1", "school")
+	school.ServiceTime = 150 * time.Millisecond
+	r.addReplica("e-1", "engine")
+	plan := routes[len(routes)-1]
+	plan.Stages = []site.Stage{{Service: "archive", Bytes: 8000}, {Service: "school", After: []int{0}, Bytes: 60000}, {Service: "archive", After: []int{0}, Bytes: 8000}}
+	r.site.Store.PutJSON("op/config", site.Config(2, []site.Route{plan}, site.Services, apiKeys))
+	n := r.startRouter(3)
+	c := post(planHost, "/fold", "prompt")
+	c.header = http.Header{"Piece-Count": {"1,1,1"}, "Piece-Key": {"k"}}
+	n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	made := 0
+	for _, call := range append(archive.StageCalls(), school.StageCalls()...) {
+		made += len(call)
+	}
+	assert.Equal(t, made, 3, "each piece is made once")
+}
+
 // TestStageFaults guards against a request that fails because one upstream of a stage
 // failed a call.
 func TestStageFaults(t *testing.T) {
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -44,6 +44,7 @@
 	mu      sync.Mutex
 	handles [][]fleet.Handle // by stage
 	shards  []shard.ID       // queue that made the results, by stage
+	reads   []int            // number of stages that have read the results, by stage
 	freed   []bool           // by stage
 }
 
@@ -52,7 +53,7 @@
 // caller must release the results, also after an error.
 func (s *Server) runStages(ctx context.Context, x *exchange, centre wire.DataCentreID) (rs *stageResults, err error) {
 	stages := x.route.Stages
-	rs = &stageResults{s: s, route: x.route, handles: make([][]fleet.Handle, len(stages)), shards: make([]shard.ID, len(stages)), freed: make([]bool, len(stages))}
+	rs = &stageResults{s: s, route: x.route, handles: make([][]fleet.Handle, len(stages)), shards: make([]shard.ID, len(stages)), reads: make([]int, len(stages)), freed: make([]bool, len(stages))}
 	ready := make([]chan struct{}, len(stages))
 	for i := range ready {
 		ready[i] = make(chan struct{})
@@ -70,6 +71,7 @@
 			if err := rs.runStage(ctx, x, i, centre); err != nil {
 				return err // cancels the context, so the stages that wait for this one return
 			}
+			rs.freeInputs(i)
 			close(ready[i])
 			return nil
 		})
@@ -81,7 +83,7 @@
 	return rs, err
 }
 
-// runStage makes the results of stage i and frees the inputs that no later stage needs.
+// runStage makes the results of stage i.
 func (rs *stageResults) runStage(ctx context.Context, x *exchange, i int, centre wire.DataCentreID) error {
 	st := &rs.route.Stages[i]
 	n := x.spec.PieceCount(i)
@@ -112,12 +114,25 @@
 	rs.mu.Lock()
 	rs.handles[i], rs.shards[i] = m.Handles, madeBy
 	rs.mu.Unlock()
-	for _, a := range st.After {
-		if fleet.LastConsumer(rs.route.Stages, a) == i {
+	return nil
+}
+
+// freeInputs frees the inputs of stage i that no other stage needs any more.
+func (rs *stageResults) freeInputs(i int) {
+	for _, a := range rs.route.Stages[i].After {
+		if rs.countRead(a) == fleet.Consumers(rs.route.Stages, a) {
 			rs.free(a)
 		}
 	}
-	return nil
+}
+
+// countRead records that a stage has read the results of stage i, and returns how many
+// have.
+func (rs *stageResults) countRead(i int) int {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.reads[i]++
+	return rs.reads[i]
 }
 
 // handlesOf returns the results of the given stages.
