batch: keep the state of upstreams that leave during a call

Cause: an upstream that left and came back while a call was in flight began with no calls. The end of the old call then made its counts negative: it got two calls at a time and results beyond its room. Change: the state of an upstream that leaves is kept until its calls have ended, and taken up again if it comes back. Test: TestReturn; before: 8 pieces for an upstream whose slot was taken.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -66,8 +66,10 @@
 	calls     fleet.StageCalls
 	waiting   []*Piece[T]
 	upstreams map[wire.UpstreamID]*upstream
-	lastSeq   uint64
-	late      int // waiting pieces that yield to the others
+	// departed holds the upstreams that take no more calls but still have some in flight.
+	departed map[wire.UpstreamID]*upstream
+	lastSeq  uint64
+	late     int // waiting pieces that yield to the others
 }
 
 // upstream is what the queue knows about one upstream.
@@ -100,25 +102,35 @@
 
 // New returns an empty queue without upstreams for a service whose calls c describes.
 func New[T any](c fleet.StageCalls) *Queue[T] {
-	return &Queue[T]{calls: c, upstreams: make(map[wire.UpstreamID]*upstream)}
+	return &Queue[T]{calls: c, upstreams: make(map[wire.UpstreamID]*upstream), departed: make(map[wire.UpstreamID]*upstream)}
 }
 
 // SetCalls replaces the description of the service's calls.
 func (q *Queue[T]) SetCalls(c fleet.StageCalls) { q.calls = c }
 
 // SetUpstreams replaces the upstreams that take calls. Upstreams that remain keep
-// their state.
+// their state, and so do those that come back while a call is in flight.
 func (q *Queue[T]) SetUpstreams(us []fleet.Upstream) {
 	live := make(map[wire.UpstreamID]bool, len(us))
 	for _, u := range us {
 		live[u.ID] = true
-		if q.upstreams[u.ID] == nil {
-			q.upstreams[u.ID] = &upstream{centre: u.Centre, results: make(map[fleet.Handle]storedResult)}
+		if q.upstreams[u.ID] != nil {
+			continue
+		}
+		old := q.departed[u.ID]
+		if old == nil {
+			old = &upstream{centre: u.Centre, results: make(map[fleet.Handle]storedResult)}
 		}
+		q.upstreams[u.ID] = old
+		delete(q.departed, u.ID)
 	}
-	for id := range q.upstreams {
-		if !live[id] {
-			delete(q.upstreams, id)
+	for id, u := range q.upstreams {
+		if live[id] {
+			continue
+		}
+		delete(q.upstreams, id)
+		if u.inFlight > 0 {
+			q.departed[id] = u
 		}
 	}
 }
@@ -365,7 +377,12 @@
 func (q *Queue[T]) Done(now time.Time, id wire.UpstreamID, outcome CallOutcome) {
 	u := q.upstreams[id]
 	if u == nil {
-		return
+		if u = q.departed[id]; u == nil {
+			return
+		}
+		if u.inFlight == 1 {
+			delete(q.departed, id)
+		}
 	}
 	u.inFlight--
 	u.reserved -= outcome.Reserved
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -125,6 +125,28 @@
 	})
 }
 
+// TestReturn guards against calls beyond an upstream's slots when it leaves and comes back
+// while a call is in flight, and against its room being counted wrongly afterwards.
+func TestReturn(t *testing.T) {
+	q := newQueue("a")
+	q.Push(start, pieces(24, piece("p", 10*time.Second, 20*time.Second))...)
+	assertNext(t, q, start, "u0", 8)
+	q.SetUpstreams(nil)
+	assertNext(t, q, start, "u0", 0)
+	q.SetUpstreams(upstreams("a"))
+	assertNext(t, q, start, "u0", 0)
+	end := at(300 * time.Millisecond)
+	q.Done(end, "u0", CallOutcome{Reserved: 24_000_000})
+	assertNext(t, q, end, "u0", 8)
+	assert.DeepEqual(t, q.View().Upstreams["u0"], UpstreamView{InFlight: 1, Reserved: 24_000_000, Slowdown: q.View().Upstreams["u0"].Slowdown})
+	t.Run("after the call", func(t *testing.T) {
+		q.SetUpstreams(nil)
+		q.Done(end, "u0", CallOutcome{Reserved: 24_000_000})
+		q.SetUpstreams(upstreams("a"))
+		assertNext(t, q, end, "u0", 8)
+	})
+}
+
 // TestExpire guards against work on pieces that can't be made before their deadline.
 func TestExpire(t *testing.T) {
 	q := newQueue("a")
