entry: cancel orders whose pieces are all in calls

Cause: the owner of a queue cancelled an order only if some of its pieces still waited. If all were in calls, it kept the results for a router that no longer waited; they took room at their upstream until they expired, 4 s on the users' sites. Change: the queue knows its orders, so each can be cancelled; the results of its calls are freed when the calls end. Test: TestCancelInCall; before: the order ended as made.

--- a/entry/queue.go
+++ b/entry/queue.go
@@ -109,6 +109,7 @@
 	id        shard.ID
 	mu        sync.Mutex // guards the fields below
 	q         *batch.Queue[*pieceWork]
+	jobs      map[*job]struct{} // orders in progress
 	upstreams map[wire.UpstreamID]fleet.Upstream
 	// pendingFrees holds the results that the next flushFrees releases, by upstream.
 	pendingFrees map[wire.UpstreamID][]fleet.Handle
@@ -166,7 +167,7 @@
 	sq := qs.byID[id]
 	if sq == nil {
 		sq = &stageQueue{
-			qs: qs, id: id, q: batch.New[*pieceWork](*calls),
+			qs: qs, id: id, q: batch.New[*pieceWork](*calls), jobs: map[*job]struct{}{},
 			upstreams: map[wire.UpstreamID]fleet.Upstream{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
@@ -226,6 +227,7 @@
 	}
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
+	delete(sq.jobs, j)
 	if j.reason != "" {
 		return Made{Reason: j.reason}
 	}
@@ -255,6 +257,7 @@
 	if !sq.q.Push(now, ps...) {
 		return Made{Reason: reasonBusy, Retry: time.Second}, false
 	}
+	sq.jobs[j] = struct{}{}
 	sq.dispatch()
 	return Made{}, true
 }
@@ -278,7 +281,8 @@
 	sq.queueFrees(slices.DeleteFunc(slices.Clone(j.handles), func(h fleet.Handle) bool { return h == "" }))
 }
 
-// cancel ends the jobs of a request's stage that still have pieces in the queue.
+// cancel ends the jobs of a request's stage. The results of pieces that are in calls are
+// freed when the calls end.
 func (qs *stageQueues) cancel(o Order) {
 	sq := qs.findFor(o.Service, o.Shard)
 	if sq == nil {
@@ -286,16 +290,10 @@
 	}
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
-	var jobs []*job
-	sq.q.Remove(func(w *pieceWork) bool {
-		if w.order.Request != o.Request || w.order.Stage != o.Stage {
-			return false
+	for j := range sq.jobs {
+		if j.order.Request == o.Request && j.order.Stage == o.Stage {
+			sq.failJobLocked(j, reasonCancelled)
 		}
-		jobs = append(jobs, w.job)
-		return true
-	})
-	for _, j := range jobs {
-		sq.failJobLocked(j, reasonCancelled)
 	}
 }
 
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// Cancel withdraws the jobs of a request's stage that still have waiting pieces.
+// Cancel ends the jobs of a request's stage.
 func (p *Peer) Cancel(o Order, _ *int) error {
 	p.s.queues.cancel(o)
 	return nil
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -126,3 +126,25 @@
 		nodes[1].wait(t)
 	})
 }
+
+// TestCancelInCall guards against results that nobody reads and that keep room until they
+// expire: those of an order that is cancelled while all its pieces are in calls.
+func TestCancelInCall(t *testing.T) {
+	r := newRig(t)
+	archive := r.addReplica("a-1", "archive")
+	archive.ServiceTime = 100 * time.Millisecond
+	n := r.startRouter(1)
+	o := Order{Request: "q", Service: "archive", Pieces: 2, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second}
+	made := make(chan Made, 1)
+	go func() { made <- n.queues.makePieces(context.Background(), o) }()
+	r.waitFor("all pieces are in calls", func() bool {
+		sq := n.queues.find(shard.ID{Service: "archive"})
+		sq.mu.Lock()
+		defer sq.mu.Unlock()
+		return sq.q.View().Upstreams["a-1"].InFlight == 1 && sq.q.Len() == 0
+	})
+	n.queues.cancel(o)
+	assert.Equal(t, (<-made).Reason, reasonCancelled)
+	r.waitFor("the call has ended", func() bool { return len(archive.StageCalls()) == 1 })
+	r.waitFor("its results are freed", func() bool { return archive.ResultCount() == 0 })
+}
