soak: let only one event drain or evacuate the same target

Cause: two drains of a replica or two evacuations of a data centre could overlap. Routers also listened on ports that were free a moment before; another socket on 127.0.0.1 could take one while a router was stopped. Change: events claim their router, replica or data centre; routers of a run listen on a loopback address of their process, which connections don't come from. Test: TestClaims; before: the second event took place.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -167,22 +167,32 @@
 	return low + time.Duration(rng.Int64N(int64(high-low)))
 }
 
-// claim reserves the router for one fault, so that no two stop and start it at once. It
-// returns false if the router is already claimed.
-func (rt *router) claim() bool {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	if rt.claimed {
+// claims holds the names of the routers, replicas and data centres that a fault has
+// reserved, so that no two stop, drain or evacuate the same one at once. It is safe for
+// concurrent use.
+type claims struct {
+	mu   sync.Mutex
+	held map[string]bool
+}
+
+// claim reserves a name. It returns false if the name is already reserved.
+func (cs *claims) claim(name string) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.held[name] {
 		return false
 	}
-	rt.claimed = true
+	if cs.held == nil {
+		cs.held = map[string]bool{}
+	}
+	cs.held[name] = true
 	return true
 }
 
-func (rt *router) release() {
-	rt.mu.Lock()
-	defer rt.mu.Unlock()
-	rt.claimed = false
+func (cs *claims) release(name string) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	delete(cs.held, name)
 }
 
 // claimRouter claims a random router for an event. If another event has claimed it, it
@@ -190,7 +200,7 @@
 func (r *Run) claimRouter(rng *rand.Rand, e *event) *router {
 	rt := r.randomRouter(rng)
 	r.events.setTargets(e, rt.name)
-	if !rt.claim() {
+	if !r.claims.claim(rt.name) {
 		r.events.remove(e)
 		return nil
 	}
@@ -204,7 +214,7 @@
 		if rt == nil {
 			return
 		}
-		defer rt.release()
+		defer r.claims.release(rt.name)
 		rt.stop(sig, stopSeconds*time.Second)
 		time.Sleep(randomDuration(rng, 50*time.Millisecond, 400*time.Millisecond))
 		r.restartRouter(rt)
@@ -224,7 +234,7 @@
 	if rt == nil {
 		return
 	}
-	defer rt.release()
+	defer r.claims.release(rt.name)
 	rt.signal(syscall.SIGSTOP)
 	time.Sleep(randomDuration(rng, 200*time.Millisecond, 3*time.Second))
 	rt.signal(syscall.SIGCONT)
@@ -238,7 +248,7 @@
 	}
 	var claimed []*router
 	for _, rt := range r.routers {
-		if rt.claim() {
+		if r.claims.claim(rt.name) {
 			claimed = append(claimed, rt)
 			rt.stop(os.Kill, time.Second)
 		}
@@ -246,7 +256,7 @@
 	time.Sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
 	for _, rt := range claimed {
 		r.restartRouter(rt)
-		rt.release()
+		r.claims.release(rt.name)
 	}
 }
 
@@ -326,9 +336,16 @@
 	r.events.mu.Unlock()
 }
 
-// drainReplica marks a replica as draining and later as ready again.
+// drainReplica marks a replica as draining and later as ready again. It does nothing if
+// another event drains the replica: the first to end would make it ready again while the
+// checker still counts the second.
 func drainReplica(r *Run, rng *rand.Rand, e *event) {
 	rp := r.replicas[rng.IntN(len(r.replicas))]
+	if !r.claims.claim(rp.ID) {
+		r.events.remove(e)
+		return
+	}
+	defer r.claims.release(rp.ID)
 	r.site.Store.PutJSON("servers/"+rp.ID, rp.Entry("draining"))
 	r.events.ban(e, "", rp)
 	time.Sleep(randomDuration(rng, time.Second, 7*time.Second))
@@ -336,9 +353,15 @@
 	r.site.Store.PutJSON("servers/"+rp.ID, rp.Entry("ready"))
 }
 
-// evacuateCentre takes a data centre out of service for a random time.
+// evacuateCentre takes a data centre out of service for a random time. It does nothing if
+// another event evacuates the data centre, for the reason that drainReplica gives.
 func evacuateCentre(r *Run, rng *rand.Rand, e *event) {
 	centre := centres[rng.IntN(len(centres))]
+	if !r.claims.claim(centre) {
+		r.events.remove(e)
+		return
+	}
+	defer r.claims.release(centre)
 	path := "op/evacuate/" + centre
 	r.site.Store.PutJSON(path, map[string]any{})
 	r.events.ban(e, centre)
--- a/soak/process.go
+++ b/soak/process.go
@@ -18,10 +18,9 @@
 	callers, ready, peers string // addresses
 	settingsPath          string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	claimed bool // whether a fault has reserved the router; see claim
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 var settingsTemplate = template.Must(template.New("settings").Parse(`name = "{{.Name}}"
@@ -112,12 +111,19 @@
 	}
 }
 
-// freeAddrs returns n free loopback addresses. They are not reserved: another process may
-// take one before it is used.
+// loopbackIP returns a loopback address that only this process gives to its routers.
+// Connections to loopback addresses come from 127.0.0.1, so none of them takes the port of
+// a router that is stopped.
+func loopbackIP() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(64|pid>>16&63), byte(pid>>8), byte(pid)).String()
+}
+
+// freeAddrs returns n free loopback addresses for the routers of a run.
 func freeAddrs(n int) (addrs []string, err error) {
 	var lns []net.Listener
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", net.JoinHostPort(loopbackIP(), "0"))
 		if err != nil {
 			return nil, err
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -56,6 +56,7 @@
 	callers       *callers
 	configVersion int
 	events        eventLog
+	claims        claims
 	quietSince    time.Time // when the last fault ended
 	activeFaults  conc.WaitGroup
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -151,3 +152,30 @@
 		assert.Equal(t, len(c.violations), 1)
 	})
 }
+
+// TestClaims guards against two events that drain the same replica or evacuate the same
+// data centre at once: the first to end lifts the ban of both, and the checker then reports
+// requests that were allowed.
+func TestClaims(t *testing.T) {
+	for _, tc := range []struct {
+		name, target string
+		inject       func(*Run, *rand.Rand, *event)
+	}{{"drain", "desk-0", drainReplica}, {"evacuation", "a", evacuateCentre}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, err := site.New()
+			assert.NilError(t, err)
+			defer s.Close()
+			r := &Run{site: s, replicas: []*replica{{Replica: &site.Replica{ID: "desk-0", Service: "desk", Centre: "a"}}}}
+			defer func(all []string) { centres = all }(centres)
+			centres = []string{"a"}
+			assert.Assert(t, r.claims.claim(tc.target))
+			tc.inject(r, rand.New(rand.NewPCG(1, 2)), r.events.begin(tc.name, scopeBanned))
+			assert.Equal(t, len(r.events.all), 0, "the event took place beside another one")
+			r.claims.release(tc.target)
+			e := r.events.begin(tc.name, scopeBanned)
+			tc.inject(r, rand.New(rand.NewPCG(1, 2)), e)
+			assert.Equal(t, len(r.events.all), 1)
+			assert.Assert(t, r.claims.claim(tc.target), "the claim was not released")
+		})
+	}
+}
