entry: answer orders that come before the configuration

Cause: a router without a configuration got an order that names no queue, as routers of the former build send, looked up the service in a nil configuration and crashed. Change: the choice ends before the look-up if no queue is known. The threshold for light transfers is the one of core/batch. Test: TestOrderBeforeConfiguration; before: nil pointer dereference.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -20,10 +20,10 @@
 const (
 	// maxPieces limits the pieces that wait for one service.
 	maxPieces = 8192
-	// localityThreshold is the transfer size from which the queue prefers upstreams in
+	// LocalityThreshold is the transfer size from which the queue prefers upstreams in
 	// the data centre that reads the result. Transferring fewer bytes costs less than
 	// starting a call before its batch is full.
-	localityThreshold fleet.Bytes = 256 << 10
+	LocalityThreshold fleet.Bytes = 256 << 10
 	// maxRoomPercent is the percentage of ResultCapacity that is used. The rest is
 	// margin, since the sizes of results are approximate.
 	maxRoomPercent = 92
@@ -248,7 +248,7 @@
 }
 
 // selectPieces returns up to a batch of pieces that fit into room and that u may make
-// now. Pieces of other data centres that transfer at least localityThreshold are left to
+// now. Pieces of other data centres that transfer at least LocalityThreshold are left to
 // their own data centre for localWait if they would be in the next calls of its available
 // upstreams. Otherwise they are taken last, or in their usual order if the backlog per
 // upstream of their data centre is longer than that of u's by more than a batch. wait is
@@ -270,7 +270,7 @@
 		if len(selected) == q.calls.MaxBatch {
 			break
 		}
-		if p.Centre == u.centre || p.Moved < localityThreshold {
+		if p.Centre == u.centre || p.Moved < LocalityThreshold {
 			take(p)
 			continue
 		}
@@ -293,12 +293,12 @@
 }
 
 // depthByCentre returns the number of waiting pieces of each data centre that transfer
-// at least localityThreshold, divided by its available upstreams. It is infinite if none
+// at least LocalityThreshold, divided by its available upstreams. It is infinite if none
 // is available.
 func (q *Queue[T]) depthByCentre(available map[wire.DataCentreID]int) map[wire.DataCentreID]float64 {
 	d := make(map[wire.DataCentreID]float64)
 	for _, p := range q.waiting {
-		if p.Moved >= localityThreshold {
+		if p.Moved >= LocalityThreshold {
 			d[p.Centre]++
 		}
 	}
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamcove.example/core/admit"
+	"hornbeamcove.example/core/batch"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
@@ -94,30 +95,29 @@
 	if len(cs) == 0 {
 		cs = avoided
 	}
-	i := shard.Choose(cs, o.Centre, detour(qs.s.view.Load().Config, o), rand.IntN)
-	if i < 0 {
-		return id, "", false
+	if len(cs) == 0 {
+		return id, "", false // there may be no configuration either
 	}
+	i := shard.Choose(cs, o.Centre, detour(qs.s.view.Load().Config, o), rand.IntN)
 	return cs[i].ID, l.owners[cs[i].ID], true
 }
 
 // detour returns how much shorter the wait in another data centre must be for an order to
 // go there: the fixed time of a call, which is also how long a queue keeps pieces for the
-// upstreams of their own data centre, or a quarter of it if little is transferred.
+// upstreams of their own data centre, or less if little is transferred.
 func detour(cfg *fleet.Config, o *Order) time.Duration {
 	d := time.Duration(0)
 	if svc := cfg.Service(o.Service); svc != nil && svc.StageCalls != nil {
 		d = svc.StageCalls.CallOverhead
 	}
-	if o.Moved < localTransfer {
-		d /= 4
+	if o.Moved < batch.LocalityThreshold {
+		d /= lightDetourDivisor
 	}
 	return d
 }
 
-// localTransfer is the transfer between data centres up to which an order changes its data
-// centre for a small gain.
-const localTransfer fleet.Bytes = 256 << 10
+// lightDetourDivisor shortens the detour of orders that transfer little.
+const lightDetourDivisor = 4
 
 // ownedLoads returns the work of the queues that this router owns.
 func (qs *stageQueues) ownedLoads(now time.Time) map[shard.ID]Load {
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -148,3 +148,14 @@
 	r.waitFor("the call has ended", func() bool { return len(archive.StageCalls()) == 1 })
 	r.waitFor("its results are freed", func() bool { return archive.ResultCount() == 0 })
 }
+
+// TestOrderBeforeConfiguration guards against a router that crashes when it gets an order of
+// the former build before it has a configuration.
+func TestOrderBeforeConfiguration(t *testing.T) {
+	r := newRig(t)
+	r.site.Store.SetMode(site.Silent)
+	n := r.start(r.settings("r1"))
+	var m Made
+	assert.NilError(t, (&Peer{n.Server}).Make(Order{Request: "q", Service: "archive", Pieces: 1, Left: time.Second}, &m))
+	assert.Equal(t, m.Reason, reasonNoUpstream)
+}
