entry: send results to free on to another router once

Cause: a router without the queue of a result sent it on to the owner that it knew. Two routers that divide the service differently, as for some 100 ms after an upstream comes or goes, would have sent it to each other without end. Change: a list that was sent on says so and is not sent on again; its results then expire. Test: TestFreeOnce; without the check it fails.

--- a/entry/queue.go
+++ b/entry/queue.go
@@ -62,6 +62,9 @@
 	Service fleet.ServiceID
 	Shard   shard.ID // as in Order
 	Handles []fleet.Handle
+	// Forwarded says that a router without the queue has sent the list on. It is not sent on
+	// again: routers that divide the service differently would send it to each other.
+	Forwarded bool
 }
 
 // Values of Made.Reason.
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -137,11 +137,12 @@
 
 // Free releases results that are no longer needed.
 func (p *Peer) Free(f Freed, _ *int) error {
-	if p.s.queues.findFor(f.Service, f.Shard) == nil {
+	if p.s.queues.findFor(f.Service, f.Shard) != nil {
+		p.s.queues.free(f)
+	} else if !f.Forwarded {
+		f.Forwarded = true
 		p.s.freeResults(f)
-		return nil
 	}
-	p.s.queues.free(f)
 	return nil
 }
 
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -101,6 +101,32 @@
 	})
 }
 
+// TestFreeOnce guards against routers that know different divisions of a service and send
+// results to free to each other without end.
+func TestFreeOnce(t *testing.T) {
+	r, nodes, archives := dividedRig(t, 5*time.Millisecond)
+	m, madeBy, err := nodes[0].placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
+	assert.NilError(t, err)
+	count := func() (n int) {
+		for _, p := range archives {
+			n += p.ResultCount()
+		}
+		return n
+	}
+	assert.Equal(t, count(), 1)
+	gone := shard.ID{Service: "archive", Centre: "a", Index: 7}
+	for _, n := range nodes {
+		assert.NilError(t, (&Peer{n.Server}).Free(Freed{Service: "archive", Shard: gone, Handles: m.Handles, Forwarded: true}, nil))
+	}
+	// Had the first result been sent on, it would be freed before that of a second order.
+	other, _, err := nodes[0].placeOrder(context.Background(), Order{Request: "q2", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
+	assert.NilError(t, err)
+	nodes[0].freeResults(Freed{Service: "archive", Shard: madeBy, Handles: other.Handles})
+	r.waitFor("the second result is freed", func() bool { return count() == 1 })
+	assert.NilError(t, (&Peer{nodes[0].Server}).Free(Freed{Service: "archive", Shard: gone, Handles: m.Handles}, nil))
+	r.waitFor("the first result is freed", func() bool { return count() == 0 })
+}
+
 // TestDivisionChanges guards against requests that are lost when upstreams come and go so
 // that a service is divided differently, or when the owner of a queue leaves.
 func TestDivisionChanges(t *testing.T) {
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -180,7 +180,7 @@
 	if done || len(hs) == 0 {
 		return
 	}
-	rs.s.freeResults(Freed{rs.route.Stages[i].Service, madeBy, hs})
+	rs.s.freeResults(Freed{Service: rs.route.Stages[i].Service, Shard: madeBy, Handles: hs})
 }
 
 // freeResults tells the owner of a queue which results are no longer needed. If the queue
@@ -190,7 +190,7 @@
 	if owner == "" {
 		for _, h := range f.Handles {
 			if id, ok := s.queues.holder(f.Service, h); ok {
-				s.freeResultsAt(s.queues.owner(id), Freed{f.Service, id, []fleet.Handle{h}})
+				s.freeResultsAt(s.queues.owner(id), Freed{f.Service, id, []fleet.Handle{h}, f.Forwarded})
 			}
 		}
 		return
