entry: free the second result of TestFreeOnce at its own queue

The test freed the result of the second order at the queue of the first. The service has two queues in that data centre and an order draws one of them, so the test failed whenever they differed, with or without load. Change: the test names the queue that made the second result.

--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -105,7 +105,7 @@
 // results to free to each other without end.
 func TestFreeOnce(t *testing.T) {
 	r, nodes, archives := dividedRig(t, 5*time.Millisecond)
-	m, madeBy, err := nodes[0].placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
+	m, _, err := nodes[0].placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
 	assert.NilError(t, err)
 	count := func() (n int) {
 		for _, p := range archives {
@@ -119,7 +119,7 @@
 		assert.NilError(t, (&Peer{n.Server}).Free(Freed{Service: "archive", Shard: gone, Handles: m.Handles, Forwarded: true}, nil))
 	}
 	// Had the first result been sent on, it would be freed before that of a second order.
-	other, _, err := nodes[0].placeOrder(context.Background(), Order{Request: "q2", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
+	other, madeBy, err := nodes[0].placeOrder(context.Background(), Order{Request: "q2", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
 	assert.NilError(t, err)
 	nodes[0].freeResults(Freed{Service: "archive", Shard: madeBy, Handles: other.Handles})
 	r.waitFor("the second result is freed", func() bool { return count() == 1 })
