entry, batch: merge the twins that the last read of the change found

Change: a service that is configured is divided once; Backlog.WaitAfter, peerRecord.isAlive, Queue.isBusy and waitForResults serve all places. Behaviour, bounds and assertions are the same.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -55,9 +55,9 @@
 	return Backlog{Waiting: b.Waiting + b.Late, Unqueued: b.Unqueued, Rate: lateRateFraction * b.Rate}
 }
 
-// waitAfter returns the expected queueing time of a piece that arrives when the given
+// WaitAfter returns the expected queueing time of a piece that arrives when the given
 // time has passed, 0 if the rate is unknown.
-func (b Backlog) waitAfter(after time.Duration) time.Duration {
+func (b Backlog) WaitAfter(after time.Duration) time.Duration {
 	if b.Rate <= 0 {
 		return 0
 	}
@@ -89,7 +89,7 @@
 			continue
 		}
 		calls := cfg.Service(s.Service).StageCalls
-		f.Waits[i] = backlog(s.Service).waitAfter(begin)
+		f.Waits[i] = backlog(s.Service).WaitAfter(begin)
 		ends[i] += f.Waits[i] + calls.ExpectedTime(min(count, calls.MaxBatch))
 		f.StageTime = max(f.StageTime, ends[i])
 	}
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -186,7 +186,7 @@
 	expired = q.removeExpired(now)
 	u := q.upstreams[id]
 	switch {
-	case u == nil || len(q.waiting) == 0 || u.inFlight >= max(q.calls.Slots, 1):
+	case u == nil || len(q.waiting) == 0 || q.isBusy(u):
 		return nil, expired, maxPollInterval
 	case now.Before(u.backoffUntil):
 		return nil, expired, min(u.backoffUntil.Sub(now), maxPollInterval)
@@ -220,6 +220,9 @@
 	return ps, expired, 0
 }
 
+// isBusy reports whether all slots of an upstream are taken by calls of this queue.
+func (q *Queue[T]) isBusy(u *upstream) bool { return u.inFlight >= max(q.calls.Slots, 1) }
+
 // allLate reports whether all pieces yield to others.
 func allLate[T any](ps []*Piece[T]) bool {
 	return !slices.ContainsFunc(ps, func(p *Piece[T]) bool { return !p.Late })
@@ -230,7 +233,7 @@
 // still be on time need not wait for its end.
 func (q *Queue[T]) otherIdle(now time.Time, u *upstream) bool {
 	for _, other := range q.upstreams {
-		if other != u && other.inFlight < max(q.calls.Slots, 1) && !now.Before(other.backoffUntil) {
+		if other != u && !q.isBusy(other) && !now.Before(other.backoffUntil) {
 			return true
 		}
 	}
@@ -454,8 +457,8 @@
 }
 
 // Estimate returns the expected time until n more pieces with the given aim would be
-// made, not counting those that yield to them. If all upstreams are backing off or slow, d is 0; ok is false only if the queue
-// has no upstreams.
+// made, not counting those that yield to them. If all upstreams are backing off or slow,
+// d is 0; ok is false only if the queue has no upstreams.
 func (q *Queue[T]) Estimate(now time.Time, n int, aim time.Time) (d time.Duration, ok bool) {
 	available := 0
 	earliest := time.Duration(-1)
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -42,13 +42,7 @@
 	assert.DeepEqual(t, made, want)
 	inputs := strings.Split(r.site.Runs()[0].Header.Get("Input-Count"), ",")
 	assert.Equal(t, len(inputs), 6, "results of the stages that no other stage reads")
-	r.waitFor("all results are freed", func() bool {
-		kept := 0
-		for _, p := range stageReplicas {
-			kept += p.ResultCount()
-		}
-		return kept == 0
-	})
+	r.waitForResults(stageReplicas, 0)
 }
 
 // TestTwoReaders guards against results that are freed while one of the stages that read
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -86,6 +86,9 @@
 	seenAt time.Time
 }
 
+// isAlive reports whether the router was heard of recently enough to own queues.
+func (m *peerRecord) isAlive(now time.Time) bool { return now.Sub(m.seenAt) < ownerTimeout }
+
 func newPeers(s *Server) *peers {
 	return &peers{
 		s:       s,
@@ -244,7 +247,7 @@
 		rs = append(rs, self)
 	}
 	for n, m := range p.members {
-		if now.Sub(m.seenAt) < ownerTimeout && !m.Leaving {
+		if m.isAlive(now) && !m.Leaving {
 			rs = append(rs, shard.Router{Name: n, Centre: m.Centre, CPU: m.CPU})
 		}
 	}
@@ -289,7 +292,7 @@
 	total := own
 	p.mu.Lock()
 	for _, m := range p.members {
-		if now.Sub(m.seenAt) >= ownerTimeout {
+		if !m.isAlive(now) {
 			continue
 		}
 		l := m.Loads[service]
@@ -368,7 +371,7 @@
 	p.mu.Lock()
 	var lost []*peerWatch
 	for w := range p.watches {
-		if m := p.members[w.name]; m == nil || now.Sub(m.seenAt) >= ownerTimeout {
+		if m := p.members[w.name]; m == nil || !m.isAlive(now) {
 			lost = append(lost, w)
 			delete(p.watches, w)
 		}
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -25,16 +25,16 @@
 // need it.
 func (l layout) divide(v *View) layout {
 	next := layout{services: map[fleet.ServiceID][]shard.Shard{}}
-	for id := range l.services {
-		if us := v.Upstreams[id]; len(us) > 0 {
-			next.services[id] = shard.Divide(id, us)
-		}
-	}
 	for i := range v.Config.Services {
 		if svc := &v.Config.Services[i]; svc.StageCalls != nil {
 			next.services[svc.ID] = shard.Divide(svc.ID, v.Upstreams[svc.ID])
 		}
 	}
+	for id := range l.services {
+		if us := v.Upstreams[id]; next.services[id] == nil && len(us) > 0 {
+			next.services[id] = shard.Divide(id, us)
+		}
+	}
 	return next
 }
 
@@ -149,10 +149,7 @@
 // waitIn returns the expected queueing time of a queue with the given load, 0 if its rate
 // is unknown.
 func (l Load) waitIn() time.Duration {
-	if l.Rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(l.Waiting) / l.Rate * float64(time.Second))
+	return admit.Backlog{Waiting: l.Waiting, Rate: l.Rate}.WaitAfter(0)
 }
 
 // serviceBacklog adds up the work of a service's queues. A queue whose owner has not
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -25,6 +25,20 @@
 	return ps
 }
 
+// resultCount returns how many stage results replicas keep.
+func resultCount(ps []*site.Replica) (n int) {
+	for _, p := range ps {
+		n += p.ResultCount()
+	}
+	return n
+}
+
+// waitForResults waits until replicas keep n stage results.
+func (r *rig) waitForResults(ps []*site.Replica, n int) {
+	r.t.Helper()
+	r.waitFor(fmt.Sprintf("%d results are kept", n), func() bool { return resultCount(ps) == n })
+}
+
 // planCall returns a request that needs pieces of all stages.
 func planCall(i int) call {
 	c := post(planHost, fmt.Sprint("/fold/", i), "prompt")
@@ -72,14 +86,7 @@
 func TestDividedService(t *testing.T) {
 	r, nodes, archives := dividedRig(t, 5*time.Millisecond)
 	assertServed(t, nodes, 40, time.Millisecond)
-	r.waitFor("all results are freed", func() bool {
-		for _, p := range archives {
-			if p.ResultCount() > 0 {
-				return false
-			}
-		}
-		return true
-	})
+	r.waitForResults(archives, 0)
 	t.Run("by a router of the former build", func(t *testing.T) {
 		for _, n := range nodes {
 			o := Order{Request: "q", Service: "archive", Stage: 2, Pieces: 2, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second}
@@ -90,14 +97,7 @@
 			var reply int
 			assert.NilError(t, nodes[0].peers.call(context.Background(), n.cfg.Peers, "Peer.Free", Freed{Service: "archive", Handles: m.Handles}, &reply, waitTimeout))
 		}
-		r.waitFor("all results are freed", func() bool {
-			for _, p := range archives {
-				if p.ResultCount() > 0 {
-					return false
-				}
-			}
-			return true
-		})
+		r.waitForResults(archives, 0)
 	})
 }
 
@@ -107,13 +107,7 @@
 	r, nodes, archives := dividedRig(t, 5*time.Millisecond)
 	m, _, err := nodes[0].placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
 	assert.NilError(t, err)
-	count := func() (n int) {
-		for _, p := range archives {
-			n += p.ResultCount()
-		}
-		return n
-	}
-	assert.Equal(t, count(), 1)
+	assert.Equal(t, resultCount(archives), 1)
 	gone := shard.ID{Service: "archive", Centre: "a", Index: 7}
 	for _, n := range nodes {
 		assert.NilError(t, (&Peer{n.Server}).Free(Freed{Service: "archive", Shard: gone, Handles: m.Handles, Forwarded: true}, nil))
@@ -122,9 +116,9 @@
 	other, madeBy, err := nodes[0].placeOrder(context.Background(), Order{Request: "q2", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
 	assert.NilError(t, err)
 	nodes[0].freeResults(Freed{Service: "archive", Shard: madeBy, Handles: other.Handles})
-	r.waitFor("the second result is freed", func() bool { return count() == 1 })
+	r.waitForResults(archives, 1)
 	assert.NilError(t, (&Peer{nodes[0].Server}).Free(Freed{Service: "archive", Shard: gone, Handles: m.Handles}, nil))
-	r.waitFor("the first result is freed", func() bool { return count() == 0 })
+	r.waitForResults(archives, 0)
 }
 
 // TestDivisionChanges guards against requests that are lost when upstreams come and go so
