entry: log what requests that meet a crash have in common

Change: a crash is logged with the request's fingerprint, the shared parts of its prompt and the start of the upstream; a strike learnt from a peer is logged and counted (strikes_reported); /state lists the strikes of each fingerprint. No decision changes.

--- a/core/crash/strikes.go
+++ b/core/crash/strikes.go
@@ -34,20 +34,35 @@
 	maxStrikes = 1024
 )
 
-// Add records a strike at now. A strike that is already recorded keeps its time.
-func (s *Strikes) Add(now time.Time, k Strike) {
+// Add records a strike at now and reports whether it is new. A strike that is already
+// recorded keeps its time.
+func (s *Strikes) Add(now time.Time, k Strike) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.recorded == nil {
 		s.recorded = make(map[Strike]time.Time)
 	}
 	if _, ok := s.recorded[k]; ok {
-		return
+		return false
 	}
 	if len(s.recorded) >= maxStrikes {
 		s.evict()
 	}
 	s.recorded[k] = now
+	return true
+}
+
+// Counts returns the number of unexpired strikes of each fingerprint.
+func (s *Strikes) Counts(now time.Time) map[wire.Fingerprint]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[wire.Fingerprint]int)
+	for k, t := range s.recorded {
+		if now.Sub(t) <= strikeLifetime {
+			counts[k.Print]++
+		}
+	}
+	return counts
 }
 
 // evict removes the oldest strike.
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -23,7 +23,8 @@
 	Alive     []wire.HostID                    `json:"alive"` // routers that may own queues
 	Upstreams map[wire.UpstreamID]UpstreamDump `json:"upstreams"`
 	Queues    map[shard.ID]batch.View          `json:"queues"`
-	Owners    map[shard.ID]wire.HostID         `json:"owners"` // owner of each service's queue
+	Owners    map[shard.ID]wire.HostID         `json:"owners"`  // owner of each service's queue
+	Strikes   map[wire.Fingerprint]int         `json:"strikes"` // upstream crashes by request fingerprint
 }
 
 // UpstreamDump is the state of one upstream as a router sees it.
@@ -65,6 +66,7 @@
 		Name: s.cfg.Name, Revisions: v.Revisions, Requests: s.inFlight.Load(), Draining: s.draining.Load(),
 		Upstreams: map[wire.UpstreamID]UpstreamDump{},
 		Queues:    map[shard.ID]batch.View{}, Owners: map[shard.ID]wire.HostID{},
+		Strikes: s.strikes.Counts(now),
 	}
 	for _, r := range s.peers.ownerCandidates(now) {
 		d.Alive = append(d.Alive, r.Name)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -207,7 +207,10 @@
 // mergeHeartbeat adds the crashes and members of a peer's heartbeat to those known.
 func (p *peers) mergeHeartbeat(now time.Time, b Beat) {
 	for _, k := range b.Strikes {
-		p.s.strikes.Add(now, k)
+		if p.s.strikes.Add(now, k) {
+			p.s.log.Info("crash reported by peer", "peer", b.From.Name, "upstream", k.Upstream, "born", k.Born, "print", k.Print)
+			p.s.incCounter("strikes_reported")
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/place.go
+++ b/entry/place.go
@@ -88,14 +88,19 @@
 	for i, t := range usable {
 		es[i] = route.Engine{Upstream: t.ID, Load: float64(states[i].inFlight), Penalty: states[i].penalty}
 	}
+	x.setWeights(es, usable)
+	x.choiceReason = "holder"
+	return route.PickEngine(route.PromptKey(x.sharedSegmentIDs()...), es)
+}
+
+// sharedSegmentIDs returns the IDs of the prompt segments that other requests may share.
+func (x *exchange) sharedSegmentIDs() []string {
 	segments := x.spec.SharedSegments()
 	ids := make([]string, len(segments))
 	for i, p := range segments {
 		ids[i] = p.ID
 	}
-	x.setWeights(es, usable)
-	x.choiceReason = "holder"
-	return route.PickEngine(route.PromptKey(ids...), es)
+	return ids
 }
 
 // setWeights weights each engine by the share of the stage capacity in its data centre,
--- a/entry/send.go
+++ b/entry/send.go
@@ -161,7 +161,8 @@
 			_ = c.Close()
 			return
 		}
-		x.s.log.Warn("upstream crashed while it ran a request", "request", x.spec.ID, "upstream", t.ID, "err", err)
+		x.s.log.Warn("upstream crashed while it ran a request", "request", x.spec.ID, "upstream", t.ID, "born", t.Born,
+			"print", x.fingerprint, "parts", x.sharedSegmentIDs(), "err", err)
 		x.s.incCounter("strikes")
 		t.recordFailure(time.Now(), true, true)
 		x.s.strikes.Add(time.Now(), strike)
