--- a/fakes/site/names.go
+++ b/fakes/site/names.go
@@ -7,4 +7,5 @@
 	HeaderPieceCounts = "Piece-Count" // numbers of pieces of each stage, separated by commas
 	HeaderPieceKey    = "Piece-Key"
 	HeaderTeam        = "Tenant-Name"
+	HeaderParts       = "Prompt-Prefix" // id:tokens of each part of the prompt
 )
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hornbeamcove.example/core/clock"
@@ -16,7 +17,7 @@
 
 // Action selects how a replica handles a request. Not all apply everywhere: a stream
 // serves AnswerTwice and StrayAnswer like Serve, a plain service Stall, and a stage call
-// all but Reject, LoseAnswer and Crash. On LoseAnswer a stage call is aborted before any
+// all but Reject, LoseAnswer and Crash; CrashLater is Crash there. On LoseAnswer a stage call is aborted before any
 // piece runs.
 type Action int
 
@@ -34,6 +35,7 @@
 	RejectEarly                 // like Reject, but answers before it reads the request's body
 	InternalError               // answers 500
 	Crash                       // resets all connections and refuses new ones for crashDowntime
+	CrashLater                  // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
 )
 
 const (
@@ -101,8 +103,10 @@
 
 // Entry returns the replica's registration in the store, with the given state.
 func (p *Replica) Entry(state string) map[string]any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return map[string]any{
-		"service": p.Service, "address": p.Addr(), "zone": p.Centre, "version": "v1", "slots": 8,
+		"service": p.Service, "address": p.addr, "zone": p.Centre, "version": "v1", "slots": 8,
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": p.Born,
 	}
 }
@@ -204,7 +208,8 @@
 	_ = c.Close()
 }
 
-// crash makes the replica unreachable for crashDowntime and drops its stage results.
+// crash makes the replica unreachable for crashDowntime and drops its stage results. It
+// then starts again under its ID, with a new start time in its entry.
 func (p *Replica) crash() {
 	p.stop()
 	p.mu.Lock()
@@ -212,12 +217,33 @@
 	clear(p.results)
 	p.mu.Unlock()
 	time.AfterFunc(crashDowntime, func() {
-		if !p.Site.closed.Load() {
-			_ = p.start(addr) // the port was just released, so a conflict is unlikely
+		if p.Site.closed.Load() || p.start(addr) != nil { // the port was just released, so a conflict is unlikely
+			return
 		}
+		p.mu.Lock()
+		p.Born = time.Now().UnixMilli()
+		born := p.Born
+		p.mu.Unlock()
+		p.Site.Store.SetField("servers/"+p.ID, "born", born)
 	})
 }
 
+// CrashOn returns an Act that crashes the replica on each request with a prompt part that
+// other requests may share, and otherwise serves. In half of the requests it begins to
+// answer before.
+func CrashOn(part string) func(*http.Request) Action {
+	var n atomic.Int64
+	return func(r *http.Request) Action {
+		parts := strings.Split(r.Header.Get(HeaderParts), ",")
+		for _, p := range parts[:len(parts)-1] {
+			if id, _, _ := strings.Cut(p, ":"); id == part {
+				return []Action{Crash, CrashLater}[n.Add(1)%2]
+			}
+		}
+		return Serve
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != p.ID {
@@ -280,6 +306,8 @@
 	case Crash:
 		p.crash()
 		panic(http.ErrAbortHandler)
+	case CrashLater:
+		p.crashLater(w, r)
 	case NoAnswer:
 		<-r.Context().Done()
 		return
@@ -313,6 +341,19 @@
 	}
 }
 
+// crashLater works on a request for ServiceTime, sends the first event if it answers with
+// a stream, and crashes.
+func (p *Replica) crashLater(w http.ResponseWriter, r *http.Request) {
+	clock.Sleep(r.Context(), p.ServiceTime)
+	if p.Events > 0 {
+		p.streamHeader(w, r)
+		_, _ = io.WriteString(w, Event(r.RequestURI, p.firstEvent(r)))
+		_ = http.NewResponseController(w).Flush()
+	}
+	p.crash()
+	panic(http.ErrAbortHandler)
+}
+
 // Body returns the body with which a plain service answers a request target.
 func Body(target string) string { return "answer to " + target }
 
@@ -360,13 +401,24 @@
 	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, target, n)
 }
 
-// stream answers with the events after the one whose number is in Last-Event-Id.
-func (p *Replica) stream(w http.ResponseWriter, r *http.Request, act Action) {
+// firstEvent returns the number of the first event that a request asks for: the one after
+// the number in Last-Event-Id.
+func (p *Replica) firstEvent(r *http.Request) int {
 	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	return lastEvent + 1
+}
+
+func (p *Replica) streamHeader(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	h.Set("Server-Signature", p.ID)
+}
+
+// stream answers with the events after the one whose number is in Last-Event-Id.
+func (p *Replica) stream(w http.ResponseWriter, r *http.Request, act Action) {
+	lastEvent := p.firstEvent(r) - 1
+	p.streamHeader(w, r)
 	if act == Unframed {
 		p.streamUnframed(w, r, lastEvent)
 		return
@@ -435,7 +487,7 @@
 	case Reject:
 		p.reject(w, r, http.StatusServiceUnavailable)
 		return
-	case Crash:
+	case Crash, CrashLater:
 		p.crash()
 		panic(http.ErrAbortHandler)
 	case LoseAnswer:
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,13 @@
 	return nil
 }
 
+// Replicas returns the replicas of the site in the order in which they were added.
+func (s *Site) Replicas() []*Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.replicas)
+}
+
 // Close stops the store and all replicas.
 func (s *Site) Close() error {
 	s.closed.Store(true)
@@ -106,9 +114,7 @@
 	if handles == "" {
 		return true
 	}
-	s.mu.Lock()
-	replicas := s.replicas
-	s.mu.Unlock()
+	replicas := s.Replicas()
 	for h := range strings.SplitSeq(handles, ",") {
 		found := false
 		for _, p := range replicas {
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -71,6 +71,22 @@
 	return s.Put(key, data)
 }
 
+// SetField sets a field of an entry that holds a JSON object. It does nothing if there is
+// no such entry.
+func (s *Store) SetField(key, field string, value any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	var object map[string]any
+	if !ok || json.Unmarshal(it.Value, &object) != nil {
+		return
+	}
+	object[field] = value
+	if data, err := json.Marshal(object); err == nil {
+		s.writeLocked(Item{Key: key, Value: data})
+	}
+}
+
 // Delete replaces an entry by a tombstone and returns the revision of the deletion.
 func (s *Store) Delete(key string) int64 { return s.write(Item{Key: key, Tombstone: true}) }
 
@@ -78,6 +94,11 @@
 func (s *Store) write(it Item) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.writeLocked(it)
+}
+
+// writeLocked is write for callers that hold mu.
+func (s *Store) writeLocked(it Item) int64 {
 	s.rev++
 	it.Revision = s.rev
 	s.history = append(s.history, it)
