crash, entry: quarantine prompt parts that crash upstreams

Cause: crashes were counted by request, as the hash of team, target and body. Requests that share only a prompt part have a fingerprint each, so no count reached three. Class: the key of the evidence is narrower than the fault. Change: crash.Parts counts crashes for each shared prompt part. A part is quarantined after three crashes apart in time without a survival of a request with it, if others of the service survived since the first. A survival at any router ends suspicion and quarantine. Routers report crashes as ages; quarantines are reported as long as they last, so that a router that starts again knows them. Requests are checked at arrival and before each send, so also after their stages and before a retry. Why it works: a sound part, which runs beside a bad one, survives between crashes; a bad one never does, whatever else its requests hold.

--- /dev/null
+++ b/core/crash/parts.go
@@ -0,0 +1,361 @@
+package crash
+
+import (
+	"cmp"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// partCrashLimit is the number of crashes, apart in time and without a survival in
+	// between, at which a part is quarantined. Sound requests that ran beside the one that
+	// caused a crash are suspected too, and repeat on other upstreams, so two are too few.
+	partCrashLimit = 3
+	// crashSpan is the time within which crashes of several upstreams count as one: they
+	// may have a common cause, such as the loss of a rack.
+	crashSpan = 250 * time.Millisecond
+	// sameCrashSpan is the time within which reports about an upstream process are about
+	// the same crash. An upstream whose new start isn't known yet crashes again later.
+	sameCrashSpan = time.Second
+	// suspectLifetime is the time from the last crash until a part is no longer suspected,
+	// and quarantineLifetime that until its quarantine ends.
+	suspectLifetime    = 2 * time.Minute
+	quarantineLifetime = 10 * time.Minute
+	// maxParts bounds the suspected parts and the survivals of parts that are kept, and
+	// maxPartCrashes the crashes that are kept of each part.
+	maxParts       = 4096
+	maxPartCrashes = 8
+	// reportAge is the age up to which crashes of parts that are not quarantined are
+	// reported to other routers. It allows for lost heartbeats.
+	reportAge = 3 * time.Second
+	// maxTransit is the longest time that a report may take to another router, which can't
+	// tell it from the age of what is reported. Survivals count from that much earlier, or
+	// a report that goes back and forth would move them later each time.
+	maxTransit = 500 * time.Millisecond
+	// maxReportedParts bounds the crashed and the survived parts of a report.
+	maxReportedParts = 64
+)
+
+// Part is a part of the prompts of a service's requests. Print is the hash of the part's
+// ID, 16 hexadecimal digits.
+type Part struct {
+	Service fleet.ServiceID
+	Print   wire.Fingerprint
+}
+
+// SharedParts returns the parts of a request that other requests may share.
+func SharedParts(service fleet.ServiceID, spec *fleet.RequestSpec) []Part {
+	segments := spec.SharedSegments()
+	parts := make([]Part, len(segments))
+	for i, s := range segments {
+		d := xxhash.New()
+		_, _ = d.WriteString(s.ID)
+		parts[i] = Part{service, wire.Fingerprint(hex.EncodeToString(d.Sum(nil)))}
+	}
+	return parts
+}
+
+// Parts finds the prompt parts that crash upstreams, whatever else a request holds, from
+// the crashes and survivals of the requests with each part. It quarantines a part after
+// partCrashLimit crashes if meanwhile no request with the part survived but others of the
+// service did. A request survives if it completes, or if it goes on for a while after it
+// began to be answered. Parts is safe for concurrent use. The zero value is ready to use.
+type Parts struct {
+	mu       sync.Mutex
+	suspects map[Part]*partCrashes
+	cleared  map[Part]partSurvival
+	// survivals holds when the last survivor of each service began to be answered.
+	survivals map[fleet.ServiceID]time.Time
+}
+
+// partCrashes holds the crashes of a part since its last survival, in the order of time.
+type partCrashes struct{ crashes []upstreamCrash }
+
+// partSurvival is the last survival of a request with a part that was suspected.
+type partSurvival struct {
+	began time.Time // when the request began to be answered
+	// neededAt is when the survival was new, or last contradicted another router's report.
+	neededAt time.Time
+}
+
+type upstreamCrash struct {
+	upstream wire.UpstreamID
+	born     int64 // see Strike
+	at       time.Time
+}
+
+// same reports whether two reports are about the same crash.
+func (c upstreamCrash) same(o upstreamCrash) bool {
+	return c.upstream == o.upstream && c.born == o.born && c.at.Sub(o.at).Abs() < sameCrashSpan
+}
+
+// count returns the number of crashes that are apart in time.
+func (s *partCrashes) count() (n int) {
+	var counted time.Time
+	for _, c := range s.crashes {
+		if n == 0 || c.at.Sub(counted) >= crashSpan {
+			n++
+			counted = c.at
+		}
+	}
+	return n
+}
+
+func (s *partCrashes) last() time.Time { return s.crashes[len(s.crashes)-1].at }
+
+// expired reports whether the part is no longer suspected or quarantined.
+func (s *partCrashes) expired(now time.Time) bool {
+	lifetime := suspectLifetime
+	if s.count() >= partCrashLimit {
+		lifetime = quarantineLifetime
+	}
+	return now.Sub(s.last()) > lifetime
+}
+
+// add inserts a crash unless it is known. If there are too many, it drops the second:
+// the first and the last say how long the part has been crashing upstreams.
+func (s *partCrashes) add(c upstreamCrash) {
+	if slices.ContainsFunc(s.crashes, c.same) {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(s.crashes, c.at, func(o upstreamCrash, t time.Time) int { return o.at.Compare(t) })
+	s.crashes = slices.Insert(s.crashes, i, c)
+	if len(s.crashes) > maxPartCrashes {
+		s.crashes = slices.Delete(s.crashes, 1, 2)
+	}
+}
+
+// Crashed records that an upstream, started at born, crashed at the given time while it ran
+// a request with the given parts that had not survived. It returns the parts that are
+// quarantined by it.
+func (p *Parts) Crashed(at time.Time, upstream wire.UpstreamID, born int64, parts []Part) (quarantined []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		before := p.quarantined(at, part)
+		p.add(at, part, upstreamCrash{upstream, born, at})
+		if !before && p.quarantined(at, part) {
+			quarantined = append(quarantined, part)
+		}
+	}
+	return quarantined
+}
+
+// Survived records that a request with the given parts, which began to be answered at
+// the given time, survived. It ends the suspicion from crashes before that time.
+func (p *Parts) Survived(now, began time.Time, service fleet.ServiceID, parts []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recordSurvival(service, began)
+	for _, part := range parts {
+		if p.suspects[part] != nil {
+			p.clear(now, part, began)
+		}
+	}
+}
+
+// Quarantined reports whether any of the given parts is quarantined.
+func (p *Parts) Quarantined(now time.Time, parts []Part) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part Part) bool { return p.quarantined(now, part) })
+}
+
+// Counts returns the number of crashes of each suspected part.
+func (p *Parts) Counts(now time.Time) map[Part]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := make(map[Part]int, len(p.suspects))
+	for part, s := range p.suspects {
+		if !s.expired(now) {
+			counts[part] = s.count()
+		}
+	}
+	return counts
+}
+
+// quarantined reports whether a part is quarantined. The caller holds mu.
+func (p *Parts) quarantined(now time.Time, part Part) bool {
+	s := p.suspects[part]
+	return s != nil && s.count() >= partCrashLimit && !s.expired(now) && p.survivals[part.Service].After(s.crashes[0].at)
+}
+
+// add records a crash unless the part has survived since. The caller holds mu.
+func (p *Parts) add(now time.Time, part Part, c upstreamCrash) {
+	if survival, ok := p.cleared[part]; ok && survival.began.After(c.at) {
+		survival.neededAt = now
+		p.cleared[part] = survival
+		return
+	}
+	s := p.suspects[part]
+	if s == nil || s.expired(c.at) {
+		if p.suspects == nil {
+			p.suspects = make(map[Part]*partCrashes)
+		}
+		if s == nil && len(p.suspects) >= maxParts {
+			p.evict(now)
+		}
+		s = new(partCrashes)
+		p.suspects[part] = s
+	}
+	s.add(c)
+}
+
+// clear removes the crashes of a part before a survival. The caller holds mu.
+func (p *Parts) clear(now time.Time, part Part, began time.Time) {
+	if s := p.suspects[part]; s != nil {
+		s.crashes = slices.DeleteFunc(s.crashes, func(c upstreamCrash) bool { return c.at.Before(began) })
+		if len(s.crashes) == 0 {
+			delete(p.suspects, part)
+		}
+	}
+	old, ok := p.cleared[part]
+	if ok && !old.began.Before(began) {
+		return
+	}
+	if p.cleared == nil {
+		p.cleared = make(map[Part]partSurvival)
+	}
+	if !ok && len(p.cleared) >= maxParts {
+		delete(p.cleared, oldest(p.cleared, func(s partSurvival) time.Time { return s.began }))
+	}
+	p.cleared[part] = partSurvival{began, now}
+}
+
+// evict removes the expired suspects or, if there are none, the one with the fewest
+// crashes, the oldest of these. The caller holds mu.
+func (p *Parts) evict(now time.Time) {
+	n := len(p.suspects)
+	maps.DeleteFunc(p.suspects, func(_ Part, s *partCrashes) bool { return s.expired(now) })
+	if len(p.suspects) < n {
+		return
+	}
+	least := partCrashLimit
+	for _, s := range p.suspects {
+		least = min(least, s.count())
+	}
+	weakest := maps.Clone(p.suspects)
+	maps.DeleteFunc(weakest, func(_ Part, s *partCrashes) bool { return s.count() > least })
+	delete(p.suspects, oldest(weakest, (*partCrashes).last))
+}
+
+// oldest returns the key of m whose value has the earliest time.
+func oldest[V any](m map[Part]V, at func(V) time.Time) (key Part) {
+	var first time.Time
+	for k, v := range m {
+		if t := at(v); first.IsZero() || t.Before(first) {
+			key, first = k, t
+		}
+	}
+	return key
+}
+
+// recordSurvival records that a request of a service survived. The caller holds mu.
+func (p *Parts) recordSurvival(service fleet.ServiceID, began time.Time) {
+	if p.survivals == nil {
+		p.survivals = make(map[fleet.ServiceID]time.Time)
+	}
+	if p.survivals[service].Before(began) {
+		p.survivals[service] = began
+	}
+}
+
+// PartsReport is what a router tells others about parts. Times are ages, since routers
+// have no common clock.
+type PartsReport struct {
+	Crashes   []PartCrash
+	Cleared   []PartSurvival
+	Survivals map[fleet.ServiceID]time.Duration // age of the last survival of each service
+}
+
+// PartCrash is a crash of an upstream while it ran a request with a part.
+type PartCrash struct {
+	Part     Part
+	Upstream wire.UpstreamID
+	Born     int64
+	Age      time.Duration
+}
+
+// PartSurvival is the last survival of a request with a part that was suspected.
+type PartSurvival struct {
+	Part Part
+	Age  time.Duration
+}
+
+// Report returns the recent crashes and those of quarantined parts, the parts with the
+// most crashes first, and the latest survivals. Quarantined parts are reported as long as
+// they are quarantined, so that a router that starts learns of them.
+func (p *Parts) Report(now time.Time) (r PartsReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var parts []Part
+	for part, s := range p.suspects {
+		if !s.expired(now) && (s.count() >= partCrashLimit || now.Sub(s.last()) <= reportAge) {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b Part) int {
+		x, y := p.suspects[a], p.suspects[b]
+		return cmp.Or(cmp.Compare(y.count(), x.count()), y.last().Compare(x.last()), cmp.Compare(a.Print, b.Print))
+	})
+	for _, part := range parts[:min(len(parts), maxReportedParts)] {
+		for _, c := range p.suspects[part].crashes {
+			r.Crashes = append(r.Crashes, PartCrash{part, c.upstream, c.born, now.Sub(c.at)})
+		}
+	}
+	maps.DeleteFunc(p.cleared, func(_ Part, s partSurvival) bool { return now.Sub(s.began) > quarantineLifetime })
+	for part, s := range p.cleared {
+		if now.Sub(s.neededAt) <= reportAge {
+			r.Cleared = append(r.Cleared, PartSurvival{part, now.Sub(s.began)})
+		}
+	}
+	slices.SortFunc(r.Cleared, func(a, b PartSurvival) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part.Print, b.Part.Print))
+	})
+	r.Cleared = r.Cleared[:min(len(r.Cleared), maxReportedParts)]
+	maps.DeleteFunc(p.survivals, func(_ fleet.ServiceID, t time.Time) bool { return now.Sub(t) > quarantineLifetime })
+	r.Survivals = make(map[fleet.ServiceID]time.Duration, len(p.survivals))
+	for service, t := range p.survivals {
+		r.Survivals[service] = now.Sub(t)
+	}
+	return r
+}
+
+// Merge adds the report of another router, which may repeat what is known. It returns the
+// parts that are quarantined by it.
+func (p *Parts) Merge(now time.Time, r PartsReport) (quarantined []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, age := range r.Survivals {
+		if validAge(age) {
+			p.recordSurvival(service, now.Add(-age-maxTransit))
+		}
+	}
+	for _, s := range r.Cleared {
+		if validAge(s.Age) {
+			p.clear(now, s.Part, now.Add(-s.Age-maxTransit))
+		}
+	}
+	for _, c := range r.Crashes {
+		if !validAge(c.Age) {
+			continue
+		}
+		before := p.quarantined(now, c.Part)
+		p.add(now, c.Part, upstreamCrash{c.Upstream, c.Born, now.Add(-c.Age)})
+		if !before && p.quarantined(now, c.Part) {
+			quarantined = append(quarantined, c.Part)
+		}
+	}
+	return quarantined
+}
+
+// validAge reports whether a reported age can be right: nothing is kept for longer.
+func validAge(age time.Duration) bool { return age >= 0 && age <= quarantineLifetime }
--- /dev/null
+++ b/core/crash/parts_test.go
@@ -0,0 +1,181 @@
+package crash
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
+)
+
+const testService = fleet.ServiceID("engine")
+
+func testPart(print string) Part { return Part{testService, wire.Fingerprint(print)} }
+
+// after returns the time that is ms milliseconds after start.
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// TestParts guards against a part that crashes one upstream after another, and against a
+// quarantine of sound parts.
+func TestParts(t *testing.T) {
+	bad, sound := testPart("bad"), testPart("sound")
+	crash := func(ms, upstream int, parts ...Part) func(*Parts) {
+		return func(p *Parts) { p.Crashed(after(ms), wire.UpstreamID(fmt.Sprint(upstream)), 1, parts) }
+	}
+	survive := func(ms int, parts ...Part) func(*Parts) {
+		return func(p *Parts) { p.Survived(after(ms), after(ms), testService, parts) }
+	}
+	for _, c := range []struct {
+		name          string
+		steps         []func(*Parts)
+		at            int // milliseconds
+		badOK, goodOK bool
+	}{
+		{"two crashes", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), survive(950)}, 1000, true, true},
+		{"three crashes", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), crash(1300, 3, bad), survive(1310)}, 1400, false, true},
+		{"survivals of another part", []func(*Parts){
+			crash(0, 1, bad, sound), survive(500, sound), crash(900, 2, bad, sound), crash(1300, 3, bad, sound), survive(1310, sound),
+		}, 1400, false, true},
+		{"survival in between", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), survive(1000, bad), crash(1300, 3, bad), survive(1310)}, 1400, true, true},
+		{"survival that began earlier", []func(*Parts){
+			crash(0, 1, bad), crash(900, 2, bad), crash(1300, 3, bad),
+			func(p *Parts) { p.Survived(after(1400), after(-5), testService, []Part{bad}) }, survive(1310),
+		}, 1400, false, true},
+		{"survival at last", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), crash(1300, 3, bad), survive(1310), survive(1350, bad)}, 1400, true, true},
+		{"several upstreams at the same time", []func(*Parts){crash(0, 1, bad), crash(10, 2, bad), crash(20, 3, bad), crash(30, 4, bad), survive(100)}, 200, true, true},
+		{"several reports of one crash", []func(*Parts){crash(0, 1, bad), crash(300, 1, bad), crash(900, 1, bad), survive(950)}, 1000, true, true},
+		{"one upstream three times", []func(*Parts){crash(0, 1, bad), crash(4000, 1, bad), crash(8000, 1, bad), survive(8100)}, 8200, false, true},
+		{"one upstream that starts again fast", []func(*Parts){
+			crash(0, 1, bad), func(p *Parts) { p.Crashed(after(300), "1", 2, []Part{bad}); p.Crashed(after(600), "1", 3, []Part{bad}) }, survive(700),
+		}, 800, false, true},
+		{"no request of the service survives", []func(*Parts){survive(-100), crash(0, 1, bad), crash(900, 2, bad), crash(1300, 3, bad), crash(1700, 4, bad)}, 2000, true, true},
+		{"quarantined for ten minutes", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), crash(1300, 3, bad), survive(1310)}, 599_000, false, true},
+		{"not for longer", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), crash(1300, 3, bad), survive(1310)}, 602_000, true, true},
+		{"suspected for two minutes", []func(*Parts){crash(0, 1, bad), crash(900, 2, bad), crash(122_000, 3, bad), survive(122_100)}, 122_200, true, true},
+		{"two bad parts", []func(*Parts){crash(0, 1, bad, sound), crash(900, 2, bad, sound), crash(1300, 3, bad, sound), survive(1310)}, 1400, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := new(Parts)
+			for _, step := range c.steps {
+				step(p)
+			}
+			assert.Equal(t, p.Quarantined(after(c.at), []Part{sound, bad}), !c.badOK || !c.goodOK)
+			assert.Equal(t, p.Quarantined(after(c.at), []Part{bad}), !c.badOK, "bad")
+			assert.Equal(t, p.Quarantined(after(c.at), []Part{sound}), !c.goodOK, "sound")
+			assert.Assert(t, !p.Quarantined(after(c.at), []Part{{"other", bad.Print}}), "another service")
+		})
+	}
+}
+
+// TestPartsGossip guards against routers that don't learn of a part, that start after the
+// crashes, or that go on refusing a part that has survived elsewhere.
+func TestPartsGossip(t *testing.T) {
+	bad := []Part{testPart("bad")}
+	routers := []*Parts{{}, {}, {}}
+	gossip := func(ms int) {
+		for _, from := range routers {
+			for _, to := range routers {
+				if from != to {
+					to.Merge(after(ms+20), from.Report(after(ms)))
+				}
+			}
+		}
+	}
+	for i, r := range routers {
+		r.Crashed(after(1000*i), wire.UpstreamID(fmt.Sprint(i)), 1, bad)
+		gossip(1000*i + 100)
+	}
+	routers[1].Survived(after(2600), after(2600), testService, nil)
+	gossip(2700)
+	quarantined := func(ms int, want bool) {
+		t.Helper()
+		for i, r := range routers {
+			assert.Equal(t, r.Quarantined(after(ms), bad), want, "router %d", i)
+		}
+	}
+	quarantined(2800, true)
+
+	routers[0] = new(Parts) // restarted
+	gossip(300_000)
+	quarantined(300_100, true)
+
+	before := fmt.Sprint(routers[2].Report(after(300_200)))
+	for range 5 {
+		gossip(300_200)
+	}
+	assert.Equal(t, fmt.Sprint(routers[2].Report(after(300_200))), before, "repeated reports change nothing")
+
+	routers[2].Survived(after(310_000), after(310_000), testService, bad)
+	cut := routers[0]
+	routers = routers[1:]
+	gossip(310_100)
+	quarantined(310_200, false)
+	routers = append(routers, cut) // back after the survival is no longer reported
+	gossip(320_000)
+	gossip(320_200)
+	quarantined(320_300, false)
+	assert.Equal(t, len(routers[0].Report(after(324_000)).Cleared), 0)
+}
+
+// TestPartsBounds guards against tables and reports that grow with the number of parts, and
+// against a part that is forgotten because of them.
+func TestPartsBounds(t *testing.T) {
+	p := new(Parts)
+	bad := testPart("bad")
+	for i := range 3 {
+		p.Crashed(after(500*i), wire.UpstreamID(fmt.Sprint(i)), 1, []Part{bad})
+	}
+	p.Survived(after(1100), after(1100), testService, nil)
+	for i := range maxParts + 10 {
+		p.Crashed(after(1200+i), wire.UpstreamID(fmt.Sprint("u", i)), 1, []Part{testPart(fmt.Sprint("x", i))})
+	}
+	now := after(1200 + maxParts + 20)
+	assert.Equal(t, len(p.Counts(now)), maxParts)
+	r := p.Report(now)
+	assert.Equal(t, len(r.Crashes), 3+maxReportedParts-1)
+	assert.Equal(t, r.Crashes[0].Part, bad)
+	for i := range 20 {
+		p.Crashed(after(6000+2000*i), "u", 1, []Part{bad})
+	}
+	assert.Equal(t, len(p.suspects[bad].crashes), maxPartCrashes)
+	assert.Assert(t, p.Quarantined(after(46_000), []Part{bad}))
+}
+
+// TestPartsMerge guards against reports with bad values, and against a quarantine that is
+// lost on the way to a router that starts.
+func TestPartsMerge(t *testing.T) {
+	parts := rapid.SampledFrom([]Part{testPart(""), testPart("p"), testPart("q")})
+	ages := rapid.SampledFrom([]time.Duration{-1 << 63, -time.Second, 0, time.Second, 9 * time.Second, time.Minute, time.Hour, 1<<63 - 1})
+	upstreams := rapid.SampledFrom([]wire.UpstreamID{"", "1", "2", "3"})
+	rapid.Check(t, func(t *rapid.T) {
+		p := new(Parts)
+		for range rapid.IntRange(0, 10).Draw(t, "reports") {
+			var r PartsReport
+			for range rapid.IntRange(0, 6).Draw(t, "crashes") {
+				r.Crashes = append(r.Crashes, PartCrash{parts.Draw(t, "part"), upstreams.Draw(t, "upstream"), rapid.Int64Range(0, 1).Draw(t, "born"), ages.Draw(t, "age")})
+			}
+			for range rapid.IntRange(0, 2).Draw(t, "cleared") {
+				r.Cleared = append(r.Cleared, PartSurvival{parts.Draw(t, "part"), ages.Draw(t, "age")})
+			}
+			r.Survivals = map[fleet.ServiceID]time.Duration{testService: ages.Draw(t, "age")}
+			p.Merge(start, r)
+		}
+		for part, s := range p.cleared {
+			if s.began.After(start) {
+				t.Fatalf("%v survived in the future", part)
+			}
+		}
+		p.Survived(start, start, testService, nil)
+		started := new(Parts)
+		started.Merge(start, p.Report(start))
+		for part, n := range p.Counts(start) {
+			if got := started.Quarantined(after(1000), []Part{part}); got != (n >= partCrashLimit) {
+				t.Fatalf("%v has %d crashes %v, quarantined %v", part, n, p.suspects[part].crashes, got)
+			}
+		}
+	})
+}
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -25,6 +25,7 @@
 	Queues    map[shard.ID]batch.View          `json:"queues"`
 	Owners    map[shard.ID]wire.HostID         `json:"owners"`  // owner of each service's queue
 	Strikes   map[wire.Fingerprint]int         `json:"strikes"` // upstream crashes by request fingerprint
+	Parts     map[wire.Fingerprint]int         `json:"parts"`   // upstream crashes since the last survival, by prompt part
 }
 
 // UpstreamDump is the state of one upstream as a router sees it.
@@ -66,7 +67,10 @@
 		Name: s.cfg.Name, Revisions: v.Revisions, Requests: s.inFlight.Load(), Draining: s.draining.Load(),
 		Upstreams: map[wire.UpstreamID]UpstreamDump{},
 		Queues:    map[shard.ID]batch.View{}, Owners: map[shard.ID]wire.HostID{},
-		Strikes: s.strikes.Counts(now),
+		Strikes: s.strikes.Counts(now), Parts: map[wire.Fingerprint]int{},
+	}
+	for p, n := range s.parts.Counts(now) {
+		d.Parts[p.Print] += n
 	}
 	for _, r := range s.peers.ownerCandidates(now) {
 		d.Alive = append(d.Alive, r.Name)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -30,6 +30,7 @@
 	rank        int         // priority; 0 is the most urgent
 	body        []byte
 	fingerprint wire.Fingerprint
+	parts       []crash.Part // prompt parts that other requests may share
 	retryBudget *budget.Retry
 
 	late            bool // whether its stages yield to those of requests that can be on time
@@ -51,6 +52,9 @@
 	// inputsGone is whether the upstream that rejected the request last could no longer
 	// fetch a stage result.
 	inputsGone bool
+	// survived is whether the last attempt was answered for so long that the request is not
+	// the one that crashes its upstream.
+	survived bool
 }
 
 // remaining returns the time until the caller's deadline or the route's timeout,
@@ -229,9 +233,30 @@
 	if x.s.strikes.Blocked(time.Now(), x.fingerprint) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	}
+	x.parts = crash.SharedParts(x.svc.ID, &x.spec)
+	if x.quarantined() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPartQuarantined}
+	}
 	return x.admitStages()
 }
 
+// reasonPartQuarantined is the reason for refusing a request with a quarantined prompt part.
+const reasonPartQuarantined = "prompt part quarantined"
+
+// quarantined reports whether a part of the prompt is quarantined.
+func (x *exchange) quarantined() bool {
+	return x.s.parts.Quarantined(time.Now(), x.parts)
+}
+
+// recordSurvival records that the last attempt, which began to be answered at the given
+// time, did not crash its upstream.
+func (x *exchange) recordSurvival(began time.Time) {
+	if !x.survived {
+		x.survived = true
+		x.s.parts.Survived(time.Now(), began, x.svc.ID, x.parts)
+	}
+}
+
 // requestTarget returns the request's path and query as the caller sent them.
 func (x *exchange) requestTarget() string {
 	if t := x.r.RequestURI; strings.HasPrefix(t, "/") {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -66,6 +66,7 @@
 	Members []Member          // other routers that the sender knows
 	At      [2]fleet.Revision // store revision that the sender has reached, by platform.Area
 	Strikes []crash.Strike    // recent upstream crashes
+	Parts   crash.PartsReport // prompt parts that crash upstreams
 }
 
 // peers tracks the other routers and holds the connections to them. It is safe for
@@ -189,7 +190,7 @@
 	v := p.s.view.Load()
 	owned := p.s.queues.ownedLoads(now)
 	loads := p.s.stageLoads(owned)
-	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge)}
+	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Parts: p.s.parts.Report(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.From.Leaving = p.s.draining.Load()
@@ -212,6 +213,7 @@
 			p.s.incCounter("strikes_reported")
 		}
 	}
+	p.s.logQuarantined(p.s.parts.Merge(now, b.Parts), "peer", b.From.Name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mergeMember(now, b.From)
--- a/entry/place.go
+++ b/entry/place.go
@@ -172,10 +172,10 @@
 
 // acquire chooses a target and counts the request against its rate limit if it is cold.
 // It waits while every upstream that is not ejected is cold and at its limit, and returns
-// nil if there is no target in time.
+// nil if there is no target in time or a part of the prompt is quarantined.
 func (x *exchange) acquire(ctx context.Context) *target {
 	until := time.Now().Add(x.remaining() / coldWaitDivisor)
-	for {
+	for !x.quarantined() {
 		now := time.Now()
 		t, coldLimited := x.choose(now)
 		if t != nil && t.allowRequest(now, x.svc, x.s.peers.routerCount(now)) {
@@ -186,6 +186,7 @@
 			return nil
 		}
 	}
+	return nil
 }
 
 // allowRepeat reports whether the request may be sent again after an upstream that may
--- a/entry/send.go
+++ b/entry/send.go
@@ -51,6 +51,7 @@
 		return nil, notSent
 	}
 	t.requestStarted()
+	x.survived = false
 	x.sends++
 	x.runs++ // reverted if the response says that the request did not run
 	began := time.Now()
@@ -147,9 +148,14 @@
 
 // probeCrash checks in the background whether the upstream crashed while it ran the
 // request: then it no longer accepts connections. If so, probeCrash records a strike
-// against the request's fingerprint.
+// against the request's fingerprint, and a crash of its prompt parts unless it had
+// survived.
 func (x *exchange) probeCrash(t *target) {
 	strike := crash.Strike{Print: x.fingerprint, Upstream: t.ID, Born: t.Born}
+	parts, failedAt := x.parts, time.Now()
+	if x.survived {
+		parts = nil
+	}
 	x.s.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeDelay+crashProbeTimeout)
 		defer cancel()
@@ -166,9 +172,18 @@
 		x.s.incCounter("strikes")
 		t.recordFailure(time.Now(), true, true)
 		x.s.strikes.Add(time.Now(), strike)
+		x.s.logQuarantined(x.s.parts.Crashed(failedAt, t.ID, t.Born, parts), "request", x.spec.ID, "ids", x.sharedSegmentIDs())
 	})
 }
 
+// logQuarantined logs and counts parts that have just been quarantined.
+func (s *Server) logQuarantined(parts []crash.Part, keyvals ...any) {
+	for _, p := range parts {
+		s.log.Warn("prompt part quarantined", append([]any{"service", p.Service, "part", p.Print}, keyvals...)...)
+		s.incCounter("parts_quarantined", "service", string(p.Service))
+	}
+}
+
 // recordRejection handles and releases a response that says that the request did not run.
 func (x *exchange) recordRejection(t *target, rp *response) {
 	x.s.log.Info("upstream rejected", "request", x.spec.ID, "upstream", t.ID, "status", rp.resp.StatusCode, "wrong", rp.Misdirected)
--- a/entry/server.go
+++ b/entry/server.go
@@ -72,6 +72,7 @@
 	queues         *stageQueues
 	peers          *peers
 	strikes        crash.Strikes
+	parts          crash.Parts
 	latencies      routeLatencies
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -24,6 +24,10 @@
 	// and at least minGapTimeout. Callers give up after eight times TargetGap, or two seconds.
 	gapTimeoutFactor = 3
 	minGapTimeout    = 1100 * time.Millisecond
+	// survivalTime is the time from the first event of a stream after which the request is
+	// not taken for the cause of a crash: those that crash upstreams do so as soon as their
+	// answer begins.
+	survivalTime = time.Second
 	// maxStageRuns limits how often the stages of one request are run.
 	maxStageRuns = 2
 )
@@ -179,9 +183,16 @@
 // the stream on another upstream; the refusal is always nil.
 func (st *streamExchange) relay(ctx context.Context, t *target, rp *response, began time.Time) (again bool, f *refusal) {
 	events := &eventReader{r: bufio.NewReader(rp.resp.Body)}
+	var firstEventAt time.Time
 	for {
 		ev, err := events.next()
 		if err == nil {
+			if firstEventAt.IsZero() {
+				firstEventAt = time.Now()
+			}
+			if time.Since(firstEventAt) >= survivalTime {
+				st.recordSurvival(firstEventAt)
+			}
 			if !st.startResponse(t, rp, began) {
 				continue
 			}
@@ -199,6 +210,9 @@
 			}
 			err = ctx.Err()
 		case errors.Is(err, io.EOF):
+			if !firstEventAt.IsZero() {
+				st.recordSurvival(firstEventAt)
+			}
 			st.complete(t, rp)
 			return false, nil
 		}
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -109,6 +109,9 @@
 		t.recordSuccess(time.Now(), ratio(took, x.s.expectedFirstEvent(x.route)))
 		x.s.latencies.observe(x.route.ID, took)
 	}
+	if rp.resp.StatusCode < http.StatusMultipleChoices {
+		x.recordSurvival(time.Now())
+	}
 	x.s.incCounter("sends", "outcome", "answered")
 	return &bufferedResponse{rp, body}, answered
 }
@@ -146,6 +149,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.refuse(refusal{status: statusClientClosed, reason: "caller left"})
+	case x.quarantined():
+		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonPartQuarantined})
 	case !x.mayHaveRun() && outOfTime:
 		x.refuse(refusal{http.StatusServiceUnavailable, x.timeoutReason(), 0})
 	case !x.mayHaveRun():
