crash, entry: release sound prompt parts that ran beside a bad one

Cause: each crash was held against every part that ran on the upstream, also when a quarantined part explains it, and a quarantined part could not survive any more. If nothing of the service survived, the bad part itself was not quarantined. Change: crashes that a quarantined part explains don't count against others; parts that never survived, then those with most crashes, are taken first. A part that never survived is quarantined even if nothing of the service survives. One request with a quarantined part is tried 30 s after its last crash, by one router, twice as long after each further crash: a bad part crashes at most two more upstreams before the fifth and three after it in ten minutes.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -29,6 +29,12 @@
 	// and quarantineLifetime that until its quarantine ends.
 	suspectLifetime    = 2 * time.Minute
 	quarantineLifetime = 10 * time.Minute
+	// trialDelay is the time since the last crash after which one request with a part that
+	// has just been quarantined is tried again. It doubles with each further crash, so that
+	// a bad part crashes few more upstreams and a sound one is served again soon.
+	trialDelay = 30 * time.Second
+	// trialTime is the longest time that a trial may take before the next one.
+	trialTime = 10 * time.Second
 	// maxParts bounds the suspected parts and the survivals of parts that are kept, and
 	// maxPartCrashes the crashes that are kept of each part.
 	maxParts       = 4096
@@ -36,10 +42,11 @@
 	// reportAge is the age up to which crashes of parts that are not quarantined are
 	// reported to other routers. It allows for lost heartbeats.
 	reportAge = 3 * time.Second
-	// maxTransit is the longest time that a report may take to another router, which can't
+	// MaxTransit is the longest time that a report may take to another router, which can't
 	// tell it from the age of what is reported. Survivals count from that much earlier, or
-	// a report that goes back and forth would move them later each time.
-	maxTransit = 500 * time.Millisecond
+	// a report that goes back and forth would move them later each time. Callers of Merge
+	// must discard older reports.
+	MaxTransit = 500 * time.Millisecond
 	// maxReportedParts bounds the crashed and the survived parts of a report.
 	maxReportedParts = 64
 )
@@ -64,20 +71,34 @@
 }
 
 // Parts finds the prompt parts that crash upstreams, whatever else a request holds, from
-// the crashes and survivals of the requests with each part. It quarantines a part after
-// partCrashLimit crashes if meanwhile no request with the part survived but others of the
-// service did. A request survives if it completes, or if it goes on for a while after it
-// began to be answered. Parts is safe for concurrent use. The zero value is ready to use.
+// the crashes and survivals of the requests with each part. A request survives if it
+// completes, or if it goes on for a while after it began to be answered.
+//
+// A part is quarantined after partCrashLimit crashes without a survival in between, apart
+// from those that another quarantined part explains: requests that ran beside a bad one
+// are suspected with it. If every request of the service crashes its upstream, the cause
+// is rather the service, and parts that survived before are not quarantined.
+//
+// Parts is safe for concurrent use. The zero value is ready to use.
 type Parts struct {
 	mu       sync.Mutex
 	suspects map[Part]*partCrashes
-	cleared  map[Part]partSurvival
+	// quarantine holds the suspects that are quarantined until they expire, except those
+	// that survived before while no other request of the service survives.
+	quarantine map[Part]bool
+	cleared    map[Part]partSurvival // survivals of suspects, for reports
+	// survived holds when the last survivor with each part began to be answered. When it is
+	// full it becomes survivedBefore, so that the oldest are forgotten without a search.
+	survived, survivedBefore map[Part]time.Time
 	// survivals holds when the last survivor of each service began to be answered.
 	survivals map[fleet.ServiceID]time.Time
 }
 
 // partCrashes holds the crashes of a part since its last survival, in the order of time.
-type partCrashes struct{ crashes []upstreamCrash }
+type partCrashes struct {
+	crashes []upstreamCrash
+	triedAt time.Time // start of the last trial at this router
+}
 
 // partSurvival is the last survival of a request with a part that was suspected.
 type partSurvival struct {
@@ -98,9 +119,13 @@
 }
 
 // count returns the number of crashes that are apart in time.
-func (s *partCrashes) count() (n int) {
+func (s *partCrashes) count() int { return countApart(s.crashes) }
+
+// countApart returns the number of crashes that are apart in time. They are in the order
+// of time.
+func countApart(crashes []upstreamCrash) (n int) {
 	var counted time.Time
-	for _, c := range s.crashes {
+	for _, c := range crashes {
 		if n == 0 || c.at.Sub(counted) >= crashSpan {
 			n++
 			counted = c.at
@@ -120,17 +145,18 @@
 	return now.Sub(s.last()) > lifetime
 }
 
-// add inserts a crash unless it is known. If there are too many, it drops the second:
-// the first and the last say how long the part has been crashing upstreams.
-func (s *partCrashes) add(c upstreamCrash) {
+// add inserts a crash and reports whether it is new. If there are too many, it drops the
+// second: the first and the last say how long the part has been crashing upstreams.
+func (s *partCrashes) add(c upstreamCrash) bool {
 	if slices.ContainsFunc(s.crashes, c.same) {
-		return
+		return false
 	}
 	i, _ := slices.BinarySearchFunc(s.crashes, c.at, func(o upstreamCrash, t time.Time) int { return o.at.Compare(t) })
 	s.crashes = slices.Insert(s.crashes, i, c)
 	if len(s.crashes) > maxPartCrashes {
 		s.crashes = slices.Delete(s.crashes, 1, 2)
 	}
+	return true
 }
 
 // Crashed records that an upstream, started at born, crashed at the given time while it ran
@@ -139,14 +165,14 @@
 func (p *Parts) Crashed(at time.Time, upstream wire.UpstreamID, born int64, parts []Part) (quarantined []Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	changed := false
 	for _, part := range parts {
-		before := p.quarantined(at, part)
-		p.add(at, part, upstreamCrash{upstream, born, at})
-		if !before && p.quarantined(at, part) {
-			quarantined = append(quarantined, part)
-		}
+		changed = p.add(at, part, upstreamCrash{upstream, born, at}) || changed
+	}
+	if !changed {
+		return nil
 	}
-	return quarantined
+	return p.requarantine(at)
 }
 
 // Survived records that a request with the given parts, which began to be answered at
@@ -155,11 +181,74 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordSurvival(service, began)
+	changed := false
 	for _, part := range parts {
+		if p.survived == nil || len(p.survived) >= maxParts {
+			p.survived, p.survivedBefore = make(map[Part]time.Time), p.survived
+		}
+		p.survived[part] = began
 		if p.suspects[part] != nil {
-			p.clear(now, part, began)
+			changed = p.clear(now, part, began) || changed
+		}
+	}
+	if changed {
+		p.requarantine(now)
+	}
+}
+
+// lastSurvival returns when the last survivor with a part began to be answered, and false
+// if none is known. The caller holds mu.
+func (p *Parts) lastSurvival(part Part) (began time.Time, ok bool) {
+	for _, t := range []time.Time{p.survived[part], p.survivedBefore[part], p.cleared[part].began} {
+		if t.After(began) {
+			began, ok = t, true
+		}
+	}
+	return began, ok
+}
+
+// requarantine decides which suspects are quarantined and returns those that were not
+// before. It begins with those that are not known to have ever survived, and among these
+// with the most crashes, and leaves out the crashes that the parts before explain. The
+// caller holds mu.
+func (p *Parts) requarantine(now time.Time) (added []Part) {
+	type candidate struct {
+		Part
+		crashes  []upstreamCrash
+		count    int
+		survived bool
+	}
+	var candidates []candidate
+	for part, s := range p.suspects {
+		if n := s.count(); n >= partCrashLimit && !s.expired(now) {
+			_, survived := p.lastSurvival(part)
+			candidates = append(candidates, candidate{part, s.crashes, n, survived})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.survived != b.survived {
+			if a.survived {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.Print, b.Print), cmp.Compare(a.Service, b.Service))
+	})
+	before := p.quarantine
+	p.quarantine = make(map[Part]bool)
+	var explained []upstreamCrash
+	for _, c := range candidates {
+		rest := slices.DeleteFunc(slices.Clone(c.crashes), func(u upstreamCrash) bool { return slices.ContainsFunc(explained, u.same) })
+		if countApart(rest) < partCrashLimit {
+			continue
+		}
+		explained = append(explained, c.crashes...)
+		p.quarantine[c.Part] = true
+		if !before[c.Part] {
+			added = append(added, c.Part)
 		}
 	}
+	return added
 }
 
 // Quarantined reports whether any of the given parts is quarantined.
@@ -169,6 +258,30 @@
 	return slices.ContainsFunc(parts, func(part Part) bool { return p.quarantined(now, part) })
 }
 
+// Trial reports whether one request with the given parts may run although one of them is
+// quarantined, to learn whether the part still crashes upstreams. owns reports whether
+// trials of a part are up to this router, so that only one router makes them.
+func (p *Parts) Trial(now time.Time, parts []Part, owns func(Part) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var tried *partCrashes
+	for _, part := range parts {
+		if !p.quarantined(now, part) {
+			continue
+		}
+		s := p.suspects[part]
+		delay := trialDelay << (s.count() - partCrashLimit)
+		if tried != nil || now.Sub(s.last()) < delay || now.Sub(s.triedAt) < trialTime || !owns(part) {
+			return false
+		}
+		tried = s
+	}
+	if tried != nil {
+		tried.triedAt = now
+	}
+	return tried != nil
+}
+
 // Counts returns the number of crashes of each suspected part.
 func (p *Parts) Counts(now time.Time) map[Part]int {
 	p.mu.Lock()
@@ -185,15 +298,20 @@
 // quarantined reports whether a part is quarantined. The caller holds mu.
 func (p *Parts) quarantined(now time.Time, part Part) bool {
 	s := p.suspects[part]
-	return s != nil && s.count() >= partCrashLimit && !s.expired(now) && p.survivals[part.Service].After(s.crashes[0].at)
+	if s == nil || !p.quarantine[part] || s.expired(now) {
+		return false
+	}
+	_, survived := p.lastSurvival(part)
+	return !survived || p.survivals[part.Service].After(s.crashes[0].at)
 }
 
-// add records a crash unless the part has survived since. The caller holds mu.
-func (p *Parts) add(now time.Time, part Part, c upstreamCrash) {
-	if survival, ok := p.cleared[part]; ok && survival.began.After(c.at) {
-		survival.neededAt = now
-		p.cleared[part] = survival
-		return
+// add records a crash and reports whether it is new. A crash before the part's last
+// survival is not recorded; the survival is reported to the router that doesn't know it.
+// The caller holds mu.
+func (p *Parts) add(now time.Time, part Part, c upstreamCrash) bool {
+	if began, ok := p.lastSurvival(part); ok && began.After(c.at) {
+		p.keepCleared(part, partSurvival{began, now})
+		return false
 	}
 	s := p.suspects[part]
 	if s == nil || s.expired(c.at) {
@@ -206,28 +324,35 @@
 		s = new(partCrashes)
 		p.suspects[part] = s
 	}
-	s.add(c)
+	return s.add(c)
 }
 
-// clear removes the crashes of a part before a survival. The caller holds mu.
-func (p *Parts) clear(now time.Time, part Part, began time.Time) {
-	if s := p.suspects[part]; s != nil {
+// clear removes the crashes of a part before a survival and reports whether it did
+// anything. The caller holds mu.
+func (p *Parts) clear(now time.Time, part Part, began time.Time) bool {
+	s := p.suspects[part]
+	if s != nil {
 		s.crashes = slices.DeleteFunc(s.crashes, func(c upstreamCrash) bool { return c.at.Before(began) })
 		if len(s.crashes) == 0 {
 			delete(p.suspects, part)
 		}
 	}
-	old, ok := p.cleared[part]
-	if ok && !old.began.Before(began) {
-		return
+	if !p.cleared[part].began.Before(began) {
+		return s != nil
 	}
+	p.keepCleared(part, partSurvival{began, now})
+	return true
+}
+
+// keepCleared stores the survival of a suspect for reports. The caller holds mu.
+func (p *Parts) keepCleared(part Part, s partSurvival) {
 	if p.cleared == nil {
 		p.cleared = make(map[Part]partSurvival)
 	}
-	if !ok && len(p.cleared) >= maxParts {
+	if _, ok := p.cleared[part]; !ok && len(p.cleared) >= maxParts {
 		delete(p.cleared, oldest(p.cleared, func(s partSurvival) time.Time { return s.began }))
 	}
-	p.cleared[part] = partSurvival{began, now}
+	p.cleared[part] = s
 }
 
 // evict removes the expired suspects or, if there are none, the one with the fewest
@@ -298,7 +423,7 @@
 	defer p.mu.Unlock()
 	var parts []Part
 	for part, s := range p.suspects {
-		if !s.expired(now) && (s.count() >= partCrashLimit || now.Sub(s.last()) <= reportAge) {
+		if !s.expired(now) && (p.quarantine[part] || now.Sub(s.last()) <= reportAge) {
 			parts = append(parts, part)
 		}
 	}
@@ -336,25 +461,24 @@
 	defer p.mu.Unlock()
 	for service, age := range r.Survivals {
 		if validAge(age) {
-			p.recordSurvival(service, now.Add(-age-maxTransit))
+			p.recordSurvival(service, now.Add(-age-MaxTransit))
 		}
 	}
+	changed := false
 	for _, s := range r.Cleared {
 		if validAge(s.Age) {
-			p.clear(now, s.Part, now.Add(-s.Age-maxTransit))
+			changed = p.clear(now, s.Part, now.Add(-s.Age-MaxTransit)) || changed
 		}
 	}
 	for _, c := range r.Crashes {
-		if !validAge(c.Age) {
-			continue
-		}
-		before := p.quarantined(now, c.Part)
-		p.add(now, c.Part, upstreamCrash{c.Upstream, c.Born, now.Add(-c.Age)})
-		if !before && p.quarantined(now, c.Part) {
-			quarantined = append(quarantined, c.Part)
+		if validAge(c.Age) {
+			changed = p.add(now, c.Part, upstreamCrash{c.Upstream, c.Born, now.Add(-c.Age)}) || changed
 		}
 	}
-	return quarantined
+	if !changed {
+		return nil
+	}
+	return p.requarantine(now)
 }
 
 // validAge reports whether a reported age can be right: nothing is kept for longer.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -13,6 +13,7 @@
 	"hornbeamcove.example/core/budget"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -55,6 +56,7 @@
 	// survived is whether the last attempt was answered for so long that the request is not
 	// the one that crashes its upstream.
 	survived bool
+	trial    bool // whether the next attempt may be made although a prompt part is quarantined
 }
 
 // remaining returns the time until the caller's deadline or the route's timeout,
@@ -234,7 +236,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	}
 	x.parts = crash.SharedParts(x.svc.ID, &x.spec)
-	if x.quarantined() {
+	if x.quarantined() && !x.tryPart() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPartQuarantined}
 	}
 	return x.admitStages()
@@ -248,6 +250,24 @@
 	return x.s.parts.Quarantined(time.Now(), x.parts)
 }
 
+// tryPart reports whether the request may be sent once although a part of its prompt is
+// quarantined. Trials of a part are up to the router with the highest hash for it.
+func (x *exchange) tryPart() bool {
+	now := time.Now()
+	x.trial = x.s.parts.Trial(now, x.parts, func(p crash.Part) bool {
+		var names []wire.HostID
+		for _, r := range x.s.peers.ownerCandidates(now) {
+			names = append(names, r.Name)
+		}
+		return route.Owner(string(p.Print), names) == x.s.cfg.Name
+	})
+	if x.trial {
+		x.s.log.Info("quarantined prompt part tried", "request", x.spec.ID, "ids", x.sharedSegmentIDs())
+		x.s.incCounter("parts_tried")
+	}
+	return x.trial
+}
+
 // recordSurvival records that the last attempt, which began to be answered at the given
 // time, did not crash its upstream.
 func (x *exchange) recordSurvival(began time.Time) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -175,7 +175,7 @@
 // nil if there is no target in time or a part of the prompt is quarantined.
 func (x *exchange) acquire(ctx context.Context) *target {
 	until := time.Now().Add(x.remaining() / coldWaitDivisor)
-	for !x.quarantined() {
+	for x.trial || !x.quarantined() {
 		now := time.Now()
 		t, coldLimited := x.choose(now)
 		if t != nil && t.allowRequest(now, x.svc, x.s.peers.routerCount(now)) {
