entry: discard crash reports that waited while the router was suspended

Cause: reports give the ages of crashes. A router that was suspended reads them later, so that the same crash looked like a second one and a sound part was quarantined after two crashes. Change: reports are discarded while they may have waited for longer than crash.MaxTransit; peers repeat them. Test: the soak's pause fault; no test without processes.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -79,6 +79,10 @@
 	members map[wire.HostID]*peerRecord
 	watches map[*peerWatch]struct{}
 	clients map[wire.Address]*rpc.Client
+	tickAt  time.Time // last tick of run
+	// resumedAt is the end of the last pause of run, for instance because the process was
+	// suspended.
+	resumedAt time.Time
 }
 
 // peerRecord is a member and the time when it was last heard of.
@@ -106,6 +110,7 @@
 	defer tick.Close()
 	for {
 		now := time.Now()
+		p.recordTick(now)
 		p.s.queues.reassign(now)
 		p.cancelLost(now)
 		for _, addr := range p.neighbours(now) {
@@ -120,6 +125,24 @@
 	}
 }
 
+// recordTick notes a pause of run that ends at now.
+func (p *peers) recordTick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.tickAt.IsZero() && now.Sub(p.tickAt) > crash.MaxTransit {
+		p.resumedAt = now
+	}
+	p.tickAt = now
+}
+
+// mayBeDelayed reports whether a heartbeat that is read now may have waited for longer than
+// crash.MaxTransit, because this process was suspended.
+func (p *peers) mayBeDelayed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.tickAt) > crash.MaxTransit || now.Sub(p.resumedAt) < 2*crash.MaxTransit
+}
+
 // neighbours returns the addresses to send heartbeats to: the members at distances 1,
 // 2, 4 and so on after this router in the ring of names, and the seeds that are not
 // known as members yet.
@@ -213,7 +236,9 @@
 			p.s.incCounter("strikes_reported")
 		}
 	}
-	p.s.logQuarantined(p.s.parts.Merge(now, b.Parts), "peer", b.From.Name)
+	if !p.mayBeDelayed(now) { // the ages in the report are right at the time of its sending
+		p.s.logQuarantined(p.s.parts.Merge(now, b.Parts), "peer", b.From.Name)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mergeMember(now, b.From)
