crash: keep all crashes that explain those of other parts

Cause: eight crashes were kept of each part. Crashes of a bad part that were dropped no longer explained those of sound parts beside it. Change: sixteen are kept.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -38,7 +38,7 @@
 	// maxParts bounds the suspected parts and the survivals of parts that are kept, and
 	// maxPartCrashes the crashes that are kept of each part.
 	maxParts       = 4096
-	maxPartCrashes = 8
+	maxPartCrashes = 16 // more than a bad part causes before all routers know it
 	// reportAge is the age up to which crashes of parts that are not quarantined are
 	// reported to other routers. It allows for lost heartbeats.
 	reportAge = 3 * time.Second
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -69,6 +69,10 @@
 		{"part beside several bad ones", []func(*Parts){
 			crash(0, 1, sound, testPart("bad1")), crash(500, 2, sound, bad), crash(1000, 3, bad), crash(1500, 4, sound, testPart("bad2")), crash(2000, 5, bad), survive(2100),
 		}, 2200, false, true},
+		{"part beside one that crashes many upstreams", []func(*Parts){
+			crash(0, 1, bad), crash(300, 2, bad, sound), crash(600, 3, bad, sound), crash(900, 4, bad, sound), crash(1200, 5, bad), crash(1500, 6, bad),
+			crash(1800, 7, bad), crash(2100, 8, bad), crash(2400, 9, bad), crash(2700, 10, bad), crash(3000, 11, bad), crash(3300, 12, bad), survive(3400),
+		}, 3500, false, true},
 		{"part beside another one in each crash", []func(*Parts){
 			survive(-100, sound), crash(0, 1, bad, sound), crash(900, 2, bad, sound), crash(1300, 3, bad, sound), survive(1310),
 		}, 1400, false, true},
