crash: take the part in most crashes for their cause

Cause: parts were ordered by the crashes that are apart in time. A bad part that crashes several upstreams at a time had the same number as a sound one beside it, and the order of hashes decided. Change: they are ordered by all their crashes.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -215,14 +215,13 @@
 	type candidate struct {
 		Part
 		crashes  []upstreamCrash
-		count    int
 		survived bool
 	}
 	var candidates []candidate
 	for part, s := range p.suspects {
-		if n := s.count(); n >= partCrashLimit && !s.expired(now) {
+		if s.count() >= partCrashLimit && !s.expired(now) {
 			_, survived := p.lastSurvival(part)
-			candidates = append(candidates, candidate{part, s.crashes, n, survived})
+			candidates = append(candidates, candidate{part, s.crashes, survived})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -232,7 +231,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(b.count, a.count), cmp.Compare(a.Print, b.Print), cmp.Compare(a.Service, b.Service))
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.Print, b.Print), cmp.Compare(a.Service, b.Service))
 	})
 	before := p.quarantine
 	p.quarantine = make(map[Part]bool)
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -23,6 +23,7 @@
 // quarantine of sound parts.
 func TestParts(t *testing.T) {
 	bad, sound := testPart("bad"), testPart("sound")
+	alike := testPart("alike") // before "bad" in the order of prints
 	crash := func(ms, upstream int, parts ...Part) func(*Parts) {
 		return func(p *Parts) { p.Crashed(after(ms), wire.UpstreamID(fmt.Sprint(upstream)), 1, parts) }
 	}
@@ -73,6 +74,10 @@
 			crash(0, 1, bad), crash(300, 2, bad, sound), crash(600, 3, bad, sound), crash(900, 4, bad, sound), crash(1200, 5, bad), crash(1500, 6, bad),
 			crash(1800, 7, bad), crash(2100, 8, bad), crash(2400, 9, bad), crash(2700, 10, bad), crash(3000, 11, bad), crash(3300, 12, bad), survive(3400),
 		}, 3500, false, true},
+		{"part beside one that crashes several upstreams at a time", []func(*Parts){
+			crash(0, 1, bad, alike), crash(10, 2, bad), crash(300, 3, bad, alike), crash(600, 4, bad, alike), survive(700),
+			func(p *Parts) { assert.Assert(t, !p.Quarantined(after(700), []Part{alike})) },
+		}, 700, false, true},
 		{"part beside another one in each crash", []func(*Parts){
 			survive(-100, sound), crash(0, 1, bad, sound), crash(900, 2, bad, sound), crash(1300, 3, bad, sound), survive(1310),
 		}, 1400, false, true},
