crash, entry: spare parts whose answers went on after they began

Seen by callers (in the soak): after all routers had been killed while a part crashed engines, the part that all prompts begin with was quarantined and the service refused everything. Cause: no stream lasted for the second that counts as a survival, and the first part was in more crashes than the bad one. Change: an answer that goes on for 250 ms after it began is taken as a sign that another part is the cause. Such parts come last in the order, and are quarantined only while others of the service survive.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -76,8 +76,8 @@
 //
 // A part is quarantined after partCrashLimit crashes without a survival in between, apart
 // from those that another quarantined part explains: requests that ran beside a bad one
-// are suspected with it. If every request of the service crashes its upstream, the cause
-// is rather the service, and parts that survived before are not quarantined.
+// are suspected with it. If no request of the service survives any more, the cause is
+// rather the service, and parts whose answers went on before are not quarantined.
 //
 // Parts is safe for concurrent use. The zero value is ready to use.
 type Parts struct {
@@ -87,9 +87,9 @@
 	// that survived before while no other request of the service survives.
 	quarantine map[Part]bool
 	cleared    map[Part]partSurvival // survivals of suspects, for reports
-	// survived holds when the last survivor with each part began to be answered. When it is
-	// full it becomes survivedBefore, so that the oldest are forgotten without a search.
-	survived, survivedBefore map[Part]time.Time
+	// survived holds when the last survivor with each part began to be answered, and
+	// progressed when the answer to a request with the part last made progress.
+	survived, progressed partTimes
 	// survivals holds when the last survivor of each service began to be answered.
 	survivals map[fleet.ServiceID]time.Time
 }
@@ -183,10 +183,7 @@
 	p.recordSurvival(service, began)
 	changed := false
 	for _, part := range parts {
-		if p.survived == nil || len(p.survived) >= maxParts {
-			p.survived, p.survivedBefore = make(map[Part]time.Time), p.survived
-		}
-		p.survived[part] = began
+		p.survived.set(part, began)
 		if p.suspects[part] != nil {
 			changed = p.clear(now, part, began) || changed
 		}
@@ -199,34 +196,68 @@
 // lastSurvival returns when the last survivor with a part began to be answered, and false
 // if none is known. The caller holds mu.
 func (p *Parts) lastSurvival(part Part) (began time.Time, ok bool) {
-	for _, t := range []time.Time{p.survived[part], p.survivedBefore[part], p.cleared[part].began} {
-		if t.After(began) {
-			began, ok = t, true
-		}
+	began = p.survived.get(part)
+	if t := p.cleared[part].began; t.After(began) {
+		began = t
+	}
+	return began, !began.IsZero()
+}
+
+// Progressed records that answers to requests with the given parts went on for a moment
+// after they began. This does not end a suspicion, but speaks for another cause.
+func (p *Parts) Progressed(now time.Time, parts []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		p.progressed.set(part, now)
 	}
-	return began, ok
+}
+
+// isBeyondStart reports whether some request with the part is known not to have crashed its
+// upstream at once. The caller holds mu.
+func (p *Parts) isBeyondStart(part Part) bool {
+	_, survived := p.lastSurvival(part)
+	return survived || !p.progressed.get(part).IsZero()
+}
+
+// partTimes holds times of at least the last maxParts parts. When the current map is full it
+// replaces the previous one, so that the oldest are forgotten without a search.
+type partTimes struct{ current, previous map[Part]time.Time }
+
+func (m *partTimes) set(part Part, t time.Time) {
+	if m.current == nil || len(m.current) >= maxParts {
+		m.current, m.previous = make(map[Part]time.Time), m.current
+	}
+	m.current[part] = t
+}
+
+// get returns the time of a part, or the zero time.
+func (m *partTimes) get(part Part) time.Time {
+	if t, ok := m.current[part]; ok {
+		return t
+	}
+	return m.previous[part]
 }
 
 // requarantine decides which suspects are quarantined and returns those that were not
-// before. It begins with those that are not known to have ever survived, and among these
-// with the most crashes, and leaves out the crashes that the parts before explain. The
-// caller holds mu.
+// before. It begins with those whose requests all ended as soon as they began to be
+// answered, and among these with the most crashes, and leaves out the crashes that the
+// parts before explain. The caller holds mu.
 func (p *Parts) requarantine(now time.Time) (added []Part) {
 	type candidate struct {
 		Part
-		crashes  []upstreamCrash
-		survived bool
+		crashes     []upstreamCrash
+		beyondStart bool
 	}
 	var candidates []candidate
 	for part, s := range p.suspects {
 		if s.count() >= partCrashLimit && !s.expired(now) {
-			_, survived := p.lastSurvival(part)
-			candidates = append(candidates, candidate{part, s.crashes, survived})
+			candidates = append(candidates, candidate{part, s.crashes, p.isBeyondStart(part)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.survived != b.survived {
-			if a.survived {
+		if a.beyondStart != b.beyondStart {
+			if a.beyondStart {
 				return 1
 			}
 			return -1
@@ -300,8 +331,7 @@
 	if s == nil || !p.quarantine[part] || s.expired(now) {
 		return false
 	}
-	_, survived := p.lastSurvival(part)
-	return !survived || p.survivals[part.Service].After(s.crashes[0].at)
+	return !p.isBeyondStart(part) || p.survivals[part.Service].After(s.crashes[0].at)
 }
 
 // add records a crash and reports whether it is new. A crash before the part's last
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -33,6 +33,9 @@
 	survive := func(ms int, parts ...Part) func(*Parts) {
 		return func(p *Parts) { p.Survived(after(ms), after(ms), testService, parts) }
 	}
+	progress := func(ms int, parts ...Part) func(*Parts) {
+		return func(p *Parts) { p.Progressed(after(ms), parts) }
+	}
 	for _, c := range []struct {
 		name          string
 		steps         []func(*Parts)
@@ -78,6 +81,12 @@
 			crash(0, 1, bad, alike), crash(10, 2, bad), crash(300, 3, bad, alike), crash(600, 4, bad, alike), survive(700),
 			func(p *Parts) { assert.Assert(t, !p.Quarantined(after(700), []Part{alike})) },
 		}, 700, false, true},
+		{"part of all requests while none survives", []func(*Parts){
+			crash(0, 1, bad, sound), progress(400, sound), crash(500, 2, sound), crash(900, 3, bad, sound), crash(1200, 4, bad, sound), crash(1600, 5, bad, sound),
+		}, 1700, false, true},
+		{"part of all requests whose answers went on", []func(*Parts){
+			crash(0, 1, bad, sound), progress(400, sound), crash(500, 2, bad, sound), crash(900, 3, bad, sound), crash(1200, 4, bad, sound), survive(1600),
+		}, 1700, false, true},
 		{"part beside another one in each crash", []func(*Parts){
 			survive(-100, sound), crash(0, 1, bad, sound), crash(900, 2, bad, sound), crash(1300, 3, bad, sound), survive(1310),
 		}, 1400, false, true},
--- a/entry/send.go
+++ b/entry/send.go
@@ -51,7 +51,7 @@
 		return nil, notSent
 	}
 	t.requestStarted()
-	x.survived, x.trial = false, false
+	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
 	x.runs++ // reverted if the response says that the request did not run
 	began := time.Now()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -26,8 +26,9 @@
 	minGapTimeout    = 1100 * time.Millisecond
 	// survivalTime is the time from the first event of a stream after which the request is
 	// not taken for the cause of a crash: those that crash upstreams do so as soon as their
-	// answer begins.
+	// answer begins. From progressTime on another cause is more likely.
 	survivalTime = time.Second
+	progressTime = 250 * time.Millisecond
 	// maxStageRuns limits how often the stages of one request are run.
 	maxStageRuns = 2
 )
@@ -190,9 +191,7 @@
 			if firstEventAt.IsZero() {
 				firstEventAt = time.Now()
 			}
-			if time.Since(firstEventAt) >= survivalTime {
-				st.recordSurvival(firstEventAt)
-			}
+			st.recordProgress(firstEventAt)
 			if !st.startResponse(t, rp, began) {
 				continue
 			}
@@ -227,6 +226,18 @@
 	}
 }
 
+// recordProgress records how far the answer of this attempt, which began at the given time,
+// has come without a crash.
+func (st *streamExchange) recordProgress(began time.Time) {
+	switch took := time.Since(began); {
+	case took >= survivalTime:
+		st.recordSurvival(began)
+	case took >= progressTime && !st.progressed:
+		st.progressed = true
+		st.s.parts.Progressed(time.Now(), st.parts)
+	}
+}
+
 // startResponse sends the response header to the caller before the first event, and
 // releases the stage results, which the engine has read by then. It always returns true.
 func (st *streamExchange) startResponse(t *target, rp *response, began time.Time) bool {
