entry: don't repeat a request before its crash is known

A request was repeated at once, so that a bad part crashed another upstream after its third crash. Change: a request with a suspected part waits for the verdict before it is repeated.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -288,6 +288,16 @@
 	return slices.ContainsFunc(parts, func(part Part) bool { return p.quarantined(now, part) })
 }
 
+// Suspected reports whether any of the given parts is suspected or quarantined.
+func (p *Parts) Suspected(now time.Time, parts []Part) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part Part) bool {
+		s := p.suspects[part]
+		return s != nil && !s.expired(now)
+	})
+}
+
 // Trial reports whether one request with the given parts may run although one of them is
 // quarantined, to learn whether the part still crashes upstreams. owns reports whether
 // trials of a part are up to this router, so that only one router makes them.
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -154,3 +154,18 @@
 		nodes[j%3].assertStatus(t, c, http.StatusOK, "")
 	}
 }
+
+// TestCrashingPartRepeat guards against repeating the request that showed a part to crash
+// upstreams.
+func TestCrashingPartRepeat(t *testing.T) {
+	r, nodes := newCrashRig(t, "desk", 6, 5*time.Millisecond)
+	n := nodes[0]
+	n.assertStatus(t, withParts(get(deskHost, "/safe/good"), "first"), http.StatusOK, "")
+	for i := range 2 {
+		_, _, _ = n.do(t, withParts(post(deskHost, fmt.Sprint("/once/bad", i), "x"), "first", badPart))
+		r.waitForRestarts("desk")
+	}
+	n.assertStatus(t, withParts(get(deskHost, "/safe/good2"), "first"), http.StatusOK, "")
+	n.assertStatus(t, withParts(get(deskHost, "/safe/bad"), "first", badPart), http.StatusBadGateway, "")
+	r.assertRuns("id-/safe/bad", 1)
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -56,8 +56,9 @@
 	// survived is whether the last attempt was answered for so long that the request is not
 	// the one that crashes its upstream.
 	survived   bool
-	progressed bool // whether the answer to the last attempt went on for progressTime
-	trial      bool // whether the next attempt may be made although a prompt part is quarantined
+	probed     <-chan struct{} // closed when probeCrash has ended for the last attempt; nil if it was not called
+	progressed bool            // whether the answer to the last attempt went on for progressTime
+	trial      bool            // whether the next attempt may be made although a prompt part is quarantined
 }
 
 // remaining returns the time until the caller's deadline or the route's timeout,
--- a/entry/place.go
+++ b/entry/place.go
@@ -174,6 +174,7 @@
 // It waits while every upstream that is not ejected is cold and at its limit, and returns
 // nil if there is no target in time or a part of the prompt is quarantined.
 func (x *exchange) acquire(ctx context.Context) *target {
+	x.awaitProbe(ctx)
 	until := time.Now().Add(x.remaining() / coldWaitDivisor)
 	for x.trial || !x.quarantined() {
 		now := time.Now()
@@ -189,6 +190,19 @@
 	return nil
 }
 
+// awaitProbe waits until it is known whether the upstream of the last attempt crashed, if a
+// part of the prompt is already suspected of crashing upstreams.
+func (x *exchange) awaitProbe(ctx context.Context) {
+	if x.probed == nil || !x.s.parts.Suspected(time.Now(), x.parts) {
+		return
+	}
+	select {
+	case <-x.probed:
+	case <-ctx.Done():
+	}
+	x.probed = nil
+}
+
 // allowRepeat reports whether the request may be sent again after an upstream that may
 // have run it. If so, it takes a retry from the budget.
 func (x *exchange) allowRepeat() bool {
--- a/entry/send.go
+++ b/entry/send.go
@@ -156,7 +156,10 @@
 	if x.survived {
 		parts = nil
 	}
+	probed := make(chan struct{})
+	x.probed = probed
 	x.s.background.Go(func() {
+		defer close(probed)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeDelay+crashProbeTimeout)
 		defer cancel()
 		if !clock.Sleep(ctx, crashProbeDelay) {
