soak, fakes/site: crash engines on a prompt part

Change: streams have prompts with shared parts. For 7 to 11 s one stream in six has a part that crashes each engine that begins to answer it; the check allows three such requests later than 3 s after the fifth crash, at routers that were not killed or paused. That sound parts are served again is checked as before. A replica that has crashed refuses connections: its proxy had accepted them, so that no router could see a crash.

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -65,7 +65,9 @@
 	// PublicAddr, if set, maps the listen address to the address that is registered, for
 	// example that of a proxy in front of the replica.
 	PublicAddr func(addr string) string
-	Site       *Site
+	// SetDown, if set, is told when the replica crashes and when it is back.
+	SetDown func(down bool)
+	Site    *Site
 
 	ln    net.Listener
 	addr  string // registered address
@@ -211,6 +213,9 @@
 // crash makes the replica unreachable for crashDowntime and drops its stage results. It
 // then starts again under its ID, with a new start time in its entry.
 func (p *Replica) crash() {
+	if p.SetDown != nil {
+		p.SetDown(true)
+	}
 	p.stop()
 	p.mu.Lock()
 	addr := p.ln.Addr().String()
@@ -220,6 +225,9 @@
 		if p.Site.closed.Load() || p.start(addr) != nil { // the port was just released, so a conflict is unlikely
 			return
 		}
+		if p.SetDown != nil {
+			p.SetDown(false)
+		}
 		p.mu.Lock()
 		p.Born = time.Now().UnixMilli()
 		born := p.Born
--- a/soak/check.go
+++ b/soak/check.go
@@ -67,6 +67,7 @@
 	}
 	c.checkReplicas(recordsByID)
 	c.checkCancellation()
+	c.checkBadParts(recordsByID)
 	if afterRecovery < 10 || float64(servedAfterRecovery) < minServedRatio*float64(afterRecovery) {
 		c.fail("recovery", "%d of %d requests were served from %v after the last fault", servedAfterRecovery, afterRecovery, recoveryLimit)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -143,6 +143,7 @@
 	{"replica fails", scopeReplicas, failReplica},
 	{"service fails", scopeReplicas, failService},
 	{"service fails", scopeReplicas, failService},
+	{"prompt part crashes engines", scopeReplicas, crashOnPart},
 	{"configuration changes", scopePlanned, changeConfig},
 	{"replica drains", scopeBanned, drainReplica},
 	{"data centre is evacuated", scopeBanned, evacuateCentre},
--- a/soak/load.go
+++ b/soak/load.go
@@ -20,6 +20,7 @@
 	stream                         bool
 	attempts                       int    // number of replicas that may run it
 	router                         string // name of the router it was sent to
+	badPart                        string // part of its prompt that crashes engines, or empty
 	began, ended                   time.Time
 	abandonedAt                    time.Time // when the caller closed the connection early; zero if it did not
 	status                         int       // 0 if there was no answer
@@ -110,6 +111,10 @@
 		req.Header.Set(site.HeaderPieceCounts, k.pieceCounts)
 		req.Header.Set(site.HeaderPieceKey, rec.id)
 	}
+	if k.stream {
+		rec.badPart = c.run.badParts.draw(rng)
+		req.Header.Set(site.HeaderParts, promptParts(rec.id, rec.badPart, rng))
+	}
 	// Keep net/http from resending the request by itself.
 	req.GetBody = nil
 	resp, err := client.Do(req)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -28,12 +28,14 @@
 // Proxy forwards TCP connections on loopback and injects faults. It is safe for
 // concurrent use.
 type Proxy struct {
-	ln     net.Listener
+	addr   string
 	target string
 	fault  atomic.Int32
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	ln    net.Listener
+	down  bool
 }
 
 // NewProxy starts a proxy on a free loopback port that forwards to target.
@@ -42,13 +44,47 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{ln: ln, target: target, conns: map[net.Conn]bool{}}
-	go p.accept()
+	p := &Proxy{addr: ln.Addr().String(), target: target, conns: map[net.Conn]bool{}, ln: ln}
+	go p.accept(ln)
 	return p, nil
 }
 
 // Addr returns the address of the proxy.
-func (p *Proxy) Addr() string { return p.ln.Addr().String() }
+func (p *Proxy) Addr() string { return p.addr }
+
+// SetDown makes the proxy refuse connections, as the address of a server that crashed
+// does, or accept them again.
+func (p *Proxy) SetDown(down bool) {
+	p.mu.Lock()
+	p.down = down
+	if down {
+		_ = p.ln.Close()
+	}
+	p.mu.Unlock()
+	if down {
+		p.reset()
+		return
+	}
+	for !p.listen() {
+		time.Sleep(10 * time.Millisecond) // another socket uses the port for a moment
+	}
+}
+
+// listen accepts connections again after SetDown. It returns false if the port is in use.
+func (p *Proxy) listen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return true
+	}
+	ln, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return false
+	}
+	p.ln = ln
+	go p.accept(ln)
+	return true
+}
 
 // SetFault makes the proxy inject f from now on. Reset also resets the open connections.
 func (p *Proxy) SetFault(f Fault) {
@@ -60,7 +96,10 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.down = true
 	_ = p.ln.Close()
+	p.mu.Unlock()
 	p.reset()
 }
 
@@ -77,9 +116,9 @@
 	clear(p.conns)
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,6 +57,7 @@
 	configVersion int
 	events        eventLog
 	claims        claims
+	badParts      badParts
 	quietSince    time.Time // when the last fault ended
 	activeFaults  conc.WaitGroup
 }
@@ -169,12 +170,16 @@
 		rp.proxy = p
 		return p.Addr()
 	}
-	rp.Act = func(*http.Request) site.Action {
+	rp.Act = func(req *http.Request) site.Action {
+		if events > 0 && r.badParts.in(req.Header.Get(site.HeaderParts)) {
+			return []site.Action{site.Crash, site.CrashLater}[rand.IntN(2)]
+		}
 		if rand.IntN(100) < int(rp.actionPercent.Load()) {
 			return site.Action(rp.action.Load())
 		}
 		return site.Serve
 	}
+	rp.SetDown = func(down bool) { rp.proxy.SetDown(down) }
 	if err := r.site.Add(rp.Replica); err != nil {
 		return err
 	}
