platform, limit, entry: log the limits that upstreams name

Change: Server-Limit is decoded from every answer, also of rejected requests and stage calls. A new limit, another one and its end are logged; requests sent to such upstreams are counted (limited_sends); /state lists the limits. No decision changes.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -36,6 +36,7 @@
 	OpenConns int               `json:"open"`    // open connections, including idle ones
 	Cold      bool              `json:"cold"`    // recently started, or suspected to be
 	Ejected   bool              `json:"barred"`  // excluded after failures (outlier ejection)
+	Limit     *float64          `json:"limit"`   // requests per second that it takes from all routers, null if it names none
 	Penalty   float64           `json:"penalty"` // extra load, in requests, for recent failures and latency
 }
 
@@ -86,7 +87,11 @@
 	}
 	for _, us := range v.Upstreams {
 		for _, u := range us {
-			d.Upstreams[u.ID] = s.targets.get(u).dump(now)
+			ud := s.targets.get(u).dump(now)
+			if rate, ok := s.limits.Rate(process(u)); ok {
+				ud.Limit = &rate
+			}
+			d.Upstreams[u.ID] = ud
 		}
 	}
 	s.queues.mu.Lock()
--- a/entry/control.go
+++ b/entry/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -260,6 +261,11 @@
 		v.Revisions[i] = c.areas[i].At
 	}
 	c.s.targets.retain(now, usable)
+	live := make(map[limit.Process]bool, len(usable))
+	for _, u := range usable {
+		live[process(u)] = true
+	}
+	c.s.limits.Retain(func(p limit.Process) bool { return live[p] })
 	c.s.view.Store(v)
 	c.s.queues.update(v)
 }
--- a/entry/send.go
+++ b/entry/send.go
@@ -53,6 +53,9 @@
 	t.requestStarted()
 	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
+	if _, limited := x.s.limits.Rate(process(t.Upstream)); limited {
+		x.s.incCounter("limited_sends", "service", string(x.svc.ID))
+	}
 	x.runs++ // reverted if the response says that the request did not run
 	began := time.Now()
 	_ = c.SetDeadline(began.Add(timeout))
@@ -85,6 +88,7 @@
 		}
 		t.requestEnded()
 	}
+	x.s.recordLimit(t.Upstream, rp.ResponseInfo, began)
 	if rp.ColdRemaining > 0 {
 		t.markCold(time.Now().Add(rp.ColdRemaining))
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -25,6 +25,7 @@
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/proc"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
@@ -73,6 +74,7 @@
 	peers          *peers
 	strikes        crash.Strikes
 	parts          crash.Parts
+	limits         limit.Named
 	latencies      routeLatencies
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
--- a/entry/stagecall.go
+++ b/entry/stagecall.go
@@ -134,9 +134,11 @@
 	if err != nil {
 		return nil, resp.StatusCode, err
 	}
+	info := platform.ParseResponse(resp.StatusCode, resp.Header)
+	qs.s.recordLimit(u, info, now)
 	if resp.StatusCode != http.StatusOK {
 		// A misdirected call is not executed either, but the upstream isn't full.
-		if platform.ParseResponse(resp.StatusCode, resp.Header).NotExecuted && resp.StatusCode != http.StatusMisdirectedRequest {
+		if info.NotExecuted && resp.StatusCode != http.StatusMisdirectedRequest {
 			return nil, resp.StatusCode, errUpstreamFull
 		}
 		return nil, resp.StatusCode, errors.New("unexpected HTTP status")
--- a/entry/target.go
+++ b/entry/target.go
@@ -10,6 +10,7 @@
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
 )
 
 const (
@@ -35,6 +36,27 @@
 	idleConns   []*upstreamConn
 }
 
+// process identifies the run of the upstream.
+func process(u fleet.Upstream) limit.Process { return limit.Process{Upstream: u.ID, Born: u.Born} }
+
+// recordLimit records the limit that an answer of an upstream named, if any. began is when
+// its request was sent.
+func (s *Server) recordLimit(u fleet.Upstream, info platform.ResponseInfo, began time.Time) {
+	if info.BadLimit {
+		s.log.Warn("upstream names a limit that is no number", "upstream", u.ID)
+		return
+	}
+	if !s.limits.Heard(time.Now(), began, process(u), info.RateLimit) {
+		return
+	}
+	if info.RateLimit == nil {
+		s.log.Info("upstream names no limit any more", "upstream", u.ID, "service", u.Service)
+		return
+	}
+	s.log.Info("upstream names a limit", "upstream", u.ID, "service", u.Service, "limit", *info.RateLimit)
+	s.incCounter("limits_named", "service", string(u.Service))
+}
+
 // targets holds the target of each upstream in use. It is safe for concurrent use.
 type targets struct {
 	mu   sync.Mutex
