--- a/fakes/site/names.go
+++ b/fakes/site/names.go
@@ -1,7 +1,12 @@
 package site
 
-// Request headers that tests set when they act as callers.
+// Headers that tests use. All but HeaderLimit are request headers that they set when they
+// act as callers.
 const (
+	// HeaderLimit is a header of answers: the requests per second that a replica takes from
+	// all callers together.
+	HeaderLimit = "Server-Limit"
+
 	HeaderID          = "Request-Id"
 	HeaderDeadline    = "Request-Deadline"
 	HeaderPieceCounts = "Piece-Count" // numbers of pieces of each stage, separated by commas
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -76,6 +77,8 @@
 	conns map[net.Conn]bool
 	// dropped holds connections that are reset as soon as data arrives on them.
 	dropped    map[net.Conn]bool
+	limit      string          // value of HeaderLimit in all answers, empty for none
+	arrivals   []time.Time     // of all requests, also those that are not run
 	results    map[string]bool // handles of the stage results that the replica holds
 	lastResult int             // number of the last stage result, part of its handle
 	stageCalls [][]string      // pieces of each stage call, see StageCalls
@@ -252,8 +255,36 @@
 	}
 }
 
+// SetLimit sets the limit that the replica names in all answers from now on. An empty one
+// is not named. The replica does not enforce it.
+func (p *Replica) SetLimit(limit string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+}
+
+// Limit returns the value set by SetLimit.
+func (p *Replica) Limit() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
+// Arrivals returns when requests of any kind reached the replica, in order.
+func (p *Replica) Arrivals() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.arrivals)
+}
+
 // ServeHTTP implements http.Handler.
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.arrivals = append(p.arrivals, time.Now())
+	p.mu.Unlock()
+	if limit := p.Limit(); limit != "" {
+		w.Header().Set(HeaderLimit, limit)
+	}
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != p.ID {
 		w.Header().Set("Instance-Id", p.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -368,7 +399,11 @@
 // head returns the status line and headers of an answer without a length, and without
 // the blank line that ends them.
 func (p *Replica) head(id string) string {
-	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + p.ID + "\r\n"
+	h := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + p.ID + "\r\n"
+	if limit := p.Limit(); limit != "" {
+		h += HeaderLimit + ": " + limit + "\r\n"
+	}
+	return h
 }
 
 // writeRaw takes over the connection and writes an answer that net/http would not write.
