entry: don't read the answer to an order that was abandoned

Cause: the answer is decoded into the result of orderFrom also after its caller has given up; both happen at the same time. The router may crash or see a handle half written. Change: the answer is read only if the call has ended.

--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
 )
 
@@ -169,6 +170,23 @@
 	r.waitFor("its results are freed", func() bool { return archive.ResultCount() == 0 })
 }
 
+// TestOrderAbandoned guards against an abandoned order whose answer arrives while its caller
+// reads it. The race detector finds it.
+func TestOrderAbandoned(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("a-1", "archive")
+	owner := r.startRouter(1)
+	n := r.start(r.settings("r2", owner.cfg.Peers))
+	r.waitForUpstreams(n, 1)
+	r.waitFor("the router knows its peer", func() bool { _, ok := n.peers.address("r1"); return ok })
+	for i := range 300 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond+time.Duration(i%30)*100*time.Microsecond)
+		o := Order{Request: wire.RequestID(fmt.Sprint("q", i)), Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second}
+		_, _ = n.orderFrom(ctx, "r1", o)
+		cancel()
+	}
+}
+
 // TestOrderBeforeConfiguration guards against a router that crashes when it gets an order of
 // the former build before it has a configuration.
 func TestOrderBeforeConfiguration(t *testing.T) {
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -266,7 +266,8 @@
 	defer cancel()
 	stop := s.peers.onPeerLost(owner, cancel)
 	defer stop()
-	err = s.callOwner(ctx, owner, "Peer.Make", o, &m, o.Left+orderTimeoutMargin)
+	answer := new(Made) // still written to after the call was abandoned
+	err = s.callOwner(ctx, owner, "Peer.Make", o, answer, o.Left+orderTimeoutMargin)
 	if ctx.Err() != nil {
 		s.background.Go(func() {
 			var reply int
@@ -275,7 +276,10 @@
 			}
 		})
 	}
-	return m, err
+	if err != nil {
+		return Made{}, err
+	}
+	return *answer, nil
 }
 
 // timeAfterStage returns the time that a request is expected to need after stage i: the
