crash, entry: don't quarantine the part of nearly all requests

Seen by callers (in the soak): with 60 callers and all engines crashing at once every 1.5 s, the part that all prompts begin with was quarantined; the service refused everything until the trial 30 s later. Cause: no answer lasted for 250 ms, so nothing told the first part from the bad one, and it was in more crashes. Change: a crash weighs for the part that few of the requests have that met it; and a part of 80 percent or more of a route's requests, of ten at least, is not quarantined, since that would stop the route.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -47,6 +47,12 @@
 	// a report that goes back and forth would move them later each time. Callers of Merge
 	// must discard older reports.
 	MaxTransit = 500 * time.Millisecond
+	// popularShare is the share of a route's requests from which on a part is not
+	// quarantined, and minPopularRequests the number of requests that tells.
+	popularShare       = 0.8
+	minPopularRequests = 10
+	// maxRoutes bounds the routes whose requests are counted.
+	maxRoutes = 4096
 	// maxReportedParts bounds the crashed and the survived parts of a report.
 	maxReportedParts = 64
 )
@@ -77,7 +83,8 @@
 // A part is quarantined after partCrashLimit crashes without a survival in between, apart
 // from those that another quarantined part explains: requests that ran beside a bad one
 // are suspected with it. If no request of the service survives any more, the cause is
-// rather the service, and parts whose answers went on before are not quarantined.
+// rather the service, and parts whose answers went on before are not quarantined. Neither
+// is a part of nearly all requests of a route, which would stop the route.
 //
 // Parts is safe for concurrent use. The zero value is ready to use.
 type Parts struct {
@@ -92,12 +99,18 @@
 	survived, progressed partTimes
 	// survivals holds when the last survivor of each service began to be answered.
 	survivals map[fleet.ServiceID]time.Time
+	requests  map[fleet.RouteID]int // requests that arrived, by route
 }
 
 // partCrashes holds the crashes of a part since its last survival, in the order of time.
 type partCrashes struct {
 	crashes []upstreamCrash
 	triedAt time.Time // start of the last trial at this router
+
+	// route is the route of the first request with the part since the first crash, and
+	// requests the number of them. before is the number of the route's requests until then.
+	route            fleet.RouteID
+	requests, before int
 }
 
 // partSurvival is the last survival of a request with a part that was suspected.
@@ -111,6 +124,9 @@
 	upstream wire.UpstreamID
 	born     int64 // see Strike
 	at       time.Time
+	// requests is the number of requests with the part that met the crash, at the router
+	// that knows of most.
+	requests int
 }
 
 // same reports whether two reports are about the same crash.
@@ -134,6 +150,18 @@
 	return n
 }
 
+// weight returns the number of crashes divided by the mean number of requests with the part
+// that met each. One request is enough for a crash, so the cause is rather the part that few
+// of the requests have that met it.
+func (s *partCrashes) weight() float64 {
+	requests := 0
+	for _, c := range s.crashes {
+		requests += c.requests
+	}
+	n := float64(len(s.crashes))
+	return n * n / float64(max(requests, 1))
+}
+
 func (s *partCrashes) last() time.Time { return s.crashes[len(s.crashes)-1].at }
 
 // expired reports whether the part is no longer suspected or quarantined.
@@ -145,12 +173,16 @@
 	return now.Sub(s.last()) > lifetime
 }
 
-// add inserts a crash and reports whether it is new. If there are too many, it drops the
-// second: the first and the last say how long the part has been crashing upstreams.
-func (s *partCrashes) add(c upstreamCrash) bool {
-	if slices.ContainsFunc(s.crashes, c.same) {
-		return false
+// add inserts a crash, or adds to the requests that met it with a function of the number
+// known before. It reports whether anything changed. If there are too many crashes, it drops
+// the second: the first and the last say how long the part has been crashing upstreams.
+func (s *partCrashes) add(c upstreamCrash, requests func(known int) int) bool {
+	if i := slices.IndexFunc(s.crashes, c.same); i >= 0 {
+		known := s.crashes[i].requests
+		s.crashes[i].requests = requests(known)
+		return s.crashes[i].requests != known
 	}
+	c.requests = requests(0)
 	i, _ := slices.BinarySearchFunc(s.crashes, c.at, func(o upstreamCrash, t time.Time) int { return o.at.Compare(t) })
 	s.crashes = slices.Insert(s.crashes, i, c)
 	if len(s.crashes) > maxPartCrashes {
@@ -159,6 +191,35 @@
 	return true
 }
 
+// Arrived records that a request of a route with the given parts arrived.
+func (p *Parts) Arrived(route fleet.RouteID, parts []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.requests == nil || len(p.requests) >= maxRoutes {
+		p.requests = make(map[fleet.RouteID]int)
+	}
+	p.requests[route]++
+	for _, part := range parts {
+		s := p.suspects[part]
+		if s == nil {
+			continue
+		}
+		if s.route == "" {
+			s.route, s.before = route, p.requests[route]-1
+		}
+		if s.route == route {
+			s.requests++
+		}
+	}
+}
+
+// isPopular reports whether nearly all requests of a route have the part. The caller holds
+// mu.
+func (p *Parts) isPopular(s *partCrashes) bool {
+	all := p.requests[s.route] - s.before
+	return all >= minPopularRequests && float64(s.requests) >= popularShare*float64(all)
+}
+
 // Crashed records that an upstream, started at born, crashed at the given time while it ran
 // a request with the given parts that had not survived. It returns the parts that are
 // quarantined by it.
@@ -167,7 +228,8 @@
 	defer p.mu.Unlock()
 	changed := false
 	for _, part := range parts {
-		changed = p.add(at, part, upstreamCrash{upstream, born, at}) || changed
+		c := upstreamCrash{upstream: upstream, born: born, at: at}
+		changed = p.add(at, part, c, func(known int) int { return known + 1 }) || changed
 	}
 	if !changed {
 		return nil
@@ -241,18 +303,19 @@
 
 // requarantine decides which suspects are quarantined and returns those that were not
 // before. It begins with those whose requests all ended as soon as they began to be
-// answered, and among these with the most crashes, and leaves out the crashes that the
-// parts before explain. The caller holds mu.
+// answered, and among these with those in many crashes but few requests that met them, and
+// leaves out the crashes that the parts before explain. The caller holds mu.
 func (p *Parts) requarantine(now time.Time) (added []Part) {
 	type candidate struct {
 		Part
 		crashes     []upstreamCrash
+		weight      float64
 		beyondStart bool
 	}
 	var candidates []candidate
 	for part, s := range p.suspects {
-		if s.count() >= partCrashLimit && !s.expired(now) {
-			candidates = append(candidates, candidate{part, s.crashes, p.isBeyondStart(part)})
+		if s.count() >= partCrashLimit && !s.expired(now) && !p.isPopular(s) {
+			candidates = append(candidates, candidate{part, s.crashes, s.weight(), p.isBeyondStart(part)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -262,7 +325,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.Print, b.Print), cmp.Compare(a.Service, b.Service))
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Print, b.Print), cmp.Compare(a.Service, b.Service))
 	})
 	before := p.quarantine
 	p.quarantine = make(map[Part]bool)
@@ -338,7 +401,7 @@
 // quarantined reports whether a part is quarantined. The caller holds mu.
 func (p *Parts) quarantined(now time.Time, part Part) bool {
 	s := p.suspects[part]
-	if s == nil || !p.quarantine[part] || s.expired(now) {
+	if s == nil || !p.quarantine[part] || s.expired(now) || p.isPopular(s) {
 		return false
 	}
 	return !p.isBeyondStart(part) || p.survivals[part.Service].After(s.crashes[0].at)
@@ -347,7 +410,7 @@
 // add records a crash and reports whether it is new. A crash before the part's last
 // survival is not recorded; the survival is reported to the router that doesn't know it.
 // The caller holds mu.
-func (p *Parts) add(now time.Time, part Part, c upstreamCrash) bool {
+func (p *Parts) add(now time.Time, part Part, c upstreamCrash, requests func(known int) int) bool {
 	if began, ok := p.lastSurvival(part); ok && began.After(c.at) {
 		p.keepCleared(part, partSurvival{began, now})
 		return false
@@ -363,7 +426,7 @@
 		s = new(partCrashes)
 		p.suspects[part] = s
 	}
-	return s.add(c)
+	return s.add(c, requests)
 }
 
 // clear removes the crashes of a part before a survival and reports whether it did
@@ -445,6 +508,7 @@
 	Part     Part
 	Upstream wire.UpstreamID
 	Born     int64
+	Requests int // requests with the part that met it
 	Age      time.Duration
 }
 
@@ -472,7 +536,7 @@
 	})
 	for _, part := range parts[:min(len(parts), maxReportedParts)] {
 		for _, c := range p.suspects[part].crashes {
-			r.Crashes = append(r.Crashes, PartCrash{part, c.upstream, c.born, now.Sub(c.at)})
+			r.Crashes = append(r.Crashes, PartCrash{part, c.upstream, c.born, c.requests, now.Sub(c.at)})
 		}
 	}
 	maps.DeleteFunc(p.cleared, func(_ Part, s partSurvival) bool { return now.Sub(s.began) > quarantineLifetime })
@@ -510,9 +574,11 @@
 		}
 	}
 	for _, c := range r.Crashes {
-		if validAge(c.Age) {
-			changed = p.add(now, c.Part, upstreamCrash{c.Upstream, c.Born, now.Add(-c.Age)}) || changed
+		if !validAge(c.Age) {
+			continue
 		}
+		crash := upstreamCrash{upstream: c.Upstream, born: c.Born, at: now.Add(-c.Age)}
+		changed = p.add(now, c.Part, crash, func(known int) int { return max(known, c.Requests, 1) }) || changed
 	}
 	if !changed {
 		return nil
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -87,6 +87,10 @@
 		{"part of all requests whose answers went on", []func(*Parts){
 			crash(0, 1, bad, sound), progress(400, sound), crash(500, 2, bad, sound), crash(900, 3, bad, sound), crash(1200, 4, bad, sound), survive(1600),
 		}, 1700, false, true},
+		{"part of all requests that meet a crash", []func(*Parts){
+			crash(0, 1, sound), crash(0, 1, bad, sound), crash(0, 1, sound), crash(300, 2, sound), crash(310, 2, sound), crash(900, 3, bad, sound), crash(900, 3, sound),
+			crash(1200, 4, bad, sound), crash(1200, 4, sound), crash(1210, 4, sound),
+		}, 1300, false, true},
 		{"part beside another one in each crash", []func(*Parts){
 			survive(-100, sound), crash(0, 1, bad, sound), crash(900, 2, bad, sound), crash(1300, 3, bad, sound), survive(1310),
 		}, 1400, false, true},
@@ -107,6 +111,33 @@
 	}
 }
 
+// TestPartsPopular guards against refusing all requests of a route because of the part that
+// nearly all of them have, and against sparing a bad part because its route has few requests.
+func TestPartsPopular(t *testing.T) {
+	first, bad := testPart("a first"), testPart("bad")
+	p := new(Parts)
+	for i := range 3 {
+		p.Crashed(after(500*i), wire.UpstreamID(fmt.Sprint(i)), 1, []Part{first})
+	}
+	assert.Assert(t, p.Quarantined(after(1500), []Part{first}), "few requests")
+	for range minPopularRequests {
+		p.Arrived("other", nil)
+		p.Arrived("route", []Part{first})
+	}
+	assert.Assert(t, !p.Quarantined(after(1500), []Part{first}))
+	for i := range 3 {
+		p.Crashed(after(2000+500*i), wire.UpstreamID(fmt.Sprint(i+3)), 1, []Part{first, bad})
+		p.Arrived("route", []Part{first, bad})
+		p.Arrived("route", []Part{first})
+	}
+	assert.Assert(t, p.Quarantined(after(3500), []Part{first, bad}))
+	assert.Assert(t, !p.Quarantined(after(3500), []Part{first}))
+	for range 100 {
+		p.Arrived("route", nil)
+	}
+	assert.Assert(t, p.Quarantined(after(3500), []Part{bad}))
+}
+
 // TestPartsGossip guards against routers that don't learn of a part, that start after the
 // crashes, or that go on refusing a part that has survived elsewhere.
 func TestPartsGossip(t *testing.T) {
@@ -223,7 +254,7 @@
 		for range rapid.IntRange(0, 10).Draw(t, "reports") {
 			var r PartsReport
 			for range rapid.IntRange(0, 6).Draw(t, "crashes") {
-				r.Crashes = append(r.Crashes, PartCrash{parts.Draw(t, "part"), upstreams.Draw(t, "upstream"), rapid.Int64Range(0, 1).Draw(t, "born"), ages.Draw(t, "age")})
+				r.Crashes = append(r.Crashes, PartCrash{parts.Draw(t, "part"), upstreams.Draw(t, "upstream"), rapid.Int64Range(0, 1).Draw(t, "born"), rapid.IntRange(-1, 3).Draw(t, "requests"), ages.Draw(t, "age")})
 			}
 			for range rapid.IntRange(0, 2).Draw(t, "cleared") {
 				r.Cleared = append(r.Cleared, PartSurvival{parts.Draw(t, "part"), ages.Draw(t, "age")})
