limit, entry: keep the limits that upstreams name

Cause: no decision read the limit; the load of an upstream followed from prompts and load alone. Class: a bound shared by all routers that is named by the upstream, not by the configuration, had no place in the choice. Change: as many routers as the limit has whole requests a second use the upstream, in an order that all agree on for each upstream, each an equal part with half a second or one request saved up. Limits and their ends are told in heartbeats, as ages. After five seconds without an answer of the upstream to any router the next one tries, so that an end is found. Unary requests, streams and their repeats are checked where an upstream is chosen and taken; stage calls and frees by the queue that owns the upstream. A request whose upstreams all have no more is refused at once.

--- a/core/route/holder.go
+++ b/core/route/holder.go
@@ -99,6 +99,24 @@
 	return order
 }
 
+// Rank returns the place of name among names in descending order of their rendezvous hash
+// for key, from 0 on. Processes that know the same names agree on it. It returns -1 if name
+// is not among them.
+func Rank(key string, names []wire.HostID, name wire.HostID) (rank int) {
+	if !slices.Contains(names, name) {
+		return -1
+	}
+	keyHash := xxhash.Sum64String(key)
+	own := rendezvousHash(keyHash, xxhash.Sum64String(string(name)))
+	for _, n := range names {
+		h := rendezvousHash(keyHash, xxhash.Sum64String(string(n)))
+		if h > own || h == own && n < name {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Owner returns the name with the highest rendezvous hash for key. Processes that
 // know the same names agree on the owner. It returns "" if names is empty.
 func Owner(key string, names []wire.HostID) (owner wire.HostID) {
--- a/core/route/holder_test.go
+++ b/core/route/holder_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -152,3 +154,25 @@
 		assert.Assert(t, o.Penalty(now) < f.Penalty(now))
 	})
 }
+
+// TestRank guards against routers that disagree on their order, or that take the same place.
+func TestRank(t *testing.T) {
+	names := []wire.HostID{"r1", "r2", "r3", "r4", "r5"}
+	first := map[wire.HostID]int{}
+	for i := range 50 {
+		key := strconv.Itoa(i)
+		places := map[int]wire.HostID{}
+		for _, n := range names {
+			places[Rank(key, names, n)] = n
+		}
+		assert.Equal(t, len(places), len(names))
+		assert.Equal(t, places[0], Owner(key, names))
+		first[places[0]]++
+		reversed := slices.Clone(names)
+		slices.Reverse(reversed)
+		assert.Equal(t, Rank(key, reversed, "r3"), Rank(key, names, "r3"))
+	}
+	assert.Equal(t, len(first), len(names), "each router comes first for some keys")
+	assert.Equal(t, Rank("k", names, "r6"), -1)
+	assert.Equal(t, Rank("k", nil, "r1"), -1)
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -265,7 +265,7 @@
 	for _, u := range usable {
 		live[process(u)] = true
 	}
-	c.s.limits.Retain(func(p limit.Process) bool { return live[p] })
+	c.s.limits.Retain(now, func(p limit.Process) bool { return live[p] })
 	c.s.view.Store(v)
 	c.s.queues.update(v)
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -48,8 +48,11 @@
 	tried        []wire.UpstreamID // upstreams that failed or rejected it
 	retriedStale []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
 	upstream     wire.UpstreamID   // upstream chosen last
-	choiceReason string            // why upstream was chosen, for the log
-	headerSent   bool              // whether the response header was sent to the caller
+	// limitWait is the shortest time until an upstream takes a request within the limit
+	// that it names, 0 if the last choice left none out for its limit.
+	limitWait    time.Duration
+	choiceReason string // why upstream was chosen, for the log
+	headerSent   bool   // whether the response header was sent to the caller
 	// inputsGone is whether the upstream that rejected the request last could no longer
 	// fetch a stage result.
 	inputsGone bool
@@ -90,7 +93,10 @@
 	retryAfterNoUpstream = 500 * time.Millisecond
 	retryAfterBusy       = 300 * time.Millisecond
 	minRetryAfter        = 50 * time.Millisecond
-	retryAfterJitter     = 0.5 // largest random fraction added to a Retry-After, so that callers don't return together
+	// maxLimitWait bounds the Retry-After of a request whose upstreams take no more within
+	// their limits: another router may have a share of them.
+	maxLimitWait     = time.Second
+	retryAfterJitter = 0.5 // largest random fraction added to a Retry-After, so that callers don't return together
 )
 
 // refusal is an error response that the router itself generates.
@@ -258,11 +264,7 @@
 func (x *exchange) tryPart() bool {
 	now := time.Now()
 	x.trial = x.s.parts.Trial(now, x.parts, func(p crash.Part) bool {
-		var names []wire.HostID
-		for _, r := range x.s.peers.ownerCandidates(now) {
-			names = append(names, r.Name)
-		}
-		return route.Owner(string(p.Print), names) == x.s.cfg.Name
+		return route.Owner(string(p.Print), x.s.peers.candidateNames(now)) == x.s.cfg.Name
 	})
 	if x.trial {
 		x.s.log.Info("quarantined prompt part tried", "request", x.spec.ID, "ids", x.sharedSegmentIDs())
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -12,6 +12,7 @@
 	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
@@ -67,6 +68,7 @@
 	At      [2]fleet.Revision // store revision that the sender has reached, by platform.Area
 	Strikes []crash.Strike    // recent upstream crashes
 	Parts   crash.PartsReport // prompt parts that crash upstreams
+	Limits  []limit.Report    // limits that upstreams name
 }
 
 // peers tracks the other routers and holds the connections to them. It is safe for
@@ -213,7 +215,7 @@
 	v := p.s.view.Load()
 	owned := p.s.queues.ownedLoads(now)
 	loads := p.s.stageLoads(owned)
-	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Parts: p.s.parts.Report(now)}
+	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.From.Leaving = p.s.draining.Load()
@@ -238,6 +240,9 @@
 	}
 	if !p.mayBeDelayed(now) { // the ages in the report are right at the time of its sending
 		p.s.logQuarantined(p.s.parts.Merge(now, b.Parts), "peer", b.From.Name)
+		for _, r := range p.s.limits.Merge(now, now.Add(-crash.MaxTransit), b.Limits) {
+			p.s.log.Info("limit reported by peer", "peer", b.From.Name, "upstream", r.Process.Upstream, "limit", r.Rate, "ended", r.Ended)
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -288,6 +293,14 @@
 	return rs
 }
 
+// candidateNames returns the names of ownerCandidates.
+func (p *peers) candidateNames(now time.Time) (names []wire.HostID) {
+	for _, r := range p.ownerCandidates(now) {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
 // routerCount returns the number of routers among which limits are divided: those heard
 // of within memberTimeout, this one included, and at least as many as there are seeds.
 func (p *peers) routerCount(now time.Time) int {
--- a/entry/place.go
+++ b/entry/place.go
@@ -48,14 +48,21 @@
 
 // choose returns the target for the request; if all are ejected, it picks one at random.
 // If there is none, it returns nil and whether a cold upstream was left out because its
-// rate limit was reached.
+// rate limit was reached. It sets limitWait.
 func (x *exchange) choose(now time.Time) (t *target, coldLimited bool) {
 	us := x.candidates()
 	routers := x.s.peers.routerCount(now)
 	var usable []*target
 	var states []targetStatus
 	var ejected []*target
+	x.limitWait = 0
 	for _, u := range us {
+		if wait := x.s.limitWait(now, u); wait > 0 {
+			if x.limitWait == 0 || wait < x.limitWait {
+				x.limitWait = wait
+			}
+			continue
+		}
 		t := x.s.targets.get(u)
 		st := t.status(now, x.svc, routers)
 		switch {
@@ -179,7 +186,7 @@
 	for x.trial || !x.quarantined() {
 		now := time.Now()
 		t, coldLimited := x.choose(now)
-		if t != nil && t.allowRequest(now, x.svc, x.s.peers.routerCount(now)) {
+		if t != nil && t.allowRequest(now, x.svc, x.s.peers.routerCount(now)) && x.s.takeLimited(now, t.Upstream) {
 			x.upstream = t.ID
 			return t
 		}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -12,6 +12,7 @@
 
 	"hornbeamcove.example/core/batch"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
@@ -116,6 +117,8 @@
 	upstreams map[wire.UpstreamID]fleet.Upstream
 	// pendingFrees holds the results that the next flushFrees releases, by upstream.
 	pendingFrees map[wire.UpstreamID][]fleet.Handle
+	freeTimer    *time.Timer // runs flushFrees
+	freesAt      time.Time   // when freeTimer expires, or zero if it is not set
 	pollTimer    *time.Timer // runs poll when the queue may have a call to start
 }
 
@@ -174,6 +177,7 @@
 			upstreams: map[wire.UpstreamID]fleet.Upstream{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
+		sq.freeTimer = time.AfterFunc(time.Hour, sq.flushFrees)
 		qs.byID[id] = sq
 	}
 	return sq
@@ -200,6 +204,7 @@
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
 	sq.pollTimer.Stop()
+	sq.freeTimer.Stop()
 	var jobs []*job
 	sq.q.Remove(func(w *pieceWork) bool { jobs = append(jobs, w.job); return true })
 	for _, j := range jobs {
@@ -314,7 +319,6 @@
 
 // queueFrees adds results to pendingFrees and schedules flushFrees. The caller holds mu.
 func (sq *stageQueue) queueFrees(hs []fleet.Handle) {
-	first := len(sq.pendingFrees) == 0
 	known, unknown := sq.q.Free(hs)
 	for id, freed := range known {
 		sq.pendingFrees[id] = append(sq.pendingFrees[id], freed...)
@@ -324,8 +328,17 @@
 			sq.pendingFrees[id] = append(sq.pendingFrees[id], h)
 		}
 	}
-	if first && len(sq.pendingFrees) > 0 {
-		time.AfterFunc(freeBatchDelay, sq.flushFrees)
+	if len(sq.pendingFrees) > 0 {
+		sq.scheduleFrees(freeBatchDelay)
+	}
+}
+
+// scheduleFrees runs flushFrees after a delay, unless it runs sooner anyway. The caller
+// holds mu.
+func (sq *stageQueue) scheduleFrees(delay time.Duration) {
+	if at := time.Now().Add(delay); sq.freesAt.IsZero() || at.Before(sq.freesAt) {
+		sq.freesAt = at
+		sq.freeTimer.Reset(delay)
 	}
 }
 
@@ -341,11 +354,29 @@
 	return "", false
 }
 
-// flushFrees sends the pending frees to their upstreams.
-func (sq *stageQueue) flushFrees() {
+// takeFrees removes and returns the pending frees that may be sent now. Those of upstreams
+// whose limit is used up stay pending until flushFrees runs again.
+func (sq *stageQueue) takeFrees(now time.Time) map[wire.UpstreamID][]fleet.Handle {
 	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.freesAt = time.Time{}
 	freed := sq.pendingFrees
 	sq.pendingFrees = map[wire.UpstreamID][]fleet.Handle{}
+	for id := range freed {
+		p := process(sq.upstreams[id])
+		if !sq.qs.s.limits.Take(now, p, limit.Whole) {
+			sq.pendingFrees[id] = freed[id]
+			delete(freed, id)
+			sq.scheduleFrees(sq.qs.s.limits.Wait(now, p, limit.Whole))
+		}
+	}
+	return freed
+}
+
+// flushFrees sends the pending frees to their upstreams.
+func (sq *stageQueue) flushFrees() {
+	freed := sq.takeFrees(time.Now())
+	sq.mu.Lock()
 	ups := maps.Clone(sq.upstreams)
 	sq.mu.Unlock()
 	for id, hs := range freed {
@@ -370,11 +401,13 @@
 	if err != nil {
 		return err
 	}
+	began := time.Now()
 	resp, err := sq.qs.freeClient.Do(req.WithContext(ctx))
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
+	sq.qs.s.recordLimit(u, platform.ParseResponse(resp.StatusCode, resp.Header), began)
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxStageResponseBytes))
 	return err
 }
@@ -392,7 +425,15 @@
 	now := time.Now()
 	nextPoll := time.Duration(-1)
 	for _, id := range slices.Sorted(maps.Keys(sq.upstreams)) {
+		p := process(sq.upstreams[id])
 		for {
+			// Only this queue sends calls to the upstream, so it has the whole limit.
+			if wait := sq.qs.s.limits.Wait(now, p, limit.Whole); wait > 0 {
+				if nextPoll < 0 || wait < nextPoll {
+					nextPoll = wait
+				}
+				break
+			}
 			ps, late, wait := sq.q.Next(now, id)
 			for _, p := range late {
 				sq.failJobLocked(p.Value.job, reasonLate)
@@ -403,6 +444,7 @@
 				}
 				break
 			}
+			sq.qs.s.limits.Take(now, p, limit.Whole)
 			u, timeout := sq.upstreams[id], sq.q.CallTimeout(id, len(ps))
 			sq.qs.s.background.Go(func() { sq.call(u, ps, timeout) })
 		}
--- a/entry/target.go
+++ b/entry/target.go
@@ -57,6 +57,30 @@
 	s.incCounter("limits_named", "service", string(u.Service))
 }
 
+// limitShare returns this router's share of the limit that an upstream names.
+func (s *Server) limitShare(now time.Time, u fleet.Upstream) limit.Share {
+	names := s.peers.candidateNames(now)
+	return limit.Share{Rank: route.Rank(string(u.ID), names, s.cfg.Name), Routers: len(names)}
+}
+
+// limitWait returns the time until this router may send a request to an upstream within
+// the limit that it names, 0 if it may now.
+func (s *Server) limitWait(now time.Time, u fleet.Upstream) time.Duration {
+	if _, limited := s.limits.Rate(process(u)); !limited {
+		return 0
+	}
+	return s.limits.Wait(now, process(u), s.limitShare(now, u))
+}
+
+// takeLimited reports whether a request may be sent to an upstream now within the limit
+// that it names, and counts it if so.
+func (s *Server) takeLimited(now time.Time, u fleet.Upstream) bool {
+	if _, limited := s.limits.Rate(process(u)); !limited {
+		return true
+	}
+	return s.limits.Take(now, process(u), s.limitShare(now, u))
+}
+
 // targets holds the target of each upstream in use. It is safe for concurrent use.
 type targets struct {
 	mu   sync.Mutex
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -153,6 +153,8 @@
 		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonPartQuarantined})
 	case !x.mayHaveRun() && outOfTime:
 		x.refuse(refusal{http.StatusServiceUnavailable, x.timeoutReason(), 0})
+	case !x.mayHaveRun() && x.limitWait > 0:
+		x.refuse(refusal{http.StatusServiceUnavailable, "upstreams limited", min(x.limitWait, maxLimitWait)})
 	case !x.mayHaveRun():
 		x.refuse(refusal{http.StatusServiceUnavailable, "no upstream", retryAfterNoUpstream})
 	case outOfTime:
