limit, entry: keep the limit of an upstream that starts again

Cause: a limit belonged to one run of an upstream as the store tells it. The store may tell of a start only after the new run has named its limit, so that routers forgot it. Change: a limit belongs to the upstream's ID, until an answer without one.

--- a/core/limit/named.go
+++ b/core/limit/named.go
@@ -17,18 +17,12 @@
 	burstTime = 500 * time.Millisecond
 	// endedLifetime is the time for which the end of a limit is reported.
 	endedLifetime = 10 * time.Second
-	// maxLimits bounds the upstream processes whose limits are kept, and maxReportedLimits
+	// maxLimits bounds the upstreams whose limits are kept, and maxReportedLimits
 	// the limits in one report.
 	maxLimits         = 4096
 	maxReportedLimits = 32
 )
 
-// Process is one run of an upstream. Born is its start in Unix milliseconds, 0 if unknown.
-type Process struct {
-	Upstream wire.UpstreamID
-	Born     int64
-}
-
 // Share is the part of an upstream's limit that this router may use. Rank is its place from
 // 0 on in an order of the routers that is the same at all of them, and below 0 if it must
 // not use the upstream.
@@ -44,10 +38,13 @@
 // use an equal part of it and may save up half a second's part or one request; the others
 // send nothing. So the sum stays near the limit however many routers there are.
 //
+// A limit stays in force when an upstream starts again under its ID, until an answer without
+// one: the store may tell of the start only after the first answers.
+//
 // Named is safe for concurrent use. The zero value is ready to use.
 type Named struct {
-	mu        sync.Mutex
-	byProcess map[Process]*namedLimit
+	mu         sync.Mutex
+	byUpstream map[wire.UpstreamID]*namedLimit
 }
 
 type namedLimit struct {
@@ -64,12 +61,12 @@
 // request was sent. It reports whether the limit has changed. Answers may overtake each
 // other, so one without a limit ends the limit only if its request was sent after the last
 // answer that named one.
-func (n *Named) Heard(now, began time.Time, p Process, rate *float64) (changed bool) {
+func (n *Named) Heard(now, began time.Time, u wire.UpstreamID, rate *float64) (changed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := n.byProcess[p]
+	l := n.byUpstream[u]
 	if rate != nil {
-		return n.set(p, namedLimit{rate: *rate, heardAt: now, filledAt: now})
+		return n.set(u, namedLimit{rate: *rate, heardAt: now, filledAt: now})
 	}
 	if l == nil || l.ended || !began.After(l.heardAt) {
 		return false
@@ -80,14 +77,14 @@
 
 // set replaces what was heard of an upstream, but keeps the use of its limit. It reports
 // whether the limit has changed. The caller holds mu.
-func (n *Named) set(p Process, heard namedLimit) (changed bool) {
-	l := n.byProcess[p]
+func (n *Named) set(u wire.UpstreamID, heard namedLimit) (changed bool) {
+	l := n.byUpstream[u]
 	if l == nil {
-		if n.byProcess == nil {
-			n.byProcess = make(map[Process]*namedLimit)
+		if n.byUpstream == nil {
+			n.byUpstream = make(map[wire.UpstreamID]*namedLimit)
 		}
-		if len(n.byProcess) < maxLimits {
-			n.byProcess[p] = &heard
+		if len(n.byUpstream) < maxLimits {
+			n.byUpstream[u] = &heard
 		}
 		return true
 	}
@@ -96,23 +93,23 @@
 	return changed
 }
 
-// Rate returns the limit of an upstream process in requests per second, and false if it
+// Rate returns the limit of an upstream in requests per second, and false if it
 // names none.
-func (n *Named) Rate(p Process) (rate float64, ok bool) {
+func (n *Named) Rate(u wire.UpstreamID) (rate float64, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if l := n.byProcess[p]; l != nil && !l.ended {
+	if l := n.byUpstream[u]; l != nil && !l.ended {
 		return l.rate, true
 	}
 	return 0, false
 }
 
-// Wait returns the time until a request may be sent to an upstream process within the
+// Wait returns the time until a request may be sent to an upstream within the
 // given share, 0 if it may be sent now.
-func (n *Named) Wait(now time.Time, p Process, s Share) time.Duration {
+func (n *Named) Wait(now time.Time, u wire.UpstreamID, s Share) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := n.byProcess[p]
+	l := n.byUpstream[u]
 	if l == nil || l.ended {
 		return 0
 	}
@@ -120,10 +117,10 @@
 }
 
 // Take reports whether a request may be sent now, and counts it if so.
-func (n *Named) Take(now time.Time, p Process, s Share) bool {
+func (n *Named) Take(now time.Time, u wire.UpstreamID, s Share) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := n.byProcess[p]
+	l := n.byUpstream[u]
 	if l == nil || l.ended {
 		return true
 	}
@@ -170,24 +167,24 @@
 	return max(l.heardAt.Add(time.Duration(intervals)*refreshInterval).Sub(now), l.refreshAt.Add(refreshInterval).Sub(now), 0)
 }
 
-// Retain removes the limits of processes for which live returns false, and those that have
+// Retain removes the limits of upstreams for which live returns false, and those that have
 // ended some time ago.
-func (n *Named) Retain(now time.Time, live func(Process) bool) {
+func (n *Named) Retain(now time.Time, live func(wire.UpstreamID) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for p, l := range n.byProcess {
-		if !live(p) || l.ended && now.Sub(l.heardAt) > endedLifetime {
-			delete(n.byProcess, p)
+	for u, l := range n.byUpstream {
+		if !live(u) || l.ended && now.Sub(l.heardAt) > endedLifetime {
+			delete(n.byUpstream, u)
 		}
 	}
 }
 
 // Report is what a router tells others about a limit.
 type Report struct {
-	Process Process
-	Rate    float64
-	Ended   bool
-	Age     time.Duration // time since the last answer that said so
+	Upstream wire.UpstreamID
+	Rate     float64
+	Ended    bool
+	Age      time.Duration // time since the last answer that said so
 }
 
 // Reports returns the limits to tell other routers, at most 32. If there are more they are
@@ -195,11 +192,11 @@
 func (n *Named) Reports(now time.Time) (rs []Report) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for p, l := range n.byProcess { // in random order
+	for u, l := range n.byUpstream { // in random order
 		if len(rs) == maxReportedLimits {
 			break
 		}
-		rs = append(rs, Report{p, l.rate, l.ended, now.Sub(l.heardAt)})
+		rs = append(rs, Report{u, l.rate, l.ended, now.Sub(l.heardAt)})
 	}
 	return rs
 }
@@ -214,11 +211,11 @@
 		if r.Age < 0 || heardAt.After(now) || !(r.Rate >= 0) || math.IsInf(r.Rate, 0) {
 			continue
 		}
-		l := n.byProcess[r.Process]
+		l := n.byUpstream[r.Upstream]
 		if l == nil && r.Ended || l != nil && !heardAt.After(l.heardAt) {
 			continue
 		}
-		if n.set(r.Process, namedLimit{rate: r.Rate, ended: r.Ended, heardAt: heardAt, filledAt: now}) {
+		if n.set(r.Upstream, namedLimit{rate: r.Rate, ended: r.Ended, heardAt: heardAt, filledAt: now}) {
 			changed = append(changed, r)
 		}
 	}
--- a/core/limit/named_test.go
+++ b/core/limit/named_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/wire"
 )
 
 var start = time.Unix(1000, 0)
@@ -17,10 +19,10 @@
 // TestNamedHeard guards against a limit that is forgotten because of an answer that was
 // overtaken, or that is kept after the upstream has stopped naming it.
 func TestNamedHeard(t *testing.T) {
-	p, restarted := Process{"u", 1}, Process{"u", 2}
+	p, other := wire.UpstreamID("u"), wire.UpstreamID("v")
 	low, high := 1.4, 20.0
 	n := new(Named)
-	assertRate := func(p Process, want float64) {
+	assertRate := func(p wire.UpstreamID, want float64) {
 		t.Helper()
 		rate, ok := n.Rate(p)
 		assert.Equal(t, rate, want)
@@ -34,11 +36,11 @@
 	assertRate(p, low)
 	assert.Assert(t, n.Heard(after(130), after(115), p, &high))
 	assertRate(p, high)
-	assertRate(restarted, 0)
+	assertRate(other, 0)
 	assert.Assert(t, n.Heard(after(200), after(140), p, nil))
 	assertRate(p, 0)
 	n.Heard(after(300), after(250), p, &low)
-	n.Retain(after(400), func(q Process) bool { return q == restarted })
+	n.Retain(after(400), func(q wire.UpstreamID) bool { return q == other })
 	assertRate(p, 0)
 }
 
@@ -53,7 +55,7 @@
 	for i := range ns {
 		ns[i] = new(Named)
 	}
-	p := Process{"u", 1}
+	p := wire.UpstreamID("u")
 	for ms := 0; ms < until; ms += 20 {
 		for i, n := range ns {
 			s := Share{Rank: (i + 3) % routers, Routers: routers}
@@ -63,7 +65,7 @@
 			}
 			if ms%120 == 0 {
 				ns[(i+1)%routers].Merge(after(ms+20), after(ms-480), n.Reports(after(ms)))
-				n.Retain(after(ms), func(Process) bool { return true })
+				n.Retain(after(ms), func(wire.UpstreamID) bool { return true })
 			}
 		}
 	}
@@ -129,7 +131,7 @@
 
 // TestNamedMerge guards against reports with bad values or of old news.
 func TestNamedMerge(t *testing.T) {
-	p := Process{"u", 1}
+	p := wire.UpstreamID("u")
 	rate := 2.0
 	n := new(Named)
 	n.Heard(after(1000), after(900), p, &rate)
@@ -141,11 +143,11 @@
 		{p, 9, false, math.MinInt64},
 		{p, 9, false, math.MaxInt64},
 		{p, 9, true, 2 * time.Second},
-		{Process{"v", 1}, 0, true, 0},
+		{"v", 0, true, 0},
 	} {
 		assert.Equal(t, len(n.Merge(after(2000), after(1500), []Report{r})), 0, "%v", r)
 	}
-	assert.Equal(t, len(n.byProcess), 1)
+	assert.Equal(t, len(n.byUpstream), 1)
 	assert.Equal(t, len(n.Merge(after(2000), after(1500), []Report{{p, 9, false, 0}})), 1)
 	got, _ := n.Rate(p)
 	assert.Equal(t, got, 9.0)
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -88,7 +88,7 @@
 	for _, us := range v.Upstreams {
 		for _, u := range us {
 			ud := s.targets.get(u).dump(now)
-			if rate, ok := s.limits.Rate(process(u)); ok {
+			if rate, ok := s.limits.Rate(u.ID); ok {
 				ud.Limit = &rate
 			}
 			d.Upstreams[u.ID] = ud
--- a/entry/control.go
+++ b/entry/control.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
-	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -261,11 +260,11 @@
 		v.Revisions[i] = c.areas[i].At
 	}
 	c.s.targets.retain(now, usable)
-	live := make(map[limit.Process]bool, len(usable))
+	live := make(map[wire.UpstreamID]bool, len(usable))
 	for _, u := range usable {
-		live[process(u)] = true
+		live[u.ID] = true
 	}
-	c.s.limits.Retain(now, func(p limit.Process) bool { return live[p] })
+	c.s.limits.Retain(now, func(id wire.UpstreamID) bool { return live[id] })
 	c.s.view.Store(v)
 	c.s.queues.update(v)
 }
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -118,3 +118,16 @@
 	assert.Assert(t, resp.Header.Get("Retry-After") != "")
 	r.assertRuns("id-/safe/late", 0)
 }
+
+// TestLimitAfterRestart guards against a limit that is forgotten when the store tells late
+// that the upstream which names it has started again.
+func TestLimitAfterRestart(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk").SetLimit("0")
+	n := r.startRouter(1)
+	n.assertStatus(t, get(deskHost, "/safe/1"), http.StatusOK, "")
+	n.assertStatus(t, get(deskHost, "/safe/2"), http.StatusServiceUnavailable, "")
+	r.site.Store.SetField("servers/i-1", "born", 1)
+	r.waitFor("the router knows the new start", func() bool { return n.view.Load().Upstreams["desk"][0].Born == 1 })
+	n.assertStatus(t, get(deskHost, "/safe/3"), http.StatusServiceUnavailable, "")
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -241,7 +241,7 @@
 	if !p.mayBeDelayed(now) { // the ages in the report are right at the time of its sending
 		p.s.logQuarantined(p.s.parts.Merge(now, b.Parts), "peer", b.From.Name)
 		for _, r := range p.s.limits.Merge(now, now.Add(-crash.MaxTransit), b.Limits) {
-			p.s.log.Info("limit reported by peer", "peer", b.From.Name, "upstream", r.Process.Upstream, "limit", r.Rate, "ended", r.Ended)
+			p.s.log.Info("limit reported by peer", "peer", b.From.Name, "upstream", r.Upstream, "limit", r.Rate, "ended", r.Ended)
 		}
 	}
 	p.mu.Lock()
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -363,11 +363,10 @@
 	freed := sq.pendingFrees
 	sq.pendingFrees = map[wire.UpstreamID][]fleet.Handle{}
 	for id := range freed {
-		p := process(sq.upstreams[id])
-		if !sq.qs.s.limits.Take(now, p, limit.Whole) {
+		if !sq.qs.s.limits.Take(now, id, limit.Whole) {
 			sq.pendingFrees[id] = freed[id]
 			delete(freed, id)
-			sq.scheduleFrees(sq.qs.s.limits.Wait(now, p, limit.Whole))
+			sq.scheduleFrees(sq.qs.s.limits.Wait(now, id, limit.Whole))
 		}
 	}
 	return freed
@@ -425,10 +424,9 @@
 	now := time.Now()
 	nextPoll := time.Duration(-1)
 	for _, id := range slices.Sorted(maps.Keys(sq.upstreams)) {
-		p := process(sq.upstreams[id])
 		for {
 			// Only this queue sends calls to the upstream, so it has the whole limit.
-			if wait := sq.qs.s.limits.Wait(now, p, limit.Whole); wait > 0 {
+			if wait := sq.qs.s.limits.Wait(now, id, limit.Whole); wait > 0 {
 				if nextPoll < 0 || wait < nextPoll {
 					nextPoll = wait
 				}
@@ -444,7 +442,7 @@
 				}
 				break
 			}
-			sq.qs.s.limits.Take(now, p, limit.Whole)
+			sq.qs.s.limits.Take(now, id, limit.Whole)
 			u, timeout := sq.upstreams[id], sq.q.CallTimeout(id, len(ps))
 			sq.qs.s.background.Go(func() { sq.call(u, ps, timeout) })
 		}
--- a/entry/send.go
+++ b/entry/send.go
@@ -53,7 +53,7 @@
 	t.requestStarted()
 	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
-	if _, limited := x.s.limits.Rate(process(t.Upstream)); limited {
+	if _, limited := x.s.limits.Rate(t.ID); limited {
 		x.s.incCounter("limited_sends", "service", string(x.svc.ID))
 	}
 	x.runs++ // reverted if the response says that the request did not run
--- a/entry/target.go
+++ b/entry/target.go
@@ -36,9 +36,6 @@
 	idleConns   []*upstreamConn
 }
 
-// process identifies the run of the upstream.
-func process(u fleet.Upstream) limit.Process { return limit.Process{Upstream: u.ID, Born: u.Born} }
-
 // recordLimit records the limit that an answer of an upstream named, if any. began is when
 // its request was sent.
 func (s *Server) recordLimit(u fleet.Upstream, info platform.ResponseInfo, began time.Time) {
@@ -46,7 +43,7 @@
 		s.log.Warn("upstream names a limit that is no number", "upstream", u.ID)
 		return
 	}
-	if !s.limits.Heard(time.Now(), began, process(u), info.RateLimit) {
+	if !s.limits.Heard(time.Now(), began, u.ID, info.RateLimit) {
 		return
 	}
 	if info.RateLimit == nil {
@@ -66,19 +63,19 @@
 // limitWait returns the time until this router may send a request to an upstream within
 // the limit that it names, 0 if it may now.
 func (s *Server) limitWait(now time.Time, u fleet.Upstream) time.Duration {
-	if _, limited := s.limits.Rate(process(u)); !limited {
+	if _, limited := s.limits.Rate(u.ID); !limited {
 		return 0
 	}
-	return s.limits.Wait(now, process(u), s.limitShare(now, u))
+	return s.limits.Wait(now, u.ID, s.limitShare(now, u))
 }
 
 // takeLimited reports whether a request may be sent to an upstream now within the limit
 // that it names, and counts it if so.
 func (s *Server) takeLimited(now time.Time, u fleet.Upstream) bool {
-	if _, limited := s.limits.Rate(process(u)); !limited {
+	if _, limited := s.limits.Rate(u.ID); !limited {
 		return true
 	}
-	return s.limits.Take(now, process(u), s.limitShare(now, u))
+	return s.limits.Take(now, u.ID, s.limitShare(now, u))
 }
 
 // targets holds the target of each upstream in use. It is safe for concurrent use.
