soak, fakes/site: let replicas name limits

Change: a replica names a limit of 0 to 2 requests a second for 6 to 10 s, half of the times after a value that is no number; the check allows one and a half times the limit and five more in four seconds, from 3 s on, to routers that had a whole answer of it and were not stopped, killed or paused. A replica that crashes is down for 1.5 s in the soak, not 0.3, and forgets its limit.

--- a/soak/check.go
+++ b/soak/check.go
@@ -68,6 +68,7 @@
 	c.checkReplicas(recordsByID)
 	c.checkCancellation()
 	c.checkBadParts(recordsByID)
+	c.checkLimits(recordsByID)
 	if afterRecovery < 10 || float64(servedAfterRecovery) < minServedRatio*float64(afterRecovery) {
 		c.fail("recovery", "%d of %d requests were served from %v after the last fault", servedAfterRecovery, afterRecovery, recoveryLimit)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -116,6 +116,16 @@
 	return es.affected(exposed, scopeRouters, scopeStore)
 }
 
+// restarted reports whether a router was stopped, killed or paused in a time span.
+func (es *eventLog) restarted(router string, from, till time.Time) bool {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	return slices.ContainsFunc(es.all, func(e *event) bool {
+		return (e.scope == scopeRouters || e.scope == scopePlanned && e.router != "") && (e.router == "" || e.router == router) &&
+			e.from.Before(till) && (e.till.IsZero() || e.till.After(from))
+	})
+}
+
 // mayMissClose reports whether a replica may not have noticed that the router closed its
 // connection.
 func (es *eventLog) mayMissClose(exposed exposure) bool {
@@ -143,6 +153,7 @@
 	{"replica fails", scopeReplicas, failReplica},
 	{"service fails", scopeReplicas, failService},
 	{"service fails", scopeReplicas, failService},
+	{"replica names a limit", scopePlanned, nameLimit},
 	{"prompt part crashes engines", scopeReplicas, crashOnPart},
 	{"configuration changes", scopePlanned, changeConfig},
 	{"replica drains", scopeBanned, drainReplica},
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -88,7 +88,8 @@
 }
 
 // checkBadParts checks that routers stop sending requests with a part that crashes engines.
-// Requests of routers that were killed or paused within contactTime before don't count.
+// Requests of routers that were stopped, killed or paused within contactTime before don't
+// count.
 func (c *checker) checkBadParts(recordsByID map[string]*requestRecord) {
 	runsByPart := map[string][]site.Run{}
 	for id, runs := range c.runs {
@@ -103,7 +104,7 @@
 		var late []string
 		for _, run := range runs {
 			if crashes >= crashesAllowed && run.Began.After(knownBy) &&
-				!c.r.events.affected(exposure{run.Began.Add(-contactTime), run.Began, recordsByID[run.ID].router, nil}, scopeRouters) {
+				!c.r.events.restarted(recordsByID[run.ID].router, run.Began.Add(-contactTime), run.Began) {
 				late = append(late, run.ID)
 			}
 			if run.Executed {
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,6 +30,8 @@
 	team         = "folders"
 	streamEvents = 25
 	startTimeout = 20 * time.Second
+	// crashDowntime is the time that a replica is down after a crash.
+	crashDowntime = 1500 * time.Millisecond
 	// quietPeriod is the time without faults at the end of a run, in which requests must
 	// be served again.
 	quietPeriod = 5 * time.Second
@@ -58,6 +60,7 @@
 	events        eventLog
 	claims        claims
 	badParts      badParts
+	limits        limitLog
 	quietSince    time.Time // when the last fault ended
 	activeFaults  conc.WaitGroup
 }
@@ -159,7 +162,7 @@
 // events, the time between events.
 func (r *Run) addReplica(service string, i int, work time.Duration, events int) error {
 	rp := &replica{}
-	rp.Replica = &site.Replica{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Centre: centres[i%len(centres)], ServiceTime: work, Events: events}
+	rp.Replica = &site.Replica{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Centre: centres[i%len(centres)], ServiceTime: work, Events: events, Downtime: crashDowntime}
 	var proxyErr error
 	rp.PublicAddr = func(addr string) string {
 		p, err := NewProxy(addr)
