entry: bound blank lines between the events of a stream

Cause: blank lines between events were collected without a bound and scanned again for each. An upstream that sends them without end uses memory and a core until the request's deadline. Evidence: TestBlankLines did not end within 60 s before (timeout of the command); it passes in 0.1 s after. Change: blank lines count towards the size limit of an event.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -308,14 +308,15 @@
 // io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends within an
 // event, and errEventTooLarge for one over maxEventBytes.
 func (er *eventReader) next() (ev event, err error) {
+	hasContent := false // whether a line that is not empty was read
 	for {
 		line, err := er.r.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
 		switch {
+		case len(ev.data) > maxEventBytes:
+			return event{}, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.data) > maxEventBytes {
-				return event{}, errEventTooLarge
-			}
+			hasContent = true
 			continue
 		case errors.Is(err, io.EOF) && len(ev.data) > 0:
 			return event{}, io.ErrUnexpectedEOF
@@ -324,15 +325,13 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			if len(bytes.TrimSpace(ev.data)) == 0 {
+			if !hasContent {
 				continue // an empty line between events
 			}
 			return ev, nil
 		}
+		hasContent = true
 		ev.parseLine(string(line))
-		if len(ev.data) > maxEventBytes {
-			return event{}, errEventTooLarge
-		}
 	}
 }
 
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -44,3 +44,21 @@
 		})
 	}
 }
+
+// TestBlankLines guards against an upstream that sends blank lines without end: they must not
+// use memory without bound.
+func TestBlankLines(t *testing.T) {
+	events := &eventReader{r: bufio.NewReader(io.LimitReader(blankLines{}, 4*maxEventBytes))}
+	_, err := events.next()
+	assert.ErrorIs(t, err, errEventTooLarge)
+}
+
+// blankLines is an endless sequence of newlines.
+type blankLines struct{}
+
+func (blankLines) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = '\n'
+	}
+	return len(p), nil
+}
