entry: bound the head of an upstream's answer and the answers skipped

Cause: a head was read without a bound; net/http.ReadResponse has none. So was the body of an answer to another request, also when it has no request id and ends the connection anyway. Evidence: TestEndlessHead read all 64 MB that it offers in four of five cases before. Change: 64 KB for each head, 16 MB for a skipped body; a body without a request id is not read. After: under 1 MB in all five cases.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -46,6 +47,9 @@
 	// that are skipped: informational ones and responses to other requests.
 	maxResponsesRead = 4
 	connBufferSize   = 4 << 10
+	// maxResponseHeadBytes limits the head of a response, which an upstream in trouble may
+	// send without end.
+	maxResponseHeadBytes = 64 << 10
 )
 
 var dialer = net.Dialer{
@@ -74,6 +78,7 @@
 // upstreamConn is one connection to an upstream.
 type upstreamConn struct {
 	net.Conn
+	limit     *limitedReader // below r
 	r         *bufio.Reader
 	w         *bufio.Writer
 	expires   time.Time // end of the time in which it may be reused
@@ -87,7 +92,27 @@
 	if err != nil {
 		return nil, &sendError{err: err}
 	}
-	return &upstreamConn{Conn: nc, r: bufio.NewReaderSize(nc, connBufferSize), w: bufio.NewWriterSize(nc, connBufferSize)}, nil
+	return newUpstreamConn(nc), nil
+}
+
+func newUpstreamConn(nc net.Conn) *upstreamConn {
+	limited := &limitedReader{r: nc, left: math.MaxInt64}
+	return &upstreamConn{Conn: nc, limit: limited, r: bufio.NewReaderSize(limited, connBufferSize), w: bufio.NewWriterSize(nc, connBufferSize)}
+}
+
+// limitedReader reads at most left bytes from r and then fails with errResponseTooLarge.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
 }
 
 // stillIdle reports whether nothing has arrived on an idle connection: neither
@@ -163,7 +188,9 @@
 	}
 	httpReq := &http.Request{Method: req.method}
 	for range maxResponsesRead {
+		c.limit.left = maxResponseHeadBytes
 		resp, err := http.ReadResponse(c.r, httpReq)
+		c.limit.left = math.MaxInt64
 		if err != nil {
 			return nil, &sendError{sent: true, err: fmt.Errorf("read response: %w", err)}
 		}
@@ -175,7 +202,12 @@
 		if rp.ID == req.id || rp.ID == "" && rp.NotExecuted {
 			return rp, nil
 		}
-		if _, err = io.Copy(io.Discard, resp.Body); err != nil || rp.ID == "" {
+		if rp.ID != "" {
+			c.limit.left = maxResponseBytes
+			_, err = io.Copy(io.Discard, resp.Body)
+			c.limit.left = math.MaxInt64
+		}
+		if err != nil || rp.ID == "" {
 			return nil, &sendError{sent: true, err: errors.New("response does not match any request on the connection")}
 		}
 	}
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -397,3 +397,43 @@
 		})
 	}
 }
+
+// TestEndlessHead guards against an upstream that sends a header without end: it must fail the
+// attempt soon and must not use memory without bound.
+func TestEndlessHead(t *testing.T) {
+	for name, bytes := range map[string]string{
+		"header lines":     "X-A: b\r\n",
+		"one header line":  "a",
+		"status line":      "",
+		"informational":    "\r\nHTTP/1.1 100 Continue\r\n",
+		"trailing answers": "Content-Length: 0\r\nRequest-Id: other\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			start, chunk := "HTTP/1.1 200 OK\r\n", bytes
+			if bytes == "" {
+				start, chunk = "", "H"
+			}
+			client, server := net.Pipe()
+			defer client.Close()
+			sent := make(chan int, 1)
+			go func() {
+				defer server.Close()
+				go func() { _, _ = io.Copy(io.Discard, server) }()
+				n, _ := io.WriteString(server, start)
+				for k := 0; n < 64<<20; n += k {
+					var err error
+					if k, err = io.WriteString(server, strings.Repeat(chunk, 1000)); err != nil {
+						break
+					}
+				}
+				sent <- n
+			}()
+			c := newUpstreamConn(client)
+			_, err := c.roundTrip(&upstreamRequest{method: http.MethodGet, target: "/", host: "h", header: http.Header{}, id: "q"})
+			assert.Assert(t, err != nil)
+			_ = client.Close()
+			n := <-sent
+			assert.Assert(t, n <= 1<<20, "%d bytes were read", n)
+		})
+	}
+}
