crash, entry: tell blocked requests to routers that start later

Cause: strikes were told for ten seconds only. A router that starts later runs a blocked request again. Change: strikes of blocked requests are told with their ages as long as they last; ages keep routers from renewing them for each other. Test: TestStrikesRestart; without Merge and Blocks a router that starts 60 s after the crashes has nothing to learn from (Recent ends at 10 s).

--- a/core/crash/strikes.go
+++ b/core/crash/strikes.go
@@ -77,6 +77,38 @@
 	delete(s.recorded, oldest)
 }
 
+// AgedStrike is a strike and the time since it was recorded.
+type AgedStrike struct {
+	Strike Strike
+	Age    time.Duration
+}
+
+// maxBlocks limits the strikes that Blocks returns.
+const maxBlocks = 64
+
+// Blocks returns strikes of the requests that are blocked, for routers that start later and
+// so miss those of Recent.
+func (s *Strikes) Blocks(now time.Time) (out []AgedStrike) {
+	counts := s.Counts(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, t := range s.recorded {
+		if len(out) < maxBlocks && counts[k.Print] >= strikeLimit && now.Sub(t) <= strikeLifetime {
+			out = append(out, AgedStrike{k, now.Sub(t)})
+		}
+	}
+	return out
+}
+
+// Merge records the strikes of another router that have not expired.
+func (s *Strikes) Merge(now time.Time, strikes []AgedStrike) {
+	for _, a := range strikes {
+		if a.Age >= 0 && a.Age <= strikeLifetime {
+			s.Add(now.Add(-a.Age), a.Strike)
+		}
+	}
+}
+
 // Blocked reports whether a request with fingerprint p must not run again. It also
 // removes expired strikes.
 func (s *Strikes) Blocked(now time.Time, p wire.Fingerprint) bool {
--- a/core/crash/strikes_test.go
+++ b/core/crash/strikes_test.go
@@ -62,3 +62,24 @@
 		assert.Equal(t, len(s.Recent(now, time.Hour)), maxStrikes)
 	})
 }
+
+// TestStrikesRestart guards against a router that starts after the last crash of a blocked
+// request and runs it again, and against a block that routers renew among themselves.
+func TestStrikesRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := new(Strikes)
+	for i := range 3 {
+		old.Add(now, Strike{Print: "p", Upstream: wire.UpstreamID(fmt.Sprint(i)), Born: 1})
+	}
+	old.Add(now, Strike{Print: "q", Upstream: "u", Born: 1})
+	started := new(Strikes)
+	for s := 60; s < 240; s += 10 {
+		at := now.Add(time.Duration(s) * time.Second)
+		started.Merge(at, old.Blocks(at))
+		old.Merge(at, started.Blocks(at))
+		assert.Equal(t, started.Blocked(at, "p"), s <= 120, "%d s", s)
+		assert.Equal(t, len(started.Counts(at)) > 0, s <= 120)
+	}
+	started.Merge(now, []AgedStrike{{Strike{Print: "p"}, -time.Hour}, {Strike{Print: "p", Born: 1}, time.Hour}})
+	assert.Equal(t, len(started.Counts(now)), 0)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -63,12 +63,13 @@
 
 // Beat is the heartbeat that routers exchange periodically.
 type Beat struct {
-	From    Member            // sender
-	Members []Member          // other routers that the sender knows
-	At      [2]fleet.Revision // store revision that the sender has reached, by platform.Area
-	Strikes []crash.Strike    // recent upstream crashes
-	Parts   crash.PartsReport // prompt parts that crash upstreams
-	Limits  []limit.Report    // limits that upstreams name
+	From    Member             // sender
+	Members []Member           // other routers that the sender knows
+	At      [2]fleet.Revision  // store revision that the sender has reached, by platform.Area
+	Strikes []crash.Strike     // recent upstream crashes
+	Blocks  []crash.AgedStrike // crashes of the requests that are blocked
+	Parts   crash.PartsReport  // prompt parts that crash upstreams
+	Limits  []limit.Report     // limits that upstreams name
 }
 
 // peers tracks the other routers and holds the connections to them. It is safe for
@@ -215,7 +216,7 @@
 	v := p.s.view.Load()
 	owned := p.s.queues.ownedLoads(now)
 	loads := p.s.stageLoads(owned)
-	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
+	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b.From.Leaving = p.s.draining.Load()
@@ -239,6 +240,7 @@
 		}
 	}
 	if !p.mayBeDelayed(now) { // the ages in the report are right at the time of its sending
+		p.s.strikes.Merge(now, b.Blocks)
 		p.s.logQuarantined(p.s.parts.Merge(now, b.Parts), "peer", b.From.Name)
 		for _, r := range p.s.limits.Merge(now, now.Add(-crash.MaxTransit), b.Limits) {
 			p.s.log.Info("limit reported by peer", "peer", b.From.Name, "upstream", r.Upstream, "limit", r.Rate, "ended", r.Ended)
