crash, entry: spare only a part that all requests of a route have

Cause: a part of 80 percent of a route's requests was not quarantined. Requests that are refused counted too, so that callers that repeat them often could make a bad part common and end its quarantine. Found while reading the change. Change: a part is spared if all of ten or more requests of the route have it; requests with a quarantined part don't count. Before: TestPartsCommon fails with the old rule (15 of 18 requests have the bad part); after: it passes.

--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -47,10 +47,9 @@
 	// a report that goes back and forth would move them later each time. Callers of Merge
 	// must discard older reports.
 	MaxTransit = 500 * time.Millisecond
-	// popularShare is the share of a route's requests from which on a part is not
-	// quarantined, and minPopularRequests the number of requests that tells.
-	popularShare       = 0.8
-	minPopularRequests = 10
+	// minCommonRequests is the number of requests of a route after which a part that all of
+	// them have is taken for one that belongs to the route.
+	minCommonRequests = 10
 	// maxRoutes bounds the routes whose requests are counted.
 	maxRoutes = 4096
 	// maxReportedParts bounds the crashed and the survived parts of a report.
@@ -84,7 +83,7 @@
 // from those that another quarantined part explains: requests that ran beside a bad one
 // are suspected with it. If no request of the service survives any more, the cause is
 // rather the service, and parts whose answers went on before are not quarantined. Neither
-// is a part of nearly all requests of a route, which would stop the route.
+// is a part that all requests of a route have, which would stop the route.
 //
 // Parts is safe for concurrent use. The zero value is ready to use.
 type Parts struct {
@@ -109,6 +108,7 @@
 
 	// route is the route of the first request with the part since the first crash, and
 	// requests the number of them. before is the number of the route's requests until then.
+	// Requests with a quarantined part don't count.
 	route            fleet.RouteID
 	requests, before int
 }
@@ -191,10 +191,14 @@
 	return true
 }
 
-// Arrived records that a request of a route with the given parts arrived.
-func (p *Parts) Arrived(route fleet.RouteID, parts []Part) {
+// Arrived records that a request of a route with the given parts arrived. Requests with a
+// quarantined part don't count, since their callers may repeat them more often than others.
+func (p *Parts) Arrived(now time.Time, route fleet.RouteID, parts []Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.ContainsFunc(parts, func(part Part) bool { return p.quarantined(now, part) }) {
+		return
+	}
 	if p.requests == nil || len(p.requests) >= maxRoutes {
 		p.requests = make(map[fleet.RouteID]int)
 	}
@@ -213,11 +217,10 @@
 	}
 }
 
-// isPopular reports whether nearly all requests of a route have the part. The caller holds
-// mu.
-func (p *Parts) isPopular(s *partCrashes) bool {
+// isCommon reports whether all requests of a route have the part. The caller holds mu.
+func (p *Parts) isCommon(s *partCrashes) bool {
 	all := p.requests[s.route] - s.before
-	return all >= minPopularRequests && float64(s.requests) >= popularShare*float64(all)
+	return all >= minCommonRequests && s.requests >= all
 }
 
 // Crashed records that an upstream, started at born, crashed at the given time while it ran
@@ -314,7 +317,7 @@
 	}
 	var candidates []candidate
 	for part, s := range p.suspects {
-		if s.count() >= partCrashLimit && !s.expired(now) && !p.isPopular(s) {
+		if s.count() >= partCrashLimit && !s.expired(now) && !p.isCommon(s) {
 			candidates = append(candidates, candidate{part, s.crashes, s.weight(), p.isBeyondStart(part)})
 		}
 	}
@@ -401,7 +404,7 @@
 // quarantined reports whether a part is quarantined. The caller holds mu.
 func (p *Parts) quarantined(now time.Time, part Part) bool {
 	s := p.suspects[part]
-	if s == nil || !p.quarantine[part] || s.expired(now) || p.isPopular(s) {
+	if s == nil || !p.quarantine[part] || s.expired(now) || p.isCommon(s) {
 		return false
 	}
 	return !p.isBeyondStart(part) || p.survivals[part.Service].After(s.crashes[0].at)
--- a/core/crash/parts_test.go
+++ b/core/crash/parts_test.go
@@ -111,31 +111,37 @@
 	}
 }
 
-// TestPartsPopular guards against refusing all requests of a route because of the part that
-// nearly all of them have, and against sparing a bad part because its route has few requests.
-func TestPartsPopular(t *testing.T) {
+// TestPartsCommon guards against refusing all requests of a route because of the part that
+// they have in common, and against sparing a bad part because it is asked for often.
+func TestPartsCommon(t *testing.T) {
 	first, bad := testPart("a first"), testPart("bad")
 	p := new(Parts)
 	for i := range 3 {
 		p.Crashed(after(500*i), wire.UpstreamID(fmt.Sprint(i)), 1, []Part{first})
 	}
-	assert.Assert(t, p.Quarantined(after(1500), []Part{first}), "few requests")
-	for range minPopularRequests {
-		p.Arrived("other", nil)
-		p.Arrived("route", []Part{first})
+	assert.Assert(t, p.Quarantined(after(1500), []Part{first}), "no requests yet")
+	p.Survived(after(1600), after(1600), testService, []Part{first})
+	for i := range minCommonRequests {
+		p.Crashed(after(2000+500*i), wire.UpstreamID(fmt.Sprint(i)), 2, []Part{first})
+		p.Arrived(after(2000+500*i), "other", nil)
+		p.Arrived(after(2000+500*i), "route", []Part{first})
 	}
-	assert.Assert(t, !p.Quarantined(after(1500), []Part{first}))
+	p.Survived(after(7000), after(7000), testService, nil)
+	assert.Assert(t, !p.Quarantined(after(7000), []Part{first}))
 	for i := range 3 {
-		p.Crashed(after(2000+500*i), wire.UpstreamID(fmt.Sprint(i+3)), 1, []Part{first, bad})
-		p.Arrived("route", []Part{first, bad})
-		p.Arrived("route", []Part{first})
+		p.Crashed(after(7500+500*i), wire.UpstreamID(fmt.Sprint(i)), 3, []Part{first, bad})
+		for range 5 {
+			p.Arrived(after(7500+500*i), "route", []Part{first, bad})
+		}
+		p.Arrived(after(7500+500*i), "route", []Part{first})
 	}
-	assert.Assert(t, p.Quarantined(after(3500), []Part{first, bad}))
-	assert.Assert(t, !p.Quarantined(after(3500), []Part{first}))
-	for range 100 {
-		p.Arrived("route", nil)
+	p.Survived(after(9000), after(9000), testService, nil)
+	assert.Assert(t, p.Quarantined(after(9000), []Part{first, bad}))
+	assert.Assert(t, !p.Quarantined(after(9000), []Part{first}))
+	for range 1000 { // callers that repeat what is refused
+		p.Arrived(after(9000), "route", []Part{first, bad})
 	}
-	assert.Assert(t, p.Quarantined(after(3500), []Part{bad}))
+	assert.Assert(t, p.Quarantined(after(9000), []Part{bad}))
 }
 
 // TestPartsGossip guards against routers that don't learn of a part, that start after the
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -244,7 +244,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined"}
 	}
 	x.parts = crash.SharedParts(x.svc.ID, &x.spec)
-	x.s.parts.Arrived(x.route.ID, x.parts)
+	x.s.parts.Arrived(time.Now(), x.route.ID, x.parts)
 	if x.quarantined() && !x.tryPart() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPartQuarantined}
 	}
