platform, entry: log the store's era and what is ignored as outdated

Change: Store-Era is decoded from every answer; the routers log its changes, each listing and record that they ignore as outdated, and why the store counts as lost, with counters. No decision changes.

--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -19,6 +19,9 @@
 	Version int64
 	// Revision numbers a change in the history of the platform's store.
 	Revision int64
+	// Era counts how often the platform's store was restored from a copy; 0 if it doesn't
+	// say. Revisions of different eras can't be compared.
+	Era int64
 	// Bytes is a size in bytes.
 	Bytes int64
 	// Handle refers to a result that an upstream keeps for a later stage.
--- a/entry/control.go
+++ b/entry/control.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -54,6 +55,7 @@
 	// fromPeer reports whether the page comes from another router.
 	fromPeer  bool
 	storeLost bool          // whether the store did not answer; page is empty then
+	err       error         // why it did not answer
 	applied   chan struct{} // closed when the snapshot contains the update
 }
 
@@ -61,6 +63,7 @@
 type control struct {
 	s          *Server
 	areas      [2]AreaState
+	eras       [2]fleet.Era // of the store's last answer
 	lastRead   [2]time.Time
 	storeLost  [2]bool
 	roster     *fleet.Roster
@@ -101,12 +104,17 @@
 func (c *control) apply(now time.Time, u update) {
 	a := &c.areas[u.area]
 	if u.storeLost {
-		c.markStoreLost(u.area)
+		c.markStoreLost(u.area, u.err)
 		return
 	}
+	if !u.fromPeer {
+		c.noteEra(u)
+	}
 	if u.page.Revision < a.At {
 		// A peer was behind, or a peer's state arrived before this read ended.
-		c.s.log.Debug("outdated state ignored", "area", u.area, "revision", u.page.Revision, "known", a.At)
+		c.s.log.Info("outdated state ignored", "area", u.area, "era", u.page.Era, "revision", u.page.Revision, "known", a.At,
+			"records", len(u.page.Records), "full", u.full, "peer", u.fromPeer)
+		c.s.incCounter("pages_ignored", "area", u.area.String())
 		return
 	}
 	if !u.fromPeer {
@@ -122,12 +130,22 @@
 	a.At, a.Listed = u.page.Revision, a.Listed || u.full
 }
 
+// noteEra logs and counts a change of the store's era, which means that the store was
+// restored from a copy.
+func (c *control) noteEra(u update) {
+	if known := c.eras[u.area]; u.page.Era != known {
+		c.s.log.Info("era of the store", "area", u.area, "era", u.page.Era, "before", known, "revision", u.page.Revision, "known", c.areas[u.area].At, "full", u.full)
+		c.s.incCounter("store_eras", "area", u.area.String())
+		c.eras[u.area] = u.page.Era
+	}
+}
+
 // markStoreLost records that the store does not answer for an area.
-func (c *control) markStoreLost(area platform.Area) {
+func (c *control) markStoreLost(area platform.Area, err error) {
 	if !c.storeLost[area] {
 		c.storeLost[area] = true
 		c.s.lost[area].Store(true)
-		c.s.log.Warn("store lost", "area", area, "revision", c.areas[area].At)
+		c.s.log.Warn("store lost", "area", area, "revision", c.areas[area].At, "err", err)
 		c.s.incCounter("store_lost", "area", area.String())
 	}
 	if area == platform.AreaUpstreamRegistry {
@@ -171,6 +189,10 @@
 func (c *control) applyRecord(now time.Time, a *AreaState, r platform.Record) {
 	key := recordKey(r)
 	if old, ok := a.Records[key]; ok && old.Revision >= r.Revision {
+		if old.Revision > r.Revision || !bytes.Equal(old.Value, r.Value) {
+			c.s.log.Info("outdated record ignored", "key", key, "revision", r.Revision, "known", old.Revision)
+			c.s.incCounter("records_ignored")
+		}
 		return
 	}
 	if r.Deleted {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -54,7 +54,7 @@
 		}
 		s.log.Debug("could not read store", "area", area, "err", err)
 		s.incCounter("store_failed", "area", area.String())
-		s.applyUpdate(ctx, update{area: area, storeLost: true})
+		s.applyUpdate(ctx, update{area: area, storeLost: true, err: err})
 		if !clock.Sleep(ctx, retryDelay) {
 			break
 		}
