--- /dev/null
+++ b/entry/restore_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"testing"
+
+	"hornbeamcove.example/fakes/site"
+)
+
+// restoredRig is a rig with one router and two upstreams of one service, whose store can be
+// restored.
+type restoredRig struct {
+	*rig
+	n             *node
+	first, second *site.Replica
+}
+
+func newRestoredRig(t *testing.T) *restoredRig {
+	t.Helper()
+	r := newRig(t)
+	rr := &restoredRig{rig: r, first: r.addReplica("i-1", "desk"), second: r.addReplica("i-2", "desk")}
+	rr.n = r.startRouter(2)
+	return rr
+}
+
+// putVersion writes a configuration with the usual routes and one for each extra host.
+func (r *rig) putVersion(version int, hosts ...string) {
+	rs := routes
+	for _, h := range hosts {
+		rs = append([]site.Route{{Name: h, Host: h, Prefix: "/", Kind: "safe", Service: "desk", Timeout: 8000, TargetLatency: 300, Attempts: 1}}, rs...)
+	}
+	r.site.Store.PutJSON("op/config", site.Config(version, rs, site.Services, apiKeys))
+}
+
+// waitForVersion waits until a version is in force at a router.
+func (r *rig) waitForVersion(n *node, version int) {
+	r.t.Helper()
+	r.waitFor("the version is in force", func() bool {
+		c := n.view.Load().Config
+		return c != nil && int(c.Version) == version
+	})
+}
+
+// away runs f while the store answers no call, after the router has noticed.
+func (r *restoredRig) away(f func(s *site.Store)) {
+	r.t.Helper()
+	r.site.Store.SetMode(site.Reset)
+	r.waitFor("the router notices that the store is lost", func() bool { return r.n.storeLost(0) && r.n.storeLost(1) })
+	f(r.site.Store)
+	r.site.Store.SetMode(site.Up)
+}
+
+// TestChangeAfterRestore guards against a configuration that is never in force because it
+// was written at a revision that the store had given out before it was restored.
+func TestChangeAfterRestore(t *testing.T) {
+	for name, versions := range map[string][]int{
+		"below the known revision": {4},
+		"at the known revision":    {4, 5},
+		"above it":                 {4, 5, 6, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestoredRig(t)
+			old := r.site.Store.Copy()
+			r.putVersion(2)
+			r.putVersion(3)
+			r.waitForVersion(r.n, 3)
+			r.away(func(s *site.Store) {
+				s.Restore(old)
+				for _, v := range versions {
+					r.putVersion(v)
+				}
+			})
+			r.waitForVersion(r.n, versions[len(versions)-1])
+			r.putVersion(9)
+			r.waitForVersion(r.n, 9)
+		})
+	}
+}
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -4,7 +4,9 @@
 package site
 
 import (
+	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,6 +44,7 @@
 // Store is the platform's metadata store. It is safe for concurrent use.
 type Store struct {
 	mu           sync.Mutex
+	era          int64 // number of restores, from 1
 	rev          int64 // revision of the last write
 	items        map[string]Item
 	history      []Item // writes after compactedRev, oldest first
@@ -53,7 +56,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rev: 1, items: map[string]Item{}, changed: make(chan struct{})}
+	return &Store{era: 1, rev: 1, items: map[string]Item{}, changed: make(chan struct{})}
 }
 
 // Put writes an entry and returns its revision.
@@ -127,6 +130,47 @@
 	s.history = nil
 }
 
+// Copy is the state of a store at one moment.
+type Copy struct {
+	rev, compactedRev int64
+	items             map[string]Item
+	history           []Item
+}
+
+// Copy returns a copy of the store's state, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.rev, s.compactedRev, maps.Clone(s.items), slices.Clone(s.history)}
+}
+
+// Restore puts the store back to a copy: later writes are lost and their revisions are
+// given out again. The era rises by one.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rev, s.compactedRev, s.items, s.history = c.rev, c.compactedRev, maps.Clone(c.items), slices.Clone(c.history)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// WriteAgain writes what differs from a later copy, as the operator and the replicas do
+// after a restore. keep selects the keys; nil selects all.
+func (s *Store) WriteAgain(later Copy, keep func(key string) bool) {
+	now := s.Copy()
+	for _, key := range slices.Sorted(maps.Keys(later.items)) {
+		if it := later.items[key]; (keep == nil || keep(key)) && !bytes.Equal(now.items[key].Value, it.Value) {
+			s.Put(key, it.Value)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(now.items)) {
+		if _, ok := later.items[key]; !ok && (keep == nil || keep(key)) {
+			s.Delete(key)
+		}
+	}
+}
+
 // Calls returns the number of HTTP calls that the store has received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -138,8 +182,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	mode := s.mode
+	mode, era := s.mode, s.era
 	s.mu.Unlock()
+	w.Header().Set(HeaderEra, strconv.FormatInt(era, 10))
 	switch mode {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -173,6 +218,7 @@
 			items = append(items, it)
 		}
 	}
+	w.Header().Set(HeaderEra, strconv.FormatInt(s.era, 10))
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	more := len(items) > pageSize
 	if more {
@@ -193,8 +239,9 @@
 	t := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer t.Stop()
 	for {
-		events, rev, compacted, changed := s.eventsSince(q.Get("path_prefix"), after)
-		if compacted {
+		events, era, rev, known, changed := s.eventsSince(q.Get("path_prefix"), after)
+		w.Header().Set(HeaderEra, strconv.FormatInt(era, 10))
+		if !known {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -213,21 +260,21 @@
 	}
 }
 
-// eventsSince returns the writes under prefix after a revision and the current revision.
-// compacted is set if that part of the history was dropped; changed is closed at the
-// next write.
-func (s *Store) eventsSince(prefix string, after int64) (events []Item, rev int64, compacted bool, changed <-chan struct{}) {
+// eventsSince returns the writes under prefix after a revision, the era and the current
+// revision. known is false if the store has no such revision or has dropped that part of
+// its history; changed is closed at the next write.
+func (s *Store) eventsSince(prefix string, after int64) (events []Item, era, rev int64, known bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compactedRev {
-		return nil, s.rev, true, s.changed
+	if after < s.compactedRev || after > s.rev {
+		return nil, s.era, s.rev, false, s.changed
 	}
 	for _, it := range s.history {
 		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
 			events = append(events, it)
 		}
 	}
-	return events, s.rev, false, s.changed
+	return events, s.era, s.rev, true, s.changed
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
