entry, platform, core/fleet: compare revisions within an era of the store

Callers got 404 for routes that had been added and answers by routes that had been changed, for good. Cause: routers took revisions as one rising order. A restored store has lower revisions than those known, so its listings were ignored whole; once it had given out the same revisions again, the watch went on from the old one, and changes up to it were never read. Change: a position is an era and a revision, and the era decides which of two is later. A watch whose answer is of another era, and a listing during which it changes, are followed by a new listing; the records known count as older than all of it. Upstreams that the copy lacks get the grace period in which they register again. Peers compare positions too. A configuration still gives way to a higher version only.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -16,6 +16,7 @@
 	Name      wire.HostID                      `json:"name"`
 	Config    fleet.Version                    `json:"config"`    // version of the configuration, 0 if there is none
 	Revisions [2]fleet.Revision                `json:"revisions"` // in the operator's area and the upstreams' area
+	Eras      [2]fleet.Era                     `json:"eras"`      // era of the store in which each revision counts
 	Ages      [2]int64                         `json:"ages"`      // milliseconds since the last read of each area
 	Out       []wire.DataCentreID              `json:"out"`       // data centres out of service
 	Requests  int64                            `json:"requests"`  // requests in progress
@@ -65,7 +66,7 @@
 func (s *Server) Dump(now time.Time) Dump {
 	v := s.view.Load()
 	d := Dump{
-		Name: s.cfg.Name, Revisions: v.Revisions, Requests: s.inFlight.Load(), Draining: s.draining.Load(),
+		Name: s.cfg.Name, Requests: s.inFlight.Load(), Draining: s.draining.Load(),
 		Upstreams: map[wire.UpstreamID]UpstreamDump{},
 		Queues:    map[shard.ID]batch.View{}, Owners: map[shard.ID]wire.HostID{},
 		Strikes: s.strikes.Counts(now), Parts: map[wire.Fingerprint]int{},
@@ -79,6 +80,9 @@
 	if v.Config != nil {
 		d.Config = v.Config.Version
 	}
+	for i, at := range v.At {
+		d.Revisions[i], d.Eras[i] = at.Revision, at.Era
+	}
 	for i, t := range v.LastRead {
 		d.Ages[i] = now.Sub(t).Milliseconds()
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -29,20 +29,23 @@
 	OutCentres map[wire.DataCentreID]bool // data centres that are out of service
 	// Listed reports whether all upstreams have been read at least once.
 	Listed bool
-	// Revisions and LastRead hold, by platform.Area, the revision reached and the time of
-	// the last read, from the store or from a peer.
-	Revisions [2]fleet.Revision
-	LastRead  [2]time.Time
+	// At and LastRead hold, by platform.Area, the position reached and the time of the last
+	// read, from the store or from a peer.
+	At       [2]fleet.Position
+	LastRead [2]time.Time
 }
 
 // AreaState is a router's copy of one area of the store, in the form in which routers
 // send it to each other.
 type AreaState struct {
+	Era     fleet.Era                  // era of the store that At and the records' revisions belong to
 	At      fleet.Revision             // revision reached
 	Records map[string]platform.Record // keyed by recordKey
 	Listed  bool                       // whether the whole area has been read at least once
 }
 
+func (a *AreaState) position() fleet.Position { return fleet.Position{Era: a.Era, Revision: a.At} }
+
 // State is everything that a router has read from the store, by platform.Area.
 type State struct{ Areas [2]AreaState }
 
@@ -63,7 +66,6 @@
 type control struct {
 	s          *Server
 	areas      [2]AreaState
-	eras       [2]fleet.Era // of the store's last answer
 	lastRead   [2]time.Time
 	storeLost  [2]bool
 	roster     *fleet.Roster
@@ -100,20 +102,19 @@
 	}
 }
 
-// apply applies one update. It ignores a page that is older than the state known.
+// apply applies one update. It ignores a page that is older than the state known, and
+// changes of another era, which don't follow from that state.
 func (c *control) apply(now time.Time, u update) {
 	a := &c.areas[u.area]
 	if u.storeLost {
 		c.markStoreLost(u.area, u.err)
 		return
 	}
-	if !u.fromPeer {
-		c.noteEra(u)
-	}
-	if u.page.Revision < a.At {
+	restored := a.position().Restored(u.page.Position)
+	if u.page.Before(a.position()) || restored && !u.full {
 		// A peer was behind, or a peer's state arrived before this read ended.
 		c.s.log.Info("outdated state ignored", "area", u.area, "era", u.page.Era, "revision", u.page.Revision, "known", a.At,
-			"records", len(u.page.Records), "full", u.full, "peer", u.fromPeer)
+			"known_era", a.Era, "records", len(u.page.Records), "full", u.full, "peer", u.fromPeer)
 		c.s.incCounter("pages_ignored", "area", u.area.String())
 		return
 	}
@@ -121,6 +122,12 @@
 		c.markStoreRegained(now, u.area)
 	}
 	c.lastRead[u.area] = now
+	if restored {
+		c.enterEra(now, u)
+	}
+	if u.page.Era != 0 {
+		a.Era = u.page.Era
+	}
 	if u.full {
 		c.deleteUnlisted(now, u)
 	}
@@ -130,13 +137,20 @@
 	a.At, a.Listed = u.page.Revision, a.Listed || u.full
 }
 
-// noteEra logs and counts a change of the store's era, which means that the store was
-// restored from a copy.
-func (c *control) noteEra(u update) {
-	if known := c.eras[u.area]; u.page.Era != known {
-		c.s.log.Info("era of the store", "area", u.area, "era", u.page.Era, "before", known, "revision", u.page.Revision, "known", c.areas[u.area].At, "full", u.full)
-		c.s.incCounter("store_eras", "area", u.area.String())
-		c.eras[u.area] = u.page.Era
+// enterEra prepares for the listing of a store that was restored from a copy. The
+// revisions of the records known say nothing about those in the listing any more. Upstreams
+// that the copy lacks have the grace period to register again.
+func (c *control) enterEra(now time.Time, u update) {
+	a := &c.areas[u.area]
+	c.s.log.Warn("store restored", "area", u.area, "era", u.page.Era, "before", a.Era, "revision", u.page.Revision, "known", a.At, "peer", u.fromPeer)
+	c.s.incCounter("store_restored", "area", u.area.String())
+	for key, r := range a.Records {
+		r.Revision = 0
+		a.Records[key] = r
+	}
+	if u.area == platform.AreaUpstreamRegistry {
+		c.roster.StoreLost()
+		c.roster.StoreRegained(now)
 	}
 }
 
@@ -188,13 +202,18 @@
 // later revision of the record is known.
 func (c *control) applyRecord(now time.Time, a *AreaState, r platform.Record) {
 	key := recordKey(r)
-	if old, ok := a.Records[key]; ok && old.Revision >= r.Revision {
+	old, known := a.Records[key]
+	if known && old.Revision >= r.Revision {
 		if old.Revision > r.Revision || !bytes.Equal(old.Value, r.Value) {
 			c.s.log.Info("outdated record ignored", "key", key, "revision", r.Revision, "known", old.Revision)
 			c.s.incCounter("records_ignored")
 		}
 		return
 	}
+	if known && !r.Deleted && bytes.Equal(old.Value, r.Value) {
+		a.Records[key] = r // written again
+		return
+	}
 	if r.Deleted {
 		delete(a.Records, key)
 	} else {
@@ -279,7 +298,7 @@
 		v.Upstreams[svc] = us
 	}
 	for i := range c.areas {
-		v.Revisions[i] = c.areas[i].At
+		v.At[i] = c.areas[i].position()
 	}
 	c.s.targets.retain(now, usable)
 	live := make(map[wire.UpstreamID]bool, len(usable))
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -168,7 +168,7 @@
 		"upstream", x.upstream, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
 		"left_ms", x.remaining().Milliseconds(), "config", version,
 		"config_age_ms", time.Since(v.LastRead[platform.AreaOperatorSettings]).Milliseconds(),
-		"upstreams_revision", v.Revisions[platform.AreaUpstreamRegistry],
+		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
 		"upstreams_age_ms", time.Since(v.LastRead[platform.AreaUpstreamRegistry]).Milliseconds())
 	s.incCounter("requests", "status", strconv.Itoa(status), "reason", reason)
 	if status < http.StatusBadRequest {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -136,7 +136,7 @@
 	putConfig(4, routes, apiKeys)
 	r.site.Store.Put("op/config", []byte("{"))
 	at := r.site.Store.PutJSON("op/evacuate/b", map[string]any{})
-	r.waitFor("the router has read the later revision", func() bool { return int64(n.view.Load().Revisions[0]) >= at })
+	r.waitFor("the router has read the later revision", func() bool { return int64(n.view.Load().At[0].Revision) >= at })
 	assert.Equal(t, int(n.view.Load().Config.Version), 5)
 	n.assertStatus(t, c, http.StatusOK, "")
 }
@@ -188,7 +188,7 @@
 	r.waitFor("the router notices that the store is lost", func() bool { return n.storeLost(1) })
 	at := r.site.Store.Delete("servers/i-1")
 	r.site.Store.SetMode(site.Up)
-	r.waitFor("the deletion is read", func() bool { return int64(n.view.Load().Revisions[1]) >= at })
+	r.waitFor("the deletion is read", func() bool { return int64(n.view.Load().At[1].Revision) >= at })
 	n.assertStatus(t, get(deskHost, "/safe/1"), http.StatusOK, "")
 	r.waitFor("the router drops the lapsed entry", func() bool { return len(n.view.Load().Upstreams["desk"]) == 0 })
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -66,6 +66,7 @@
 	From    Member             // sender
 	Members []Member           // other routers that the sender knows
 	At      [2]fleet.Revision  // store revision that the sender has reached, by platform.Area
+	Eras    [2]fleet.Era       // era of the store that At belongs to, 0 if unknown
 	Strikes []crash.Strike     // recent upstream crashes
 	Blocks  []crash.AgedStrike // crashes of the requests that are blocked
 	Parts   crash.PartsReport  // prompt parts that crash upstreams
@@ -190,8 +191,8 @@
 	v := p.s.view.Load()
 	behind := false
 	for i := range b.At {
-		stale := time.Since(v.LastRead[i]) > maxReadAge+watchWait || v.Revisions[i] == 0
-		behind = behind || b.At[i] > v.Revisions[i] && (stale || p.s.storeLost(platform.Area(i)))
+		stale := time.Since(v.LastRead[i]) > maxReadAge+watchWait || v.At[i].Revision == 0
+		behind = behind || v.At[i].Before(fleet.Position{Era: b.Eras[i], Revision: b.At[i]}) && (stale || p.s.storeLost(platform.Area(i)))
 	}
 	if !behind {
 		return
@@ -202,11 +203,12 @@
 		return
 	}
 	for i, a := range state.Areas {
-		if a.At <= v.Revisions[i] || !a.Listed {
+		if !v.At[i].Before(a.position()) || !a.Listed {
 			continue
 		}
-		p.s.log.Info("state taken from peer", "peer", b.From.Name, "area", platform.Area(i), "revision", a.At, "known", v.Revisions[i])
-		p.s.applyUpdate(ctx, update{area: platform.Area(i), page: platform.Page{Records: slices.Collect(maps.Values(a.Records)), Revision: a.At}, full: true, fromPeer: true})
+		p.s.log.Info("state taken from peer", "peer", b.From.Name, "area", platform.Area(i), "era", a.Era, "revision", a.At,
+			"known_era", v.At[i].Era, "known", v.At[i].Revision)
+		p.s.applyUpdate(ctx, update{area: platform.Area(i), page: platform.Page{Records: slices.Collect(maps.Values(a.Records)), Position: a.position()}, full: true, fromPeer: true})
 	}
 }
 
@@ -216,9 +218,12 @@
 	v := p.s.view.Load()
 	owned := p.s.queues.ownedLoads(now)
 	loads := p.s.stageLoads(owned)
-	b := Beat{From: p.self, At: v.Revisions, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
+	b := Beat{From: p.self, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for i, at := range v.At {
+		b.At[i], b.Eras[i] = at.Revision, at.Era
+	}
 	b.From.Leaving = p.s.draining.Load()
 	b.From.Loads = loads
 	b.From.Shards = dividedOnly(owned)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -26,25 +26,29 @@
 
 // watch follows one area of the store until ctx is done.
 func (s *Server) watch(ctx context.Context, store *platform.Store, area platform.Area) error {
-	var at fleet.Revision
+	var at fleet.Position
 	retryDelay := minReadRetryDelay
 	listed := false
 	for ctx.Err() == nil {
 		// Changes that a peer has sent since the last read need not be read again.
-		if v := s.view.Load(); listed && v.Revisions[area] > at {
-			at = v.Revisions[area]
+		if v := s.view.Load(); listed && at.Before(v.At[area]) {
+			at = v.At[area]
 		}
-		page, err := s.read(ctx, store, area, at, listed)
+		page, err := s.read(ctx, store, area, at.Revision, listed)
 		switch {
+		case err == nil && listed && page.Era != at.Era:
+			s.log.Warn("store is of another era, reading the whole area", "area", area, "era", page.Era, "before", at.Era)
+			listed = false
+			continue
 		case err == nil:
 			s.applyUpdate(ctx, update{area: area, page: page, full: !listed})
-			at, listed, retryDelay = max(page.Revision, at), true, minReadRetryDelay
+			at, listed, retryDelay = page.Position, true, minReadRetryDelay
 			if len(page.Records) > 0 {
 				clock.Sleep(ctx, watchBatchDelay)
 			}
 			continue
 		case errors.Is(err, platform.ErrCompacted):
-			s.log.Warn("store history compacted, reading the whole area", "area", area, "revision", at)
+			s.log.Warn("store history compacted, reading the whole area", "area", area, "revision", at.Revision)
 			s.incCounter("store_compacted", "area", area.String())
 			listed = false
 			continue
