core/fleet, entry: ignore entries of a restored store that are older than known

Requests could reach upstreams that were draining or had left. Cause: the listing of a restored store was taken as it is, with entries from before an upstream drained, left or started again. Change: an entry carries the process's start and its count of writes, which order the entries of one upstream whatever the store does. Those in the first listing of an era that are older than the entry known, or not newer than one that was removed, are ignored; later changes of the era are taken as before. Removed entries are remembered for five minutes, at most 4096. Conclusion: mended for routers that knew the later entry; routers that start after the restore don't yet.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -180,3 +181,78 @@
 		assertUsable(t, r, now, "a", "b")
 	})
 }
+
+// TestCopiedEntries guards against upstreams that are used again because a restored store
+// lists them as they were before they drained, left or started again.
+func TestCopiedEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(born, sequence int64, draining bool) Upstream {
+		u := newUpstream("a")
+		u.Born, u.Sequence, u.Draining = born, sequence, draining
+		return u
+	}
+	for _, tc := range []struct {
+		name   string
+		known  Upstream
+		left   bool
+		copied Upstream
+		taken  bool
+	}{
+		{"draining since", entry(5, 9, true), false, entry(5, 2, false), false},
+		{"left since", entry(5, 9, false), true, entry(5, 9, false), false},
+		{"left since, earlier entry", entry(5, 9, false), true, entry(5, 2, false), false},
+		{"started again since", entry(7, 1, false), false, entry(5, 2, false), false},
+		{"start again and left since", entry(7, 1, false), true, entry(5, 2, false), false},
+		{"written again", entry(5, 9, false), false, entry(5, 9, false), true},
+		{"written after it was removed", entry(5, 9, false), true, entry(5, 10, false), true},
+		{"started again after the copy", entry(5, 9, true), false, entry(7, 1, false), true},
+		{"start unknown", entry(0, 9, false), true, entry(0, 2, false), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := NewRoster()
+			r.Put(tc.known)
+			if tc.left {
+				r.Remove("a", now)
+			}
+			assert.Equal(t, r.PutCopied(tc.copied), tc.taken)
+			usable := tc.taken && !tc.copied.Draining || !tc.taken && !tc.left && !tc.known.Draining
+			if usable {
+				assertUsable(t, r, now, "a")
+			} else {
+				assertUsable(t, r, now)
+			}
+		})
+	}
+	t.Run("memory is bounded", func(t *testing.T) {
+		r := NewRoster()
+		for i := range int64(maxDepartures + 1) {
+			u := entry(5, 1, false)
+			u.ID = wire.UpstreamID(fmt.Sprint(i))
+			r.Put(u)
+			r.Remove(u.ID, now.Add(time.Duration(i)))
+		}
+		assert.Equal(t, len(r.departed), maxDepartures)
+		_, ok := r.departed["0"]
+		assert.Assert(t, !ok, "the oldest is forgotten first")
+		r.Usable(now.Add(2 * departureMemory))
+		assert.Equal(t, len(r.departed), 0)
+	})
+}
+
+// TestPosition guards against revisions of different eras that are compared.
+func TestPosition(t *testing.T) {
+	for _, tc := range []struct {
+		p, o             Position
+		before, restored bool
+	}{
+		{Position{1, 35}, Position{1, 36}, true, false},
+		{Position{1, 35}, Position{2, 34}, true, true},
+		{Position{2, 34}, Position{1, 35}, false, false},
+		{Position{0, 35}, Position{2, 34}, false, false},
+		{Position{0, 33}, Position{2, 34}, true, false},
+		{Position{2, 34}, Position{0, 35}, true, false},
+	} {
+		assert.Equal(t, tc.p.Before(tc.o), tc.before, "%v before %v", tc.p, tc.o)
+		assert.Equal(t, tc.p.Restored(tc.o), tc.restored, "restored between %v and %v", tc.p, tc.o)
+	}
+}
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -18,15 +18,32 @@
 type Roster struct {
 	entries map[wire.UpstreamID]Upstream
 	lapsed  map[wire.UpstreamID]Upstream // upstreams that stay in use although their entries were removed
+	// departed holds the last entries that were removed, which a restored store may list
+	// again.
+	departed map[wire.UpstreamID]departure
 	// graceEnd is the end of the grace period that starts when the store becomes readable
 	// again. Until then, the upstreams of removed entries stay in use as lapsed.
 	graceEnd  time.Time
 	storeLost bool
 }
 
+// departure is an entry that was removed, and when.
+type departure struct {
+	Upstream
+	at time.Time
+}
+
+const (
+	// departureMemory is the time for which removed entries are remembered. The copies from
+	// which a store is restored are some seconds old.
+	departureMemory = 5 * time.Minute
+	// maxDepartures bounds the removed entries that are remembered; the oldest is forgotten.
+	maxDepartures = 4096
+)
+
 // NewRoster returns an empty roster.
 func NewRoster() *Roster {
-	return &Roster{entries: make(map[wire.UpstreamID]Upstream), lapsed: make(map[wire.UpstreamID]Upstream)}
+	return &Roster{entries: make(map[wire.UpstreamID]Upstream), lapsed: make(map[wire.UpstreamID]Upstream), departed: make(map[wire.UpstreamID]departure)}
 }
 
 // StoreLost records that the store can no longer be read.
@@ -46,6 +63,21 @@
 func (r *Roster) Put(u Upstream) {
 	r.entries[u.ID] = u
 	delete(r.lapsed, u.ID)
+	delete(r.departed, u.ID)
+}
+
+// PutCopied is Put for an entry of a restored store, which may be from the copy: one that is
+// older than the entry known, or not newer than one that was removed, is ignored. It reports
+// whether the entry was taken.
+func (r *Roster) PutCopied(u Upstream) bool {
+	if known, ok := r.entries[u.ID]; ok && u.OlderThan(known) {
+		return false
+	}
+	if gone, ok := r.departed[u.ID]; ok && !gone.OlderThan(u) && u.Born != 0 {
+		return false
+	}
+	r.Put(u)
+	return true
 }
 
 // Remove deletes an entry. During an outage of the store, and for LapseGrace after
@@ -56,11 +88,26 @@
 		return
 	}
 	delete(r.entries, id)
+	r.depart(u, now)
 	if !u.Draining && (r.storeLost || now.Before(r.graceEnd)) {
 		r.lapsed[id] = u
 	}
 }
 
+// depart remembers an entry that was removed.
+func (r *Roster) depart(u Upstream, now time.Time) {
+	if len(r.departed) >= maxDepartures {
+		oldest := u.ID
+		for id, d := range r.departed {
+			if o, ok := r.departed[oldest]; !ok || d.at.Before(o.at) {
+				oldest = id
+			}
+		}
+		delete(r.departed, oldest)
+	}
+	r.departed[u.ID] = departure{u, now}
+}
+
 // Replace sets the entries to those of a full listing of the store. Entries that the
 // listing lacks are removed as by Remove.
 func (r *Roster) Replace(listing []Upstream, now time.Time) {
@@ -82,6 +129,7 @@
 	if !r.storeLost && !now.Before(r.graceEnd) {
 		clear(r.lapsed)
 	}
+	maps.DeleteFunc(r.departed, func(_ wire.UpstreamID, d departure) bool { return now.Sub(d.at) > departureMemory })
 	usable := make(map[ServiceID][]Upstream)
 	for _, set := range []map[wire.UpstreamID]Upstream{r.entries, r.lapsed} {
 		for _, u := range set {
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -132,6 +132,16 @@
 	Draining      bool
 	ColdRemaining time.Duration // remaining cold time when the entry was written
 	Born          int64         // start of the process in Unix milliseconds, 0 if unknown
+	Sequence      int64         // number of the writes of the entry by this process, when it was written
+}
+
+// OlderThan reports whether the entry u was written before o, another entry of the same
+// upstream. Processes that don't give their start can't be compared.
+func (u Upstream) OlderThan(o Upstream) bool {
+	if u.Born == 0 || o.Born == 0 {
+		return false
+	}
+	return u.Born < o.Born || u.Born == o.Born && u.Sequence < o.Sequence
 }
 
 // SameRun reports whether u and o describe the same upstream process, not one that
--- a/entry/control.go
+++ b/entry/control.go
@@ -132,7 +132,7 @@
 		c.deleteUnlisted(now, u)
 	}
 	for _, r := range u.page.Records {
-		c.applyRecord(now, a, r)
+		c.applyRecord(now, a, r, restored)
 	}
 	a.At, a.Listed = u.page.Revision, a.Listed || u.full
 }
@@ -188,7 +188,7 @@
 	}
 	for key, r := range a.Records {
 		if !listed[key] && !r.Deleted {
-			c.applyRecord(now, a, platform.Record{Kind: r.Kind, Name: r.Name, Revision: max(r.Revision, u.page.Revision), Deleted: true})
+			c.applyRecord(now, a, platform.Record{Kind: r.Kind, Name: r.Name, Revision: max(r.Revision, u.page.Revision), Deleted: true}, false)
 		}
 	}
 }
@@ -199,8 +199,9 @@
 }
 
 // applyRecord applies the new value or the deletion of a record, unless the same or a
-// later revision of the record is known.
-func (c *control) applyRecord(now time.Time, a *AreaState, r platform.Record) {
+// later revision of the record is known. copied is whether the record may come from the
+// copy from which the store was restored.
+func (c *control) applyRecord(now time.Time, a *AreaState, r platform.Record, copied bool) {
 	key := recordKey(r)
 	old, known := a.Records[key]
 	if known && old.Revision >= r.Revision {
@@ -225,7 +226,7 @@
 	case platform.RecordCentreOut:
 		c.applyCentreOut(r)
 	case platform.RecordUpstream:
-		c.applyUpstream(now, r)
+		c.applyUpstream(now, r, copied)
 	}
 }
 
@@ -265,8 +266,8 @@
 }
 
 // applyUpstream adds, changes or removes an upstream. An upstream whose entry is invalid
-// is removed.
-func (c *control) applyUpstream(now time.Time, r platform.Record) {
+// is removed. A copied entry that is older than what is known is ignored.
+func (c *control) applyUpstream(now time.Time, r platform.Record, copied bool) {
 	id := wire.UpstreamID(r.Name)
 	if r.Deleted {
 		c.roster.Remove(id, now)
@@ -280,7 +281,13 @@
 		c.roster.Remove(id, now)
 		return
 	}
-	c.roster.Put(u)
+	if !copied {
+		c.roster.Put(u)
+	} else if !c.roster.PutCopied(u) {
+		c.s.log.Info("copied entry ignored", "upstream", id, "born", u.Born, "sequence", u.Sequence, "revision", r.Revision)
+		c.s.incCounter("copies_ignored")
+		return
+	}
 	c.s.log.Info("upstream entry", "upstream", id, "service", u.Service, "address", u.Address, "centre", u.Centre,
 		"draining", u.Draining, "cold", u.ColdRemaining.String(), "revision", r.Revision)
 }
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"hornbeamcove.example/fakes/site"
 )
 
@@ -75,3 +77,61 @@
 		})
 	}
 }
+
+// usable returns the upstreams that the router may use.
+func (r *restoredRig) usable() (ids []string) {
+	for _, u := range r.n.view.Load().Upstreams["desk"] {
+		ids = append(ids, string(u.ID))
+	}
+	return ids
+}
+
+// waitForEra waits until the router has read the store in its present era.
+func (r *restoredRig) waitForEra(era int) {
+	r.t.Helper()
+	r.waitFor("the router has read the restored store", func() bool {
+		v := r.n.view.Load()
+		return int(v.At[0].Era) == era && int(v.At[1].Era) == era
+	})
+}
+
+// TestUpstreamAfterRestore guards against requests to an upstream that the restored store
+// lists as it was before it drained or left, and against the loss of one that the copy lacks.
+func TestUpstreamAfterRestore(t *testing.T) {
+	t.Run("draining since", func(t *testing.T) {
+		r := newRestoredRig(t)
+		old := r.site.Store.Copy()
+		r.site.Store.PutJSON("servers/i-2", r.second.Entry("draining"))
+		r.waitForUpstreams(r.n, 1)
+		r.away(func(s *site.Store) { s.Restore(old) })
+		r.waitForEra(2)
+		assert.DeepEqual(t, r.usable(), []string{"i-1"})
+		r.site.Store.Compact()
+		r.away(func(*site.Store) {})
+		r.waitFor("the store is read again", func() bool { return !r.n.storeLost(1) })
+		assert.DeepEqual(t, r.usable(), []string{"i-1"})
+	})
+	t.Run("left since", func(t *testing.T) {
+		r := newRestoredRig(t)
+		old := r.site.Store.Copy()
+		r.site.Store.Delete("servers/i-2")
+		r.waitForUpstreams(r.n, 1)
+		r.away(func(s *site.Store) { s.Restore(old) })
+		r.waitForEra(2)
+		assert.DeepEqual(t, r.usable(), []string{"i-1"})
+		r.site.Store.PutJSON("servers/i-2", r.second.Entry("ready"))
+		r.waitForUpstreams(r.n, 2)
+	})
+	t.Run("registered since", func(t *testing.T) {
+		r := newRestoredRig(t)
+		old := r.site.Store.Copy()
+		third := r.addReplica("i-3", "desk")
+		r.waitForUpstreams(r.n, 3)
+		r.away(func(s *site.Store) { s.Restore(old) })
+		r.waitForEra(2)
+		assert.DeepEqual(t, r.usable(), []string{"i-1", "i-2", "i-3"})
+		at := r.site.Store.PutJSON("servers/i-3", third.Entry("ready"))
+		r.waitFor("the entry is read", func() bool { return int64(r.n.view.Load().At[1].Revision) >= at })
+		r.waitForUpstreams(r.n, 3)
+	})
+}
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -82,6 +82,7 @@
 	arrivals   []time.Time     // of all requests, also those that are not run
 	results    map[string]bool // handles of the stage results that the replica holds
 	lastResult int             // number of the last stage result, part of its handle
+	sequence   int             // entries that Entry has returned since the last start
 	stageCalls [][]string      // pieces of each stage call, see StageCalls
 }
 
@@ -111,9 +112,10 @@
 func (p *Replica) Entry(state string) map[string]any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sequence++
 	return map[string]any{
 		"service": p.Service, "address": p.addr, "zone": p.Centre, "version": "v1", "slots": 8,
-		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": p.Born,
+		"state": state, "cold_remaining_ms": 0, "sequence": p.sequence, "born": p.Born,
 	}
 }
 
