core/fleet, entry: keep data centres out while a restored store lacks them

Requests could reach a data centre that the operator had taken out of service. Cause: the listing of a restored store was taken as the operator's last word, though it may lack what was written after the copy, or have it still. Conclusion: mended for routers that knew the later state.

--- a/entry/control.go
+++ b/entry/control.go
@@ -64,17 +64,17 @@
 
 // control holds the state behind the snapshots. Only its own goroutine uses it.
 type control struct {
-	s          *Server
-	areas      [2]AreaState
-	lastRead   [2]time.Time
-	storeLost  [2]bool
-	roster     *fleet.Roster
-	config     *fleet.Config
-	outCentres map[wire.DataCentreID]bool
+	s         *Server
+	areas     [2]AreaState
+	lastRead  [2]time.Time
+	storeLost [2]bool
+	roster    *fleet.Roster
+	config    *fleet.Config
+	centres   *fleet.Centres
 }
 
 func newControl(s *Server) *control {
-	c := &control{s: s, roster: fleet.NewRoster(), outCentres: map[wire.DataCentreID]bool{}}
+	c := &control{s: s, roster: fleet.NewRoster(), centres: fleet.NewCentres()}
 	for i := range c.areas {
 		c.areas[i].Records = map[string]platform.Record{}
 	}
@@ -129,7 +129,7 @@
 		a.Era = u.page.Era
 	}
 	if u.full {
-		c.deleteUnlisted(now, u)
+		c.deleteUnlisted(now, u, restored)
 	}
 	for _, r := range u.page.Records {
 		c.applyRecord(now, a, r, restored)
@@ -139,7 +139,8 @@
 
 // enterEra prepares for the listing of a store that was restored from a copy. The
 // revisions of the records known say nothing about those in the listing any more. Upstreams
-// that the copy lacks have the grace period to register again.
+// that the copy lacks have the grace period to register again, and the data centres that
+// are out stay so until the operator has written again.
 func (c *control) enterEra(now time.Time, u update) {
 	a := &c.areas[u.area]
 	c.s.log.Warn("store restored", "area", u.area, "era", u.page.Era, "before", a.Era, "revision", u.page.Revision, "known", a.At, "peer", u.fromPeer)
@@ -148,9 +149,18 @@
 		r.Revision = 0
 		a.Records[key] = r
 	}
-	if u.area == platform.AreaUpstreamRegistry {
+	switch u.area {
+	case platform.AreaUpstreamRegistry:
 		c.roster.StoreLost()
 		c.roster.StoreRegained(now)
+	case platform.AreaOperatorSettings:
+		listed := map[wire.DataCentreID]fleet.Revision{}
+		for _, r := range u.page.Records {
+			if r.Kind == platform.RecordCentreOut {
+				listed[wire.DataCentreID(r.Name)] = r.Revision
+			}
+		}
+		c.centres.Restored(now, listed, a.At)
 	}
 }
 
@@ -179,8 +189,9 @@
 	}
 }
 
-// deleteUnlisted deletes the records that a full listing does not contain.
-func (c *control) deleteUnlisted(now time.Time, u update) {
+// deleteUnlisted deletes the records that a full listing does not contain. copied is that
+// of applyRecord.
+func (c *control) deleteUnlisted(now time.Time, u update, copied bool) {
 	a := &c.areas[u.area]
 	listed := map[string]bool{}
 	for _, r := range u.page.Records {
@@ -188,7 +199,7 @@
 	}
 	for key, r := range a.Records {
 		if !listed[key] && !r.Deleted {
-			c.applyRecord(now, a, platform.Record{Kind: r.Kind, Name: r.Name, Revision: max(r.Revision, u.page.Revision), Deleted: true}, false)
+			c.applyRecord(now, a, platform.Record{Kind: r.Kind, Name: r.Name, Revision: max(r.Revision, u.page.Revision), Deleted: true}, copied)
 		}
 	}
 }
@@ -224,7 +235,10 @@
 	case platform.RecordConfig:
 		c.applyConfig(r)
 	case platform.RecordCentreOut:
-		c.applyCentreOut(r)
+		if !copied { // otherwise Centres.Restored has it
+			c.centres.Set(wire.DataCentreID(r.Name), !r.Deleted)
+		}
+		c.s.log.Info("data centre changed", "centre", r.Name, "out", !r.Deleted, "copied", copied, "revision", r.Revision)
 	case platform.RecordUpstream:
 		c.applyUpstream(now, r, copied)
 	}
@@ -253,18 +267,6 @@
 	c.s.incCounter("config_applied")
 }
 
-// applyCentreOut takes a data centre out of service, or puts it back if the record is
-// deleted.
-func (c *control) applyCentreOut(r platform.Record) {
-	centre := wire.DataCentreID(r.Name)
-	if r.Deleted {
-		delete(c.outCentres, centre)
-	} else {
-		c.outCentres[centre] = true
-	}
-	c.s.log.Info("data centre changed", "centre", centre, "out", !r.Deleted, "revision", r.Revision)
-}
-
 // applyUpstream adds, changes or removes an upstream. An upstream whose entry is invalid
 // is removed. A copied entry that is older than what is known is ignored.
 func (c *control) applyUpstream(now time.Time, r platform.Record, copied bool) {
@@ -295,13 +297,13 @@
 // publish builds a new snapshot and applies it to the targets and the stage queues.
 func (c *control) publish(now time.Time) {
 	v := &View{
-		Config: c.config, Upstreams: map[fleet.ServiceID][]fleet.Upstream{}, OutCentres: maps.Clone(c.outCentres),
+		Config: c.config, Upstreams: map[fleet.ServiceID][]fleet.Upstream{}, OutCentres: c.centres.Out(now),
 		Listed: c.areas[platform.AreaUpstreamRegistry].Listed, LastRead: c.lastRead,
 	}
 	var usable []fleet.Upstream
 	for svc, us := range c.roster.Usable(now) {
 		usable = append(usable, us...)
-		us = slices.DeleteFunc(us, func(u fleet.Upstream) bool { return c.outCentres[u.Centre] })
+		us = slices.DeleteFunc(us, func(u fleet.Upstream) bool { return v.OutCentres[u.Centre] })
 		v.Upstreams[svc] = us
 	}
 	for i := range c.areas {
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -135,3 +135,33 @@
 		r.waitForUpstreams(r.n, 3)
 	})
 }
+
+// TestCentreAfterRestore guards against requests to a data centre that was taken out of
+// service after the copy from which the store was restored, and against one that stays out
+// although it was taken back.
+func TestCentreAfterRestore(t *testing.T) {
+	t.Run("taken out since", func(t *testing.T) {
+		r := newRestoredRig(t)
+		old := r.site.Store.Copy()
+		r.site.Store.PutJSON("op/evacuate/a", map[string]any{})
+		r.waitForUpstreams(r.n, 0)
+		later := r.site.Store.Copy()
+		r.away(func(s *site.Store) { s.Restore(old) })
+		r.waitForEra(2)
+		assert.Equal(t, len(r.usable()), 0)
+		r.site.Store.WriteAgain(later, nil)
+		r.site.Store.Delete("op/evacuate/a")
+		r.waitForUpstreams(r.n, 2)
+	})
+	t.Run("taken back since", func(t *testing.T) {
+		r := newRestoredRig(t)
+		r.site.Store.PutJSON("op/evacuate/a", map[string]any{})
+		r.waitForUpstreams(r.n, 0)
+		old := r.site.Store.Copy()
+		r.site.Store.Delete("op/evacuate/a")
+		r.waitForUpstreams(r.n, 2)
+		r.away(func(s *site.Store) { s.Restore(old) })
+		r.waitForEra(2)
+		assert.Equal(t, len(r.usable()), 2)
+	})
+}
