entry, core/fleet: tell routers that start what a restored store has lost

A router that started after a restore served by the copy: an older configuration, keys that had been withdrawn, upstreams that had left. Cause: only the routers that ran through the restore know what came after the copy, and peers are asked only while the store can't be read. Change: a heartbeat names the version in force; a router that has read as far and has an older one takes it from the peer. A router that starts adds the memory of two peers: the configuration in force, upstreams that drain or have left, data centres whose state the store contradicts. Conclusion: mended as long as one router has run through the restore. If all are killed meanwhile, nobody knows what the copy lacks.

--- a/core/fleet/centres.go
+++ b/core/fleet/centres.go
@@ -73,3 +73,18 @@
 	}
 	return out
 }
+
+// Held returns the data centres whose state differs from that in the restored store.
+func (c *Centres) Held(now time.Time) map[wire.DataCentreID]HeldCentre {
+	c.Out(now) // drops those whose time is over
+	return maps.Clone(c.held)
+}
+
+// Learn adds the held state of another router that has read the store as far as this one.
+func (c *Centres) Learn(held map[wire.DataCentreID]HeldCentre) {
+	for id, h := range held {
+		if _, ok := c.held[id]; !ok && c.out[id] != h.Out {
+			c.held[id] = h
+		}
+	}
+}
--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -21,6 +21,8 @@
 	// departed holds the last entries that were removed, which a restored store may list
 	// again.
 	departed map[wire.UpstreamID]departure
+	// kept holds the upstreams whose entries are newer than those in the restored store.
+	kept map[wire.UpstreamID]bool
 	// graceEnd is the end of the grace period that starts when the store becomes readable
 	// again. Until then, the upstreams of removed entries stay in use as lapsed.
 	graceEnd  time.Time
@@ -43,7 +45,7 @@
 
 // NewRoster returns an empty roster.
 func NewRoster() *Roster {
-	return &Roster{entries: make(map[wire.UpstreamID]Upstream), lapsed: make(map[wire.UpstreamID]Upstream), departed: make(map[wire.UpstreamID]departure)}
+	return &Roster{entries: make(map[wire.UpstreamID]Upstream), lapsed: make(map[wire.UpstreamID]Upstream), departed: make(map[wire.UpstreamID]departure), kept: make(map[wire.UpstreamID]bool)}
 }
 
 // StoreLost records that the store can no longer be read.
@@ -64,6 +66,7 @@
 	r.entries[u.ID] = u
 	delete(r.lapsed, u.ID)
 	delete(r.departed, u.ID)
+	delete(r.kept, u.ID)
 }
 
 // PutCopied is Put for an entry of a restored store, which may be from the copy: one that is
@@ -71,6 +74,7 @@
 // whether the entry was taken.
 func (r *Roster) PutCopied(u Upstream) bool {
 	if known, ok := r.entries[u.ID]; ok && u.OlderThan(known) {
+		r.kept[u.ID] = true
 		return false
 	}
 	if gone, ok := r.departed[u.ID]; ok && !gone.OlderThan(u) && u.Born != 0 {
@@ -88,6 +92,7 @@
 		return
 	}
 	delete(r.entries, id)
+	delete(r.kept, id)
 	r.depart(u, now)
 	if !u.Draining && (r.storeLost || now.Before(r.graceEnd)) {
 		r.lapsed[id] = u
@@ -108,6 +113,45 @@
 	r.departed[u.ID] = departure{u, now}
 }
 
+// RosterMemory is what a roster knows and a restored store may have lost.
+type RosterMemory struct {
+	Newer    []Upstream // entries that are newer than those in the store
+	Departed []Upstream // last entries that were removed
+}
+
+// Memory returns what the roster knows and the store may have lost.
+func (r *Roster) Memory() (m RosterMemory) {
+	for id := range r.kept {
+		m.Newer = append(m.Newer, r.entries[id])
+	}
+	for _, d := range r.departed {
+		m.Departed = append(m.Departed, d.Upstream)
+	}
+	return m
+}
+
+// Learn adds the memory of another router's roster. Entries that are older than what it
+// holds are replaced or removed.
+func (r *Roster) Learn(m RosterMemory, now time.Time) {
+	for _, u := range m.Newer {
+		if known, ok := r.entries[u.ID]; ok && known.OlderThan(u) {
+			r.entries[u.ID] = u
+			r.kept[u.ID] = true
+		}
+	}
+	for _, u := range m.Departed {
+		if known, ok := r.entries[u.ID]; ok && (u.OlderThan(known) || u.Born == 0 || known.Born == 0) {
+			continue
+		}
+		if gone, ok := r.departed[u.ID]; ok && u.OlderThan(gone.Upstream) {
+			continue
+		}
+		delete(r.entries, u.ID)
+		delete(r.kept, u.ID)
+		r.depart(u, now)
+	}
+}
+
 // Replace sets the entries to those of a full listing of the store. Entries that the
 // listing lacks are removed as by Remove.
 func (r *Roster) Replace(listing []Upstream, now time.Time) {
--- a/entry/control.go
+++ b/entry/control.go
@@ -46,8 +46,25 @@
 
 func (a *AreaState) position() fleet.Position { return fleet.Position{Era: a.Era, Revision: a.At} }
 
-// State is everything that a router has read from the store, by platform.Area.
-type State struct{ Areas [2]AreaState }
+// State is everything that a router has read from the store, by platform.Area, and what it
+// knows from before the store was restored.
+type State struct {
+	Areas  [2]AreaState
+	Memory Memory
+}
+
+// Memory is what a router knows and a restored store may have lost.
+type Memory struct {
+	Config  platform.Record                   // configuration in force
+	Roster  fleet.RosterMemory                // upstreams
+	Centres map[wire.DataCentreID]HeldForPeer // data centres
+}
+
+// HeldForPeer is fleet.HeldCentre with the time left.
+type HeldForPeer struct {
+	Out  bool
+	Left time.Duration
+}
 
 // update is the outcome of a read of one area, for the control goroutine.
 type update struct {
@@ -58,19 +75,21 @@
 	// fromPeer reports whether the page comes from another router.
 	fromPeer  bool
 	storeLost bool          // whether the store did not answer; page is empty then
+	state     *State        // state of a peer whose memory is to be added; page is empty then
 	err       error         // why it did not answer
 	applied   chan struct{} // closed when the snapshot contains the update
 }
 
 // control holds the state behind the snapshots. Only its own goroutine uses it.
 type control struct {
-	s         *Server
-	areas     [2]AreaState
-	lastRead  [2]time.Time
-	storeLost [2]bool
-	roster    *fleet.Roster
-	config    *fleet.Config
-	centres   *fleet.Centres
+	s          *Server
+	areas      [2]AreaState
+	lastRead   [2]time.Time
+	storeLost  [2]bool
+	roster     *fleet.Roster
+	config     *fleet.Config
+	configFrom platform.Record // record of config
+	centres    *fleet.Centres
 }
 
 func newControl(s *Server) *control {
@@ -93,7 +112,7 @@
 			c.publish(time.Now())
 			close(u.applied)
 		case reply := <-c.s.stateRequests:
-			reply <- State{c.export()}
+			reply <- c.export(time.Now())
 		case <-tick.C:
 			c.publish(time.Now())
 		case <-ctx.Done():
@@ -106,9 +125,13 @@
 // changes of another era, which don't follow from that state.
 func (c *control) apply(now time.Time, u update) {
 	a := &c.areas[u.area]
-	if u.storeLost {
+	switch {
+	case u.storeLost:
 		c.markStoreLost(u.area, u.err)
 		return
+	case u.state != nil:
+		c.learn(now, u.state)
+		return
 	}
 	restored := a.position().Restored(u.page.Position)
 	if u.page.Before(a.position()) || restored && !u.full {
@@ -261,7 +284,7 @@
 		c.s.log.Warn("older configuration ignored", "version", cfg.Version, "known", c.config.Version)
 		return
 	}
-	c.config = cfg
+	c.config, c.configFrom = cfg, r
 	c.s.log.Info("configuration in force", "version", cfg.Version, "revision", r.Revision,
 		"routes", len(cfg.Routes), "services", len(cfg.Services), "teams", len(cfg.Teams))
 	c.s.incCounter("config_applied")
@@ -319,15 +342,35 @@
 	c.s.queues.update(v)
 }
 
-// export returns a copy of the state of all areas, for a peer.
-func (c *control) export() [2]AreaState {
-	out := c.areas
-	for i := range out {
-		out[i].Records = maps.Clone(out[i].Records)
+// export returns a copy of the state, for a peer.
+func (c *control) export(now time.Time) State {
+	out := State{Areas: c.areas, Memory: Memory{Config: c.configFrom, Roster: c.roster.Memory(), Centres: map[wire.DataCentreID]HeldForPeer{}}}
+	for i := range out.Areas {
+		out.Areas[i].Records = maps.Clone(out.Areas[i].Records)
+	}
+	for id, h := range c.centres.Held(now) {
+		out.Memory.Centres[id] = HeldForPeer{h.Out, h.Until.Sub(now)}
 	}
 	return out
 }
 
+// learn adds the memory of a peer. What the store says after the peer read it goes first.
+func (c *control) learn(now time.Time, s *State) {
+	if m := s.Memory.Config; len(m.Value) > 0 && !bytes.Equal(m.Value, c.configFrom.Value) {
+		c.applyConfig(m)
+	}
+	c.roster.Learn(s.Memory.Roster, now)
+	const op = platform.AreaOperatorSettings
+	if s.Areas[op].position().Before(c.areas[op].position()) {
+		return
+	}
+	held := map[wire.DataCentreID]fleet.HeldCentre{}
+	for id, h := range s.Memory.Centres {
+		held[id] = fleet.HeldCentre{Out: h.Out, Until: now.Add(min(h.Left, fleet.LapseGrace))}
+	}
+	c.centres.Learn(held)
+}
+
 // applyUpdate sends an update to the control goroutine and waits until the snapshot
 // contains it or ctx is done.
 func (s *Server) applyUpdate(ctx context.Context, u update) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -35,6 +35,9 @@
 	maxNeighbours = 9
 	// maxStrikeAge is the age up to which heartbeats report upstream crashes.
 	maxStrikeAge = 10 * time.Second
+	// maxIntroductions is the number of peers whose memory a router adds after its start. The
+	// second one makes up for a first one that has just started too.
+	maxIntroductions = 2
 	// rpcDialTimeout bounds connecting to a peer.
 	rpcDialTimeout = 300 * time.Millisecond
 )
@@ -67,6 +70,7 @@
 	Members []Member           // other routers that the sender knows
 	At      [2]fleet.Revision  // store revision that the sender has reached, by platform.Area
 	Eras    [2]fleet.Era       // era of the store that At belongs to, 0 if unknown
+	Config  fleet.Version      // version in force, 0 if there is none
 	Strikes []crash.Strike     // recent upstream crashes
 	Blocks  []crash.AgedStrike // crashes of the requests that are blocked
 	Parts   crash.PartsReport  // prompt parts that crash upstreams
@@ -83,7 +87,9 @@
 	members map[wire.HostID]*peerRecord
 	watches map[*peerWatch]struct{}
 	clients map[wire.Address]*rpc.Client
-	tickAt  time.Time // last tick of run
+	// introduced holds the peers whose memory was added after the start.
+	introduced map[wire.HostID]bool
+	tickAt     time.Time // last tick of run
 	// resumedAt is the end of the last pause of run, for instance because the process was
 	// suspended.
 	resumedAt time.Time
@@ -104,7 +110,7 @@
 		self:    Member{Name: s.cfg.Name, Address: s.cfg.Peers, Centre: s.cfg.Centre, Boot: time.Now().UnixNano(), CPU: s.cfg.Cores},
 		members: map[wire.HostID]*peerRecord{},
 		watches: map[*peerWatch]struct{}{},
-		clients: map[wire.Address]*rpc.Client{},
+		clients: map[wire.Address]*rpc.Client{}, introduced: map[wire.HostID]bool{},
 	}
 }
 
@@ -186,7 +192,8 @@
 }
 
 // catchUp copies the store's state from a peer if the peer's heartbeat b shows a later
-// revision of an area that this router can't read from the store itself.
+// position in an area that this router can't read from the store itself, and adds the
+// peer's memory if the store may have lost what the peer knows.
 func (p *peers) catchUp(ctx context.Context, addr wire.Address, b Beat) {
 	v := p.s.view.Load()
 	behind := false
@@ -194,7 +201,7 @@
 		stale := time.Since(v.LastRead[i]) > maxReadAge+watchWait || v.At[i].Revision == 0
 		behind = behind || v.At[i].Before(fleet.Position{Era: b.Eras[i], Revision: b.At[i]}) && (stale || p.s.storeLost(platform.Area(i)))
 	}
-	if !behind {
+	if introduce := p.introduce(v, b); !behind && !introduce && !hasLostConfig(v, b) {
 		return
 	}
 	var state State
@@ -210,6 +217,33 @@
 			"known_era", v.At[i].Era, "known", v.At[i].Revision)
 		p.s.applyUpdate(ctx, update{area: platform.Area(i), page: platform.Page{Records: slices.Collect(maps.Values(a.Records)), Position: a.position()}, full: true, fromPeer: true})
 	}
+	p.s.applyUpdate(ctx, update{state: &state, fromPeer: true})
+}
+
+// introduce reports whether the memory of the peer that sent b is still to be added after
+// the start of this router, and counts it as added. A peer that has not yet read the
+// restored store, unlike the view v, can't say what is missing there.
+func (p *peers) introduce(v *View, b Beat) bool {
+	for i, at := range v.At {
+		if b.Eras[i] < at.Era {
+			return false
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.Config == 0 || p.introduced[b.From.Name] || len(p.introduced) >= maxIntroductions {
+		return false
+	}
+	p.introduced[b.From.Name] = true
+	return true
+}
+
+// hasLostConfig reports whether the store no longer has the configuration that is in force
+// at the peer that sent b: a router with view v has read as far and has an older one.
+func hasLostConfig(v *View, b Beat) bool {
+	const op = platform.AreaOperatorSettings
+	return v.Config != nil && b.Config > v.Config.Version &&
+		!v.At[op].Before(fleet.Position{Era: b.Eras[op], Revision: b.At[op]})
 }
 
 // composeHeartbeat returns the heartbeat that describes this router and the members
@@ -221,6 +255,9 @@
 	b := Beat{From: p.self, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if v.Config != nil {
+		b.Config = v.Config.Version
+	}
 	for i, at := range v.At {
 		b.At[i], b.Eras[i] = at.Revision, at.Era
 	}
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -165,3 +165,27 @@
 		assert.Equal(t, len(r.usable()), 2)
 	})
 }
+
+// TestStartAfterRestore guards against a router that starts while the restored store lacks
+// what was written last, and serves by an older configuration, or sends requests to upstreams
+// that drain or have left and to data centres that are out.
+func TestStartAfterRestore(t *testing.T) {
+	r := newRestoredRig(t)
+	third := r.addReplica("i-3", "desk")
+	third.Centre = "b"
+	r.site.Store.PutJSON("servers/i-3", third.Entry("ready"))
+	fourth := r.addReplica("i-4", "desk")
+	r.waitForUpstreams(r.n, 4)
+	old := r.site.Store.Copy()
+	r.putVersion(7, "new.example")
+	r.site.Store.Delete("servers/i-2")
+	r.site.Store.PutJSON("servers/i-4", fourth.Entry("draining"))
+	r.site.Store.PutJSON("op/evacuate/b", map[string]any{})
+	r.waitForVersion(r.n, 7)
+	r.waitForUpstreams(r.n, 1)
+	r.away(func(s *site.Store) { s.Restore(old) })
+	r.waitForEra(2)
+	late := &restoredRig{rig: r.rig, n: r.start(r.settings("r2", r.n.cfg.Peers))}
+	late.waitForVersion(late.n, 7)
+	assert.DeepEqual(t, late.usable(), []string{"i-1"})
+}
