soak, fakes/site: restore the store from a copy

Change: a fault restores it from a copy that is up to seven seconds old, and writes again what that lost up to 0.8 s later; at the end of a run each router must serve the route that the last configuration added.

--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -149,7 +149,7 @@
 		r.away(func(s *site.Store) { s.Restore(old) })
 		r.waitForEra(2)
 		assert.Equal(t, len(r.usable()), 0)
-		r.site.Store.WriteAgain(later, nil)
+		r.site.Store.WriteAgain(later)
 		r.site.Store.Delete("op/evacuate/a")
 		r.waitForUpstreams(r.n, 2)
 	})
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -49,6 +49,7 @@
 	items        map[string]Item
 	history      []Item // writes after compactedRev, oldest first
 	compactedRev int64  // revision up to which the history was dropped
+	restoredRev  int64  // revision of the copy of the last Restore
 	mode         Mode
 	changed      chan struct{} // closed and replaced at each write
 	calls        int
@@ -150,23 +151,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
+	s.restoredRev = c.rev
 	s.rev, s.compactedRev, s.items, s.history = c.rev, c.compactedRev, maps.Clone(c.items), slices.Clone(c.history)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// WriteAgain writes what differs from a later copy, as the operator and the replicas do
-// after a restore. keep selects the keys; nil selects all.
-func (s *Store) WriteAgain(later Copy, keep func(key string) bool) {
-	now := s.Copy()
+// WriteAgain writes what the last restore lost, as the operator and the replicas do: later
+// is a copy from right before it. Keys that were written since the restore stay as they are.
+func (s *Store) WriteAgain(later Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	written := map[string]bool{}
+	for _, it := range s.history {
+		if it.Revision > s.restoredRev {
+			written[it.Key] = true
+		}
+	}
 	for _, key := range slices.Sorted(maps.Keys(later.items)) {
-		if it := later.items[key]; (keep == nil || keep(key)) && !bytes.Equal(now.items[key].Value, it.Value) {
-			s.Put(key, it.Value)
+		if it := later.items[key]; !written[key] && !bytes.Equal(s.items[key].Value, it.Value) {
+			s.writeLocked(Item{Key: key, Value: it.Value})
 		}
 	}
-	for _, key := range slices.Sorted(maps.Keys(now.items)) {
-		if _, ok := later.items[key]; !ok && (keep == nil || keep(key)) {
-			s.Delete(key)
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if _, ok := later.items[key]; !ok && !written[key] {
+			s.writeLocked(Item{Key: key, Tombstone: true})
 		}
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -206,6 +206,7 @@
 		rec := recordsByID[id]
 		for _, run := range runs {
 			switch {
+			case rec == nil && strings.HasPrefix(id, "probe-"): // of probeConfig
 			case rec == nil:
 				c.fail("unasked", "%s ran at %s, but no caller sent it", id, run.Replica)
 			case run.Method != rec.method || run.Target != rec.target || run.Body != rec.body:
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -147,6 +147,7 @@
 	{"kill all routers", scopeRouters, killAllRouters},
 	{"fault on the store connection", scopeStore, faultStoreLink},
 	{"store fails", scopeStore, failStore},
+	{"store is restored", scopeStore, restoreStore},
 	{"store is compacted", scopeStore, func(r *Run, _ *rand.Rand, _ *event) { r.site.Store.Compact() }},
 	{"fault on a replica connection", scopeReplicaLink, faultReplicaLink},
 	{"replica fails", scopeReplicas, failReplica},
@@ -292,6 +293,25 @@
 	r.site.Store.SetMode(site.Up)
 }
 
+// restoreStore restores the store from a copy that is some seconds old. What that loses is
+// written again soon after.
+func restoreStore(r *Run, rng *rand.Rand, e *event) {
+	if !r.claims.claim("restore") {
+		r.events.remove(e)
+		return
+	}
+	defer r.claims.release("restore")
+	old := r.site.Store.Copy()
+	time.Sleep(randomDuration(rng, 200*time.Millisecond, 5*time.Second))
+	r.site.Store.SetMode([]site.Mode{site.Busy, site.Reset, site.Silent}[rng.IntN(3)])
+	time.Sleep(randomDuration(rng, 10*time.Millisecond, 2*time.Second))
+	later := r.site.Store.Copy()
+	r.site.Store.Restore(old)
+	r.site.Store.SetMode(site.Up)
+	time.Sleep(randomDuration(rng, time.Millisecond, 800*time.Millisecond))
+	r.site.Store.WriteAgain(later)
+}
+
 // faultReplicaLink disturbs the connections of all routers to one replica.
 func faultReplicaLink(r *Run, rng *rand.Rand, e *event) {
 	rp := r.replicas[rng.IntN(len(r.replicas))]
@@ -336,14 +356,18 @@
 	}
 }
 
-// changeConfig publishes a newer configuration with an additional route that no caller uses.
+// addedHost is the host of the routes that configurations add.
+const addedHost = "added.example"
+
+// changeConfig publishes a newer configuration with an additional route, which only
+// probeConfig uses.
 // The lock of the event log keeps the versions in order.
 func changeConfig(r *Run, _ *rand.Rand, _ *event) {
 	r.events.mu.Lock()
 	r.configVersion++
 	v := r.configVersion
 	r.site.Store.PutJSON("op/config", site.Config(v, append([]site.Route{
-		{Name: fmt.Sprint("added-", v), Host: "added.example", Prefix: fmt.Sprintf("/%d/", v), Kind: "safe", Service: "desk", Timeout: 6000, TargetLatency: 300, Attempts: 1},
+		{Name: fmt.Sprint("added-", v), Host: addedHost, Prefix: fmt.Sprintf("/%d/", v), Kind: "safe", Service: "desk", Timeout: 6000, TargetLatency: 300, Attempts: 1},
 	}, routes...), site.Services, map[string]string{teamKey: team}))
 	r.events.mu.Unlock()
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -145,3 +145,31 @@
 	}
 	return b.String()
 }
+
+// probeConfig sends a request on the route that the last configuration added to each router,
+// and returns a violation for each that doesn't serve it.
+func (r *Run) probeConfig() (violations []string) {
+	if r.configVersion == 1 {
+		return nil
+	}
+	for _, rt := range r.routers {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/%d/", rt.callers, r.configVersion), nil)
+		if err != nil {
+			return append(violations, err.Error())
+		}
+		req.Host = addedHost
+		req.Header.Set(site.HeaderID, "probe-"+rt.name)
+		req.Header.Set("Authorization", "Bearer "+teamKey)
+		client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		resp, err := client.Do(req)
+		if err != nil {
+			violations = append(violations, fmt.Sprintf("config: %s: %v", rt.name, err))
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			violations = append(violations, fmt.Sprintf("config: %s answers %d on the route of version %d", rt.name, resp.StatusCode, r.configVersion))
+		}
+	}
+	return violations
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -108,9 +108,11 @@
 	r.clearFaults()
 	r.quietSince = time.Now()
 	time.Sleep(quietPeriod)
+	stale := r.probeConfig()
 	cancel()
 	callerGroup.Wait()
 	violations, served = r.check()
+	violations = append(violations, stale...)
 	if o.ReportPath != "" {
 		err = r.report(o.ReportPath, violations)
 	}
