platform, core/fleet, entry: log software versions and streams taken up

Change: the software version of an upstream and Resumes are decoded; the end of a request names the version, the request that it resumes and the event after which it does; a router that resumes a stream within an answer logs it. No decision changes.

--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -23,7 +23,10 @@
 	PromptSegments  []PromptSegment // in order; the last one is private to the request or its session
 	LastEventID     int64           // id of the last event that the caller received, valid if Resumed is set
 	// Resumed reports whether the request continues an interrupted stream.
-	Resumed     bool
+	Resumed bool
+	// Resumes is the id of the request that brought the first event of that stream, empty if
+	// the caller doesn't name it.
+	Resumes     wire.RequestID
 	PieceCounts []int  // number of pieces per stage of the route
 	PieceKey    string // key of the pieces, as the caller sent it
 }
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -24,6 +24,8 @@
 	Era int64
 	// Bytes is a size in bytes.
 	Bytes int64
+	// SoftwareVersion is the version of the software that an upstream runs, not of its model.
+	SoftwareVersion string
 	// Handle refers to a result that an upstream keeps for a later stage.
 	Handle string
 )
@@ -128,6 +130,7 @@
 	Service       ServiceID
 	Address       wire.Address
 	Centre        wire.DataCentreID
+	Software      SoftwareVersion
 	Slots         int
 	Draining      bool
 	ColdRemaining time.Duration // remaining cold time when the entry was written
--- a/entry/control.go
+++ b/entry/control.go
@@ -314,7 +314,7 @@
 		return
 	}
 	c.s.log.Info("upstream entry", "upstream", id, "service", u.Service, "address", u.Address, "centre", u.Centre,
-		"draining", u.Draining, "cold", u.ColdRemaining.String(), "revision", r.Revision)
+		"software", u.Software, "draining", u.Draining, "cold", u.ColdRemaining.String(), "revision", r.Revision)
 }
 
 // publish builds a new snapshot and applies it to the targets and the stage queues.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -43,11 +43,12 @@
 	start    Instant
 	deadline Instant
 
-	runs         int               // attempts in which an upstream may have run the request
-	sends        int               // attempts that reached an upstream, including those that it rejected
-	tried        []wire.UpstreamID // upstreams that failed or rejected it
-	retriedStale []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
-	upstream     wire.UpstreamID   // upstream chosen last
+	runs         int                   // attempts in which an upstream may have run the request
+	sends        int                   // attempts that reached an upstream, including those that it rejected
+	tried        []wire.UpstreamID     // upstreams that failed or rejected it
+	retriedStale []wire.UpstreamID     // upstreams that had closed their idle connection; each is tried once more
+	upstream     wire.UpstreamID       // upstream chosen last
+	software     fleet.SoftwareVersion // of that upstream
 	// limitWait is the shortest time until an upstream takes a request within the limit
 	// that it names, 0 if the last choice left none out for its limit.
 	limitWait    time.Duration
@@ -155,9 +156,13 @@
 	if x.team != nil {
 		team = string(x.team.ID)
 	}
-	logEnd := s.log.Info
+	logger := s.log
+	if x.spec.Resumed {
+		logger = logger.With("resumes", x.spec.Resumes, "after_event", x.spec.LastEventID)
+	}
+	logEnd := logger.Info
 	if status >= http.StatusInternalServerError {
-		logEnd = s.log.Warn
+		logEnd = logger.Warn
 	}
 	v := x.view
 	var version fleet.Version
@@ -165,7 +170,7 @@
 		version = v.Config.Version
 	}
 	logEnd("request ended", "request", x.spec.ID, "status", status, "reason", reason, "route", routeID, "team", team,
-		"upstream", x.upstream, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
+		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
 		"left_ms", x.remaining().Milliseconds(), "config", version,
 		"config_age_ms", time.Since(v.LastRead[platform.AreaOperatorSettings]).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
--- a/entry/place.go
+++ b/entry/place.go
@@ -187,7 +187,7 @@
 		now := time.Now()
 		t, coldLimited := x.choose(now)
 		if t != nil && t.allowRequest(now, x.svc, x.s.peers.routerCount(now)) && x.s.takeLimited(now, t.Upstream) {
-			x.upstream = t.ID
+			x.upstream, x.software = t.ID, t.Software
 			return t
 		}
 		if t == nil && !coldLimited || now.After(until) || !clock.Sleep(ctx, coldPollInterval) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -220,6 +220,7 @@
 		if ctx.Err() == nil && st.allowRepeat() {
 			st.resume = st.resume || st.eventsSent > 0
 			st.s.incCounter("streams_resumed")
+			st.s.log.Info("stream broke off, resuming it", "request", st.spec.ID, "upstream", t.ID, "software", t.Software, "after_event", st.lastEventID)
 			return true, nil
 		}
 		return false, st.giveUpStream(ctx)
