--- /dev/null
+++ b/entry/version_test.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/fakes/site"
+)
+
+// versionRig is a rig whose engines run several versions of their software.
+type versionRig struct {
+	*rig
+	nodes []*node
+}
+
+// newVersionRig starts n routers and one engine, e-1, of version v1.
+func newVersionRig(t *testing.T, n int, acts ...site.Action) *versionRig {
+	t.Helper()
+	r := &versionRig{rig: newRig(t)}
+	r.addReplica("e-1", "engine", acts...)
+	first := r.settings("r1")
+	first.Seeds = append(first.Seeds, first.Peers)
+	r.nodes = append(r.nodes, r.start(first))
+	for i := 1; i < n; i++ {
+		r.nodes = append(r.nodes, r.start(r.settings(fmt.Sprint("r", i+1), first.Peers)))
+	}
+	for _, nd := range r.nodes {
+		r.waitForUpstreams(nd, 1)
+	}
+	return r
+}
+
+// release adds engines of version v2 and, if same is set, one more of v1, e-2.
+func (r *versionRig) release(same bool) {
+	r.t.Helper()
+	n := 1
+	if same {
+		r.addReplica("e-2", "engine")
+		n++
+	}
+	for i := range 5 {
+		p := &site.Replica{ID: fmt.Sprint("new-", i), Service: "engine", Version: "v2", Centre: "a", Events: 6}
+		assert.NilError(r.t, r.site.Add(p))
+		n++
+	}
+	for _, nd := range r.nodes {
+		r.waitForUpstreams(nd, n)
+	}
+}
+
+// retire lets e-1 drain.
+func (r *versionRig) retire() {
+	r.t.Helper()
+	before := len(r.nodes[0].view.Load().Upstreams["engine"])
+	r.site.Store.PutJSON("servers/e-1", r.site.Replicas()[0].Entry("draining"))
+	for _, nd := range r.nodes {
+		r.waitForUpstreams(nd, before-1)
+	}
+}
+
+// stream returns a request for a stream with a prompt of its own.
+func stream(i int) call {
+	c := post(streamHost, fmt.Sprint("/resume/", i), "prompt")
+	c.header = http.Header{site.HeaderParts: {fmt.Sprintf("topic-%d:50,own-%d:5", i, i)}}
+	return c
+}
+
+// takeUp returns the request that takes up the stream of c after an event.
+func takeUp(c call, after int) call {
+	again := c
+	again.id = c.id + "-again"
+	again.header = c.header.Clone()
+	again.header.Set(site.HeaderLastEvent, fmt.Sprint(after))
+	again.header.Set(site.HeaderResumes, c.id)
+	return again
+}
+
+// eventsAfter returns the body of the events of a stream of six that follow one.
+func eventsAfter(c call, after int) string {
+	return streamBody(c.target, 6)[len(streamBody(c.target, after)):]
+}
+
+// assertVersion asserts that all engines that ran requests with an id had one version.
+func (r *versionRig) assertVersion(id, want string) {
+	r.t.Helper()
+	for _, run := range r.site.Runs() {
+		if run.ID == id && run.Executed {
+			assert.Equal(r.t, run.Version, want, "%s ran at %s", id, run.Replica)
+		}
+	}
+}
+
+// startBroken starts streams that e-1 begins and breaks off after two events, and calls
+// release before it does. It returns the requests and what their callers got.
+func (r *versionRig) startBroken(n int, same bool) (cs []call, bodies []string, errs []error) {
+	r.t.Helper()
+	bodies, errs = make([]string, n), make([]error, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		cs = append(cs, stream(i))
+		wg.Go(func() { _, bodies[i], errs[i] = r.nodes[0].do(r.t, cs[i]) })
+	}
+	r.waitFor("the streams have begun", func() bool { return len(r.site.Runs()) == n })
+	r.release(same)
+	wg.Wait()
+	return cs, bodies, errs
+}
+
+// TestStreamVersion guards against streams with events from two software versions.
+func TestStreamVersion(t *testing.T) {
+	const streams = 4
+	slow := func(t *testing.T) *versionRig {
+		r := newVersionRig(t, 1, slices.Repeat([]site.Action{site.LoseAnswer}, streams)...)
+		r.site.Replicas()[0].ServiceTime = 400 * time.Millisecond
+		return r
+	}
+	t.Run("resumed within an answer", func(t *testing.T) {
+		r := slow(t)
+		cs, bodies, errs := r.startBroken(streams, true)
+		for i, c := range cs {
+			assert.NilError(t, errs[i])
+			assert.Equal(t, bodies[i], streamBody(c.target, 6))
+			r.assertVersion(c.id, "v1")
+		}
+	})
+	t.Run("no other upstream of the version", func(t *testing.T) {
+		r := slow(t)
+		cs, bodies, errs := r.startBroken(streams, false)
+		for i, c := range cs {
+			assert.Assert(t, errs[i] != nil || bodies[i] == streamBody(c.target, 6), "a part of the stream looks complete: %q", bodies[i])
+			assert.Assert(t, strings.HasPrefix(streamBody(c.target, 6), bodies[i]))
+			r.assertVersion(c.id, "v1")
+		}
+	})
+	for _, routers := range []int{1, 2} {
+		t.Run(fmt.Sprintf("taken up by the caller, %d routers", routers), func(t *testing.T) {
+			r := newVersionRig(t, routers)
+			for i := range streams {
+				r.nodes[0].assertStatus(t, stream(i), http.StatusOK, "")
+			}
+			r.release(true)
+			r.retire()
+			for i := range streams {
+				c := takeUp(stream(i), 2)
+				r.nodes[routers-1].assertStatus(t, c, http.StatusOK, eventsAfter(c, 2))
+				r.assertVersion(c.id, "v1")
+			}
+		})
+	}
+	t.Run("taken up when no upstream of the version is left", func(t *testing.T) {
+		r := newVersionRig(t, 1)
+		r.nodes[0].assertStatus(t, stream(0), http.StatusOK, "")
+		r.release(false)
+		r.retire()
+		c := takeUp(stream(0), 2)
+		r.nodes[0].assertStatus(t, c, http.StatusServiceUnavailable, "")
+		r.assertRuns(c.id, 0)
+	})
+}
--- a/fakes/site/names.go
+++ b/fakes/site/names.go
@@ -11,7 +11,9 @@
 
 	HeaderID          = "Request-Id"
 	HeaderDeadline    = "Request-Deadline"
-	HeaderPieceCounts = "Piece-Count" // numbers of pieces of each stage, separated by commas
+	HeaderLastEvent   = "Last-Event-Id" // number of the last event of a stream that is taken up
+	HeaderResumes     = "Resumes"       // id of the request that brought the first event of that stream
+	HeaderPieceCounts = "Piece-Count"   // numbers of pieces of each stage, separated by commas
 	HeaderPieceKey    = "Piece-Key"
 	HeaderTeam        = "Tenant-Name"
 	HeaderParts       = "Prompt-Prefix" // id:tokens of each part of the prompt
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -51,7 +52,8 @@
 	Replica, ID          string
 	Method, Target, Body string
 	Header               http.Header
-	Executed             bool // whether the replica began to work on the request
+	Version              string // of the replica's software
+	Executed             bool   // whether the replica began to work on the request
 	Began, Ended         time.Time
 }
 
@@ -59,6 +61,7 @@
 // fields before the first request; Site.Add starts it and sets Born and Site.
 type Replica struct {
 	ID, Service, Centre string
+	Version             string                       // of its software, v1 if empty
 	Born                int64                        // start time in Unix milliseconds
 	ServiceTime         time.Duration                // duration of a request or a stage call, or pause before each event of a stream
 	Events              int                          // number of events of a stream; 0 for a plain service
@@ -114,11 +117,13 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	return map[string]any{
-		"service": p.Service, "address": p.addr, "zone": p.Centre, "version": "v1", "slots": 8,
+		"service": p.Service, "address": p.addr, "zone": p.Centre, "version": p.version(), "slots": 8,
 		"state": state, "cold_remaining_ms": 0, "sequence": p.sequence, "born": p.Born,
 	}
 }
 
+func (p *Replica) version() string { return cmp.Or(p.Version, "v1") }
+
 // start listens on addr and serves requests. It also restarts a replica after a crash.
 func (p *Replica) start(addr string) (err error) {
 	ln, err := net.Listen("tcp", addr)
@@ -316,7 +321,7 @@
 		return
 	}
 	run := p.Site.begin(Run{
-		Replica: p.ID, ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
+		Replica: p.ID, Version: p.version(), ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
 		Header: r.Header.Clone(), Executed: act != Reject,
 	})
 	defer p.Site.end(run)
@@ -455,7 +460,7 @@
 // firstEvent returns the number of the first event that a request asks for: the one after
 // the number in Last-Event-Id.
 func (p *Replica) firstEvent(r *http.Request) int {
-	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	lastEvent, _ := strconv.Atoi(r.Header.Get(HeaderLastEvent))
 	return lastEvent + 1
 }
 
