entry, platform: resume streams at the software version that began them

Callers got the first events of a stream from one software version and the rest from another one, in one answer that looked complete. Cause: a router that resumes a stream after its upstream broke off chose among all upstreams of the service.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -43,12 +43,14 @@
 	start    Instant
 	deadline Instant
 
-	runs         int                   // attempts in which an upstream may have run the request
-	sends        int                   // attempts that reached an upstream, including those that it rejected
-	tried        []wire.UpstreamID     // upstreams that failed or rejected it
-	retriedStale []wire.UpstreamID     // upstreams that had closed their idle connection; each is tried once more
-	upstream     wire.UpstreamID       // upstream chosen last
-	software     fleet.SoftwareVersion // of that upstream
+	runs         int               // attempts in which an upstream may have run the request
+	sends        int               // attempts that reached an upstream, including those that it rejected
+	tried        []wire.UpstreamID // upstreams that failed or rejected it
+	retriedStale []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
+	// pinned is the software version at which the stream must go on, empty if it is free.
+	pinned   fleet.SoftwareVersion
+	upstream wire.UpstreamID       // upstream chosen last
+	software fleet.SoftwareVersion // of that upstream
 	// limitWait is the shortest time until an upstream takes a request within the limit
 	// that it names, 0 if the last choice left none out for its limit.
 	limitWait    time.Duration
--- a/entry/place.go
+++ b/entry/place.go
@@ -23,10 +23,14 @@
 )
 
 // candidates returns the upstreams of the newest snapshot on which the request may run,
-// except those that it has tried.
+// except those that it has tried. A stream that has begun may go on only at upstreams of the
+// same software version: what two versions write doesn't fit together.
 func (x *exchange) candidates() (us []fleet.Upstream) {
 	x.refreshView()
 	for _, u := range x.view.Upstreams[x.svc.ID] {
+		if x.pinned != "" && u.Software != x.pinned {
+			continue
+		}
 		if !slices.Contains(x.tried, u.ID) && fleet.Allowed(x.route, x.team, x.s.cfg.region(u.Centre)) {
 			us = append(us, u)
 		}
