entry, core/origin: take streams up at the version that began them

Callers that took up a stream got the rest of it from another software version than the first part, with 200. Cause: a router chose for a stream that is taken up as for a new request. The version that began it was known to the router that had begun it at most, and forgotten with its answer. Change: core/origin holds which version of which service began a stream, under the request that brought its first event (Resumes). Records go to two more routers, chosen by rendezvous hash in several data centres; a router that starts gets those that it owns, one that stops hands its own over. A stream that is taken up is pinned to the recorded version and refused at once if no upstream has it. Without a record it goes on only if one version has served for as long as streams live. Resumed streams whose service is no longer the route's are refused too.

--- a/entry/control.go
+++ b/entry/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -90,6 +91,7 @@
 	config     *fleet.Config
 	configFrom platform.Record // record of config
 	centres    *fleet.Centres
+	observedAt Instant // last call of observeVersions
 }
 
 func newControl(s *Server) *control {
@@ -317,8 +319,23 @@
 		"software", u.Software, "draining", u.Draining, "cold", u.ColdRemaining.String(), "revision", r.Revision)
 }
 
+// observeVersions records the software versions of all registered upstreams, as long as they
+// are read. While the process was suspended, versions may have come and gone.
+func (c *control) observeVersions(now time.Time) {
+	boot := bootNow()
+	if c.observedAt != 0 && boot.Sub(c.observedAt) > origin.MaxGap {
+		c.s.origins.history.Reset()
+	}
+	c.observedAt = boot
+	const area = platform.AreaUpstreamRegistry
+	if c.areas[area].Listed && now.Sub(c.lastRead[area]) < maxReadAge+watchWait {
+		c.s.origins.history.Observe(now, c.roster.Entries())
+	}
+}
+
 // publish builds a new snapshot and applies it to the targets and the stage queues.
 func (c *control) publish(now time.Time) {
+	c.observeVersions(now)
 	v := &View{
 		Config: c.config, Upstreams: map[fleet.ServiceID][]fleet.Upstream{}, OutCentres: c.centres.Out(now),
 		Listed: c.areas[platform.AreaUpstreamRegistry].Listed, LastRead: c.lastRead,
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -239,7 +239,14 @@
 	if f := x.readRequestBody(cfg); f != nil {
 		return f
 	}
-	x.svc = cfg.Service(x.route.ChooseService(randomFraction()))
+	svc := x.route.ChooseService(randomFraction())
+	if x.spec.Resumed && x.route.Kind == fleet.Stream {
+		var f *refusal
+		if svc, f = x.pinOrigin(x.r.Context()); f != nil {
+			return f
+		}
+	}
+	x.svc = cfg.Service(svc)
 	x.retryBudget = x.s.retryBudget(x.svc.ID)
 	x.retryBudget.RecordFirstAttempt()
 	var team wire.TeamID
--- /dev/null
+++ b/entry/origin.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"hornbeamcove.example/core/clock"
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/origin"
+	"hornbeamcove.example/core/wire"
+)
+
+const (
+	// originFlushDelay is the time for which records of streams are gathered before they are
+	// sent to their owners with one call for each.
+	originFlushDelay = 5 * time.Millisecond
+	// originTimeout bounds a call for records, far above the delay between data centres.
+	originTimeout = 250 * time.Millisecond
+	// defaultStreamTime is the time for which a stream may be taken up if its caller gave no
+	// deadline, and streamTimeMargin what is added to the time until one that it gave.
+	defaultStreamTime = time.Minute
+	streamTimeMargin  = 5 * time.Second
+)
+
+// origins shares with the other routers which software versions began the streams of this
+// one. It is safe for concurrent use.
+type origins struct {
+	s       *Server
+	table   origin.Table
+	history origin.History
+
+	mu       sync.Mutex
+	pending  []origin.Record // not yet sent to their owners
+	flushing bool            // whether flush is about to send them
+}
+
+// OriginQuery asks which software version began a stream.
+type OriginQuery struct {
+	Stream  wire.RequestID
+	Service fleet.ServiceID // whose versions to return
+	Window  time.Duration
+}
+
+// begun records that a stream has begun, or has been taken up, at a version.
+func (o *origins) begun(r origin.Record) {
+	o.table.Add(time.Now(), r)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending = append(o.pending, r)
+	if !o.flushing {
+		o.flushing = true
+		o.s.background.Go(o.flush)
+	}
+}
+
+// flush sends the pending records to their owners.
+func (o *origins) flush() {
+	clock.Sleep(context.Background(), originFlushDelay)
+	o.mu.Lock()
+	rs := o.pending
+	o.pending, o.flushing = nil, false
+	o.mu.Unlock()
+	o.send(rs)
+}
+
+// send sends records to their owners and waits until all have answered or originTimeout has
+// passed.
+func (o *origins) send(rs []origin.Record) {
+	routers := o.s.peers.ownerCandidates(time.Now())
+	byOwner := map[wire.HostID][]origin.Record{}
+	for _, r := range rs {
+		for _, owner := range origin.Owners(r.Stream, routers) {
+			if owner != o.s.cfg.Name {
+				byOwner[owner] = append(byOwner[owner], r)
+			}
+		}
+	}
+	var wg sync.WaitGroup
+	for owner, rs := range byOwner {
+		wg.Go(func() { o.sendTo(owner, rs) })
+	}
+	wg.Wait()
+}
+
+func (o *origins) sendTo(peer wire.HostID, rs []origin.Record) {
+	addr, ok := o.s.peers.address(peer)
+	if !ok || len(rs) == 0 {
+		return
+	}
+	var n int
+	if err := o.s.peers.call(context.Background(), addr, "Peer.Origins", rs, &n, originTimeout); err != nil {
+		o.s.log.Debug("could not send records of streams", "peer", peer, "records", len(rs), "err", err)
+		o.s.addCounter("origins_unsent", int64(len(rs)))
+	}
+}
+
+// peerStarted sends a router that has started the records that it owns.
+func (o *origins) peerStarted(peer wire.HostID) {
+	now := time.Now()
+	routers := o.s.peers.ownerCandidates(now)
+	o.sendTo(peer, o.table.Records(now, func(id wire.RequestID) bool {
+		return slices.Contains(origin.Owners(id, routers), peer)
+	}))
+}
+
+// handOver sends all records to their owners, before this router stops.
+func (o *origins) handOver() {
+	o.send(o.table.Records(time.Now(), func(wire.RequestID) bool { return true }))
+}
+
+// answer returns what this router knows about a stream.
+func (o *origins) answer(q OriginQuery) (a origin.Answer) {
+	now := time.Now()
+	a.Record, _ = o.table.Find(now, q.Stream)
+	a.Versions, a.Covered = o.history.Versions(now, q.Service, q.Window)
+	return a
+}
+
+// resolve returns what this router and those that may hold the record of a stream know about
+// it, and whether all of them have answered.
+func (o *origins) resolve(ctx context.Context, q OriginQuery) (answers []origin.Answer, complete bool) {
+	own := o.answer(q)
+	if own.Record.Version != "" {
+		return []origin.Answer{own}, true
+	}
+	var mu sync.Mutex
+	answers, complete = []origin.Answer{own}, true
+	var wg sync.WaitGroup
+	for _, name := range origin.Holders(q.Stream, o.s.peers.ownerCandidates(time.Now())) {
+		addr, ok := o.s.peers.address(name)
+		if !ok {
+			continue // this router
+		}
+		wg.Go(func() {
+			var a origin.Answer
+			err := o.s.peers.call(ctx, addr, "Peer.Origin", q, &a, originTimeout)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				complete = false
+				return
+			}
+			answers = append(answers, a)
+		})
+	}
+	wg.Wait()
+	return answers, complete
+}
+
+// pinOrigin sets the software version at which a stream that the caller takes up must go on,
+// and returns the service that began it. It returns a refusal if they are unknown or no
+// upstream has them.
+func (x *exchange) pinOrigin(ctx context.Context) (fleet.ServiceID, *refusal) {
+	q := OriginQuery{Stream: x.spec.Resumes, Window: origin.Window(x.route.Timeout)}
+	if len(x.route.Split) == 1 {
+		q.Service = x.route.Split[0].Service
+	}
+	answers, complete := x.s.origins.resolve(ctx, q)
+	r, ok := origin.Resolve(answers, q.Service)
+	refuse := func(outcome, reason string) (fleet.ServiceID, *refusal) {
+		x.s.incCounter("streams_taken_up", "outcome", outcome)
+		return "", &refusal{status: http.StatusServiceUnavailable, reason: reason}
+	}
+	switch {
+	case !ok && !complete: // another router may know
+		svc, f := refuse("unknown", reasonOriginUnknown)
+		f.retryAfter = retryAfterBusy
+		return svc, f
+	case !ok:
+		return refuse("unknown", reasonOriginUnknown)
+	case !slices.ContainsFunc(x.route.Split, func(w fleet.WeightedService) bool { return w.Service == r.Service }):
+		return refuse("moved", "service of the stream has changed")
+	case !slices.ContainsFunc(x.view.Upstreams[r.Service], func(u fleet.Upstream) bool { return u.Software == r.Version }):
+		return refuse("gone", "no upstream of the stream's software version")
+	}
+	x.s.incCounter("streams_taken_up", "outcome", "pinned")
+	x.pinned = r.Version
+	return r.Service, nil
+}
+
+// reasonOriginUnknown is the reason for refusing to take up a stream.
+const reasonOriginUnknown = "software version of the stream unknown"
+
+// recordOrigin records the version at which the stream has begun or was taken up.
+func (x *exchange) recordOrigin() {
+	if !x.route.Resumable || x.spec.Resumed && x.spec.Resumes == "" {
+		return
+	}
+	r := origin.Record{Stream: x.spec.ID, Service: x.svc.ID, Version: x.pinned, Left: defaultStreamTime}
+	if x.spec.Resumed {
+		r.Stream = x.spec.Resumes
+	}
+	if x.spec.Remaining > 0 {
+		r.Left = max(x.spec.Remaining-x.elapsed(), 0) + streamTimeMargin
+	}
+	if r.Stream != "" {
+		x.s.origins.begun(r)
+	}
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -313,6 +313,9 @@
 		return
 	}
 	p.members[m.Name] = &peerRecord{m, at}
+	if old == nil || m.Boot > old.Boot {
+		p.s.background.Go(func() { p.s.origins.peerStarted(m.Name) })
+	}
 }
 
 // ownerCandidates returns the routers that may own queues, sorted by name. Routers that
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -59,6 +59,7 @@
 	*Server
 	signals chan os.Signal
 	ended   chan error
+	cancel  context.CancelFunc
 }
 
 const (
@@ -157,6 +158,7 @@
 	s.openListener = r.openListener
 	n := &node{Server: s, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
 	go func() { n.ended <- s.Run(ctx, n.signals, func(os.Signal) bool { return false }) }()
 	r.t.Cleanup(func() {
 		cancel()
@@ -178,6 +180,14 @@
 	}
 }
 
+// kill ends the router at once, with all its connections.
+func (n *node) kill(t *testing.T) {
+	t.Helper()
+	n.cancel()
+	_ = n.callerServer.Close()
+	n.wait(t)
+}
+
 // terminate sends SIGTERM to the router.
 func (n *node) terminate() { n.signals <- syscall.SIGTERM }
 
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"time"
 
+	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 )
@@ -129,6 +130,21 @@
 	return nil
 }
 
+// Origins adds records of the software versions that began streams.
+func (p *Peer) Origins(rs []origin.Record, _ *int) error {
+	now := time.Now()
+	for _, r := range rs {
+		p.s.origins.table.Add(now, r)
+	}
+	return nil
+}
+
+// Origin answers with what this router knows about a stream.
+func (p *Peer) Origin(q OriginQuery, answer *origin.Answer) error {
+	*answer = p.s.origins.answer(q)
+	return nil
+}
+
 // Cancel ends the jobs of a request's stage.
 func (p *Peer) Cancel(o Order, _ *int) error {
 	p.s.queues.cancel(o)
--- a/entry/server.go
+++ b/entry/server.go
@@ -75,6 +75,7 @@
 	strikes        crash.Strikes
 	parts          crash.Parts
 	limits         limit.Named
+	origins        origins
 	latencies      routeLatencies
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
@@ -134,6 +135,7 @@
 	s.lastArrival.Store(&processStart)
 	s.queues = newStageQueues(s)
 	s.peers = newPeers(s)
+	s.origins.s = s
 	s.callerServer = &http.Server{
 		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
@@ -367,6 +369,7 @@
 	clock.Sleep(ctx, min(deregistrationDelay, s.cfg.grace()/2))
 	end := bootNow().Add(time.Until(began.Add(s.cfg.grace() - killMargin - refuseMargin)))
 	s.drainEnd.Store(&end)
+	s.background.Go(s.origins.handOver)
 	s.waitQuiet(began.Add(s.cfg.grace() - killMargin - listenerCloseMargin))
 	// Shutdown closes the listener and idle connections, and waits for active ones.
 	if err := s.callerServer.Shutdown(ctx); err != nil {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -254,6 +254,7 @@
 		st.w.Header().Del("Content-Length")
 		st.w.WriteHeader(http.StatusOK)
 		st.headerSent, st.pinned = true, t.Software
+		st.recordOrigin()
 		st.s.scope().Timer("first_event_time").Record(st.elapsed())
 	}
 	t.recordSuccess(time.Now(), ratio(took, st.s.expectedFirstEvent(st.route)))
