entry, platform, core/origin: find lost versions of streams in engines' caches

After all routers were killed at once no stream could be taken up (LOST). Cause: nothing of the routers outlasts a loss of all of them, so the versions that began the streams were lost, though most of the engines still ran. Change: the last part of a prompt is of one request or session alone. If no router has a record, the engines that the prompt prefers are asked once a second for what their caches have read (kv-events); if those that read it run one version, the stream goes on there. If they run several, or none is found, it is refused.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -118,3 +118,13 @@
 	}
 	return r, covered && sole != "" && r.Version != ""
 }
+
+// OfReaders returns the version that began a stream, given the versions of the upstreams that
+// have read the part of its prompt that no other stream has, or false if there are none or
+// several.
+func OfReaders(vs []fleet.SoftwareVersion) (fleet.SoftwareVersion, bool) {
+	if len(vs) == 0 || slices.ContainsFunc(vs, func(v fleet.SoftwareVersion) bool { return v != vs[0] }) {
+		return "", false
+	}
+	return vs[0], true
+}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -178,3 +178,16 @@
 	assert.Equal(t, len(Owners("a", nil)), 0)
 	assert.Equal(t, len(Holders("a", rs[:2])), 2)
 }
+
+// TestOfReaders guards against a guess when caches of several versions hold a prompt.
+func TestOfReaders(t *testing.T) {
+	type versions = []fleet.SoftwareVersion
+	for _, tc := range []struct {
+		readers versions
+		want    fleet.SoftwareVersion
+	}{{nil, ""}, {versions{"v1"}, "v1"}, {versions{"v1", "v1"}, "v1"}, {versions{"v1", "v2"}, ""}} {
+		v, ok := OfReaders(tc.readers)
+		assert.Equal(t, ok, tc.want != "")
+		assert.Equal(t, v, tc.want)
+	}
+}
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -31,6 +31,7 @@
 	s       *Server
 	table   origin.Table
 	history origin.History
+	reads   cacheReads
 
 	mu       sync.Mutex
 	pending  []origin.Record // not yet sent to their owners
@@ -160,6 +161,11 @@
 	}
 	answers, complete := x.s.origins.resolve(ctx, q)
 	r, ok := origin.Resolve(answers, q.Service)
+	outcome := "pinned"
+	if !ok && q.Service != "" {
+		r, ok = x.originFromReads(q.Service)
+		outcome = "pinned by cache"
+	}
 	refuse := func(outcome, reason string) (fleet.ServiceID, *refusal) {
 		x.s.incCounter("streams_taken_up", "outcome", outcome)
 		return "", &refusal{status: http.StatusServiceUnavailable, reason: reason}
@@ -176,7 +182,7 @@
 	case !slices.ContainsFunc(x.view.Upstreams[r.Service], func(u fleet.Upstream) bool { return u.Software == r.Version }):
 		return refuse("gone", "no upstream of the stream's software version")
 	}
-	x.s.incCounter("streams_taken_up", "outcome", "pinned")
+	x.s.incCounter("streams_taken_up", "outcome", outcome)
 	x.pinned = r.Version
 	return r.Service, nil
 }
--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -249,6 +249,17 @@
 			r.assertRuns(c.id, 0)
 		}
 	})
+	t.Run("all killed at once, the upstreams that read the prompts remain", func(t *testing.T) {
+		r := newVersionRig(t, 1)
+		for i := range streams {
+			r.nodes[0].assertStatus(t, stream(i), http.StatusOK, "")
+		}
+		r.release(true)
+		r.nodes[0].kill(t)
+		n := r.start(r.settings("r9"))
+		r.waitForUpstreams(n, len(r.site.Replicas()))
+		takeUpAll(t, r, n)
+	})
 	t.Run("all killed at once, the old version has just left", func(t *testing.T) {
 		r := newVersionRig(t, 1)
 		r.nodes[0].assertStatus(t, stream(0), http.StatusOK, "")
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -86,6 +86,7 @@
 	results    map[string]bool // handles of the stage results that the replica holds
 	lastResult int             // number of the last stage result, part of its handle
 	sequence   int             // entries that Entry has returned since the last start
+	reads      []string        // ids of the prompt parts read since the last start, in order
 	stageCalls [][]string      // pieces of each stage call, see StageCalls
 }
 
@@ -231,7 +232,7 @@
 	p.mu.Lock()
 	addr := p.ln.Addr().String()
 	clear(p.results)
-	p.limit = ""
+	p.limit, p.reads = "", nil
 	p.mu.Unlock()
 	downtime := p.Downtime
 	if downtime <= 0 {
@@ -310,6 +311,9 @@
 	case "/stage-free":
 		p.stageFree(r)
 		return
+	case "/kv-events":
+		p.cacheEvents(w)
+		return
 	}
 	act := p.action(r)
 	if act == RejectEarly {
@@ -331,9 +335,37 @@
 		p.reject(w, r, http.StatusConflict)
 		return
 	}
+	if act != Reject {
+		p.readPrompt(r)
+	}
 	p.answer(w, r, act)
 }
 
+// readPrompt records the parts of a request's prompt as read.
+func (p *Replica) readPrompt(r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for part := range strings.SplitSeq(r.Header.Get(HeaderParts), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		p.reads = append(p.reads, id)
+	}
+}
+
+// cacheEvents answers with the prompt parts that an engine has read.
+func (p *Replica) cacheEvents(w http.ResponseWriter) {
+	if p.Events == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	events := []any{}
+	for i, id := range p.reads {
+		events = append(events, []any{i + 1, "+", "", id, 1, "m"})
+	}
+	writeJSON(w, map[string]any{"epoch": p.Born, "next": len(events) + 1, "lost": false, "events": events})
+}
+
 func (p *Replica) action(r *http.Request) Action {
 	if p.Act == nil {
 		return Serve
