core/admit, entry: admit streams that are taken up by their deadline

Callers whose streams had broken off were refused ("stages: would be late") more often than new ones in a burst. Cause: admission and the stage queues measured a stream that is taken up against the latency target, counted from the take-up. That target is met or missed by the first event, which the caller has. Change: such a request is admitted if its forecast ends before its deadline, as for late requests but without yielding to others, and its pieces are due by the deadline.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -171,6 +171,14 @@
 	return f.Total+forecastError <= time.Duration(maxLateFraction*float64(timeLeft))
 }
 
+// DecideResumed reports whether a stream that its caller takes up is admitted. Its first event
+// has been delivered, so the target latency says nothing about it any more: it runs if it can
+// go on before its caller leaves, and yields to nobody, since work was done for it before. f
+// is its forecast, timeLeft the time until its deadline, and forecastError as in Decide.
+func DecideResumed(f Forecast, timeLeft, forecastError time.Duration) bool {
+	return DecideLate(f, timeLeft, forecastError)
+}
+
 // retryDivisor limits the retry delay of a request that would be late anyway to
 // 1/retryDivisor of the time until its deadline. Callers wait for at most a third of that
 // time.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -154,3 +154,21 @@
 		})
 	}
 }
+
+// TestDecideResumed guards against streams that are not taken up because they have missed the
+// latency target, which their first event has met already.
+func TestDecideResumed(t *testing.T) {
+	cfg := deployment(t)
+	plan := &cfg.Routes[0]
+	f := Forecast{Waits: []time.Duration{700 * ms}, StageTime: 1000 * ms, Total: 1250 * ms}
+	for _, tc := range []struct {
+		name     string
+		timeLeft time.Duration
+		ok       bool
+	}{{"in time", 2500 * ms, true}, {"after its caller has left", 1300 * ms, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			assertDecision(t, Decide(cfg, plan, f, tc.timeLeft, 0, fixedFirstEventTime), ReasonLate)
+			assert.Equal(t, DecideResumed(f, tc.timeLeft, 0), tc.ok)
+		})
+	}
+}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -80,6 +80,9 @@
 	forecast := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id] })
 	forecastError := x.s.forecastErrors.Expected(x.route.ID)
 	decision := admit.Decide(cfg, x.route, forecast, x.remaining(), forecastError, x.s.expectedFirstEvent)
+	if x.spec.Resumed {
+		decision.OK = decision.OK || admit.DecideResumed(forecast, x.remaining(), forecastError)
+	}
 	if !decision.OK && x.admitLate(forecastError, backlogs) {
 		x.late = true
 	} else if !decision.OK {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -72,8 +72,11 @@
 func (x *exchange) remaining() time.Duration { return x.deadline.Sub(bootNow()) }
 
 // remainingToTarget returns the time until the response, or a stream's first event,
-// misses the route's latency target.
+// misses the route's latency target. A stream that was taken up has no target but its deadline.
 func (x *exchange) remainingToTarget() time.Duration {
+	if x.spec.Resumed {
+		return x.remaining()
+	}
 	targetLatency := x.route.TargetLatency
 	if targetLatency <= 0 {
 		targetLatency = defaultTargetLatency
