limit, platform, entry: heed upstreams that leave or want no requests

Upstreams that say in their answers that they leave, or that turn a request away with Retry-After, went on getting requests. Change: limit.Notices holds both for each run of an upstream. Notices in a 421 are another upstream's and ignored. TestNamedLimit shares its traffic and is otherwise unchanged. Conclusion: kept on every way to an upstream: unary, streams, retries, stage calls, frees, cache reads.

--- a/entry/control.go
+++ b/entry/control.go
@@ -354,6 +354,7 @@
 	for _, u := range usable {
 		live[u.ID] = true
 	}
+	c.s.notices.Retain(now, func(id wire.UpstreamID) bool { return live[id] })
 	c.s.limits.Retain(now, func(id wire.UpstreamID) bool { return live[id] })
 	c.s.view.Store(v)
 	c.s.queues.update(v)
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -39,11 +39,13 @@
 	return n
 }
 
-// TestNamedLimit guards against more requests to an upstream than the limit that it names,
-// on every way to it, and against an upstream that gets none after the limit has ended.
-func TestNamedLimit(t *testing.T) {
-	r := newRig(t)
-	limited := map[string]*site.Replica{}
+// newTrafficRig starts three routers and three upstreams of each service, of which all but the
+// first reject or fail some requests, and callers that send on every way to an upstream until
+// the test ends. It returns the first upstream of each service.
+func newTrafficRig(t *testing.T) (r *rig, nodes []*node, first map[string]*site.Replica) {
+	t.Helper()
+	r = newRig(t)
+	first = map[string]*site.Replica{}
 	for _, service := range []string{"desk", "engine", "archive", "school"} {
 		for i := range 3 {
 			var acts []site.Action
@@ -52,12 +54,10 @@
 			}
 			p := r.addReplica(fmt.Sprint(service, "-", i), service, acts...)
 			if i == 0 {
-				limited[service] = p
+				first[service] = p
 			}
 		}
 	}
-	r.site.Replicas()[1].SetLimit("no number")
-	var nodes []*node
 	var seeds []wire.Address
 	for i := range 3 {
 		cfg := r.settings(fmt.Sprint("r", i), seeds...)
@@ -70,8 +70,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
-	defer callers.Wait()
-	defer cancel()
+	t.Cleanup(func() {
+		cancel()
+		callers.Wait()
+	})
 	for i, nd := range nodes {
 		for _, c := range partRoutes {
 			callers.Go(func() {
@@ -81,6 +83,14 @@
 			})
 		}
 	}
+	return r, nodes, first
+}
+
+// TestNamedLimit guards against more requests to an upstream than the limit that it names,
+// on every way to it, and against an upstream that gets none after the limit has ended.
+func TestNamedLimit(t *testing.T) {
+	r, _, limited := newTrafficRig(t)
+	r.site.Replicas()[1].SetLimit("no number")
 	const limit = 1.4
 	for _, p := range limited {
 		p.SetLimit(fmt.Sprint(limit))
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -154,9 +154,10 @@
 			sq := qs.getOrCreate(sh.ID, svc.StageCalls)
 			sq.mu.Lock()
 			sq.q.SetCalls(*svc.StageCalls)
-			sq.q.SetUpstreams(sh.Upstreams)
+			us := slices.DeleteFunc(slices.Clone(sh.Upstreams), qs.s.notices.Leaving)
+			sq.q.SetUpstreams(us)
 			clear(sq.upstreams)
-			for _, u := range sh.Upstreams {
+			for _, u := range us {
 				sq.upstreams[u.ID] = u
 			}
 			sq.dispatch()
@@ -363,10 +364,14 @@
 	freed := sq.pendingFrees
 	sq.pendingFrees = map[wire.UpstreamID][]fleet.Handle{}
 	for id := range freed {
-		if !sq.qs.s.limits.Take(now, id, limit.Whole) {
+		wait, ok := sq.qs.s.stageWait(now, sq.upstreams[id])
+		switch {
+		case !ok:
+			delete(freed, id) // its results end with it
+		case wait > 0 || !sq.qs.s.limits.Take(now, id, limit.Whole):
 			sq.pendingFrees[id] = freed[id]
 			delete(freed, id)
-			sq.scheduleFrees(sq.qs.s.limits.Wait(now, id, limit.Whole))
+			sq.scheduleFrees(max(wait, sq.qs.s.limits.Wait(now, id, limit.Whole)))
 		}
 	}
 	return freed
@@ -406,7 +411,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	sq.qs.s.recordLimit(u, platform.ParseResponse(resp.StatusCode, resp.Header), began)
+	sq.qs.s.recordNotices(u, platform.ParseResponse(resp.StatusCode, resp.Header), began)
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxStageResponseBytes))
 	return err
 }
@@ -425,8 +430,11 @@
 	nextPoll := time.Duration(-1)
 	for _, id := range slices.Sorted(maps.Keys(sq.upstreams)) {
 		for {
-			// Only this queue sends calls to the upstream, so it has the whole limit.
-			if wait := sq.qs.s.limits.Wait(now, id, limit.Whole); wait > 0 {
+			wait, ok := sq.qs.s.stageWait(now, sq.upstreams[id])
+			if !ok {
+				break
+			}
+			if wait > 0 {
 				if nextPoll < 0 || wait < nextPoll {
 					nextPoll = wait
 				}
--- a/entry/reads.go
+++ b/entry/reads.go
@@ -73,8 +73,8 @@
 // readCache asks an engine for its cache events.
 func (s *Server) readCache(u fleet.Upstream) (parts map[string]bool, err error) {
 	began := time.Now()
-	if !s.takeLimited(began, u) {
-		return nil, errors.New("the engine takes no request within its limit")
+	if s.notices.Leaving(u) || s.notices.Wait(began, u) > 0 || !s.takeLimited(began, u) {
+		return nil, errors.New("the engine takes no request now")
 	}
 	req, err := platform.NewCacheEventsRequest(u)
 	if err != nil {
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	s.recordLimit(u, platform.ParseResponse(resp.StatusCode, resp.Header), began)
+	s.recordNotices(u, platform.ParseResponse(resp.StatusCode, resp.Header), began)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheBytes))
 	if err != nil {
 		return nil, err
--- a/entry/send.go
+++ b/entry/send.go
@@ -88,7 +88,7 @@
 		}
 		t.requestEnded()
 	}
-	x.s.recordLimit(t.Upstream, rp.ResponseInfo, began)
+	x.s.recordNotices(t.Upstream, rp.ResponseInfo, began)
 	if rp.ColdRemaining > 0 {
 		t.markCold(time.Now().Add(rp.ColdRemaining))
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -75,6 +75,7 @@
 	strikes        crash.Strikes
 	parts          crash.Parts
 	limits         limit.Named
+	notices        limit.Notices
 	origins        origins
 	latencies      routeLatencies
 	unqueued       unqueuedPieces
--- a/entry/stagecall.go
+++ b/entry/stagecall.go
@@ -130,12 +130,12 @@
 		return nil, 0, err
 	}
 	defer resp.Body.Close()
+	info := platform.ParseResponse(resp.StatusCode, resp.Header)
+	qs.s.recordNotices(u, info, now)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStageResponseBytes))
 	if err != nil {
 		return nil, resp.StatusCode, err
 	}
-	info := platform.ParseResponse(resp.StatusCode, resp.Header)
-	qs.s.recordLimit(u, info, now)
 	if resp.StatusCode != http.StatusOK {
 		// A misdirected call is not executed either, but the upstream isn't full.
 		if info.NotExecuted && resp.StatusCode != http.StatusMisdirectedRequest {
--- a/entry/target.go
+++ b/entry/target.go
@@ -54,19 +54,44 @@
 	s.incCounter("limits_named", "service", string(u.Service))
 }
 
+// recordNotices records what an answer of an upstream said about it: its limit, that it
+// leaves, and for how long it wants no requests. began is when its request was sent.
+func (s *Server) recordNotices(u fleet.Upstream, info platform.ResponseInfo, began time.Time) {
+	if info.Misdirected {
+		return // the answer is another upstream's
+	}
+	s.recordLimit(u, info, began)
+	left, paused := s.notices.Heard(time.Now(), u, info.Leaving, info.Pause)
+	if left {
+		s.log.Info("upstream says that it leaves", "upstream", u.ID, "service", u.Service)
+		s.incCounter("upstreams_leaving", "service", string(u.Service))
+	}
+	if paused {
+		s.log.Info("upstream wants no requests", "upstream", u.ID, "service", u.Service, "pause", info.Pause.String())
+		s.incCounter("upstreams_paused", "service", string(u.Service))
+	}
+}
+
 // limitShare returns this router's share of the limit that an upstream names.
 func (s *Server) limitShare(now time.Time, u fleet.Upstream) limit.Share {
 	names := s.peers.candidateNames(now)
 	return limit.Share{Rank: route.Rank(string(u.ID), names, s.cfg.Name), Routers: len(names)}
 }
 
-// limitWait returns the time until this router may send a request to an upstream within
-// the limit that it names, 0 if it may now.
+// limitWait returns the time until this router may send a request to an upstream, given the
+// limit that it names and the time for which it wants none; 0 if it may now.
 func (s *Server) limitWait(now time.Time, u fleet.Upstream) time.Duration {
-	if _, limited := s.limits.Rate(u.ID); !limited {
-		return 0
+	wait := s.notices.Wait(now, u)
+	if _, limited := s.limits.Rate(u.ID); limited {
+		wait = max(wait, s.limits.Wait(now, u.ID, s.limitShare(now, u)))
 	}
-	return s.limits.Wait(now, u.ID, s.limitShare(now, u))
+	return wait
+}
+
+// stageWait is limitWait for the router whose queue alone sends calls to a stage upstream. It
+// reports false for one that leaves, which must get none any more.
+func (s *Server) stageWait(now time.Time, u fleet.Upstream) (wait time.Duration, ok bool) {
+	return max(s.notices.Wait(now, u), s.limits.Wait(now, u.ID, limit.Whole)), !s.notices.Leaving(u)
 }
 
 // takeLimited reports whether a request may be sent to an upstream now within the limit
--- a/fakes/site/names.go
+++ b/fakes/site/names.go
@@ -1,11 +1,13 @@
 package site
 
-// Headers that tests use. All but HeaderLimit and HeaderEra are request headers that they
+// Headers that tests use. All but HeaderLimit, HeaderLeaving and HeaderEra are request headers that they
 // set when they act as callers.
 const (
 	// HeaderLimit is a header of answers: the requests per second that a replica takes from
 	// all callers together.
 	HeaderLimit = "Server-Limit"
+	// HeaderLeaving is 1 in all answers of a replica that leaves.
+	HeaderLeaving = "Server-Leaving"
 	// HeaderEra is in all answers of the store: how often it was restored from a copy, from 1.
 	HeaderEra = "Store-Era"
 
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -83,6 +83,9 @@
 	dropped    map[net.Conn]bool
 	limit      string          // value of HeaderLimit in all answers, empty for none
 	arrivals   []time.Time     // of all requests, also those that are not run
+	leaving    bool            // whether all answers say that the replica leaves
+	retryAfter string          // value of Retry-After with which all requests are turned away, empty to serve them
+	turnedAway []time.Time     // when requests were turned away
 	results    map[string]bool // handles of the stage results that the replica holds
 	lastResult int             // number of the last stage result, part of its handle
 	sequence   int             // entries that Entry has returned since the last start
@@ -232,7 +235,7 @@
 	p.mu.Lock()
 	addr := p.ln.Addr().String()
 	clear(p.results)
-	p.limit, p.reads = "", nil
+	p.limit, p.reads, p.leaving, p.retryAfter = "", nil, false, ""
 	p.mu.Unlock()
 	downtime := p.Downtime
 	if downtime <= 0 {
@@ -284,6 +287,29 @@
 	return p.limit
 }
 
+// SetLeaving sets whether all answers say from now on that the replica leaves. It goes on
+// serving, and its entry stays as it is.
+func (p *Replica) SetLeaving(leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = leaving
+}
+
+// TurnAway makes the replica answer all requests with 503 and Retry-After from now on, or
+// serve them again if it is empty.
+func (p *Replica) TurnAway(retryAfter string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryAfter = retryAfter
+}
+
+// TurnedAway returns when requests were turned away after TurnAway, in order.
+func (p *Replica) TurnedAway() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.turnedAway)
+}
+
 // Arrivals returns when requests of any kind reached the replica, in order.
 func (p *Replica) Arrivals() []time.Time {
 	p.mu.Lock()
@@ -295,15 +321,24 @@
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.arrivals = append(p.arrivals, time.Now())
+	retryAfter := p.retryAfter
+	if retryAfter != "" {
+		p.turnedAway = append(p.turnedAway, time.Now())
+	}
 	p.mu.Unlock()
-	if limit := p.Limit(); limit != "" {
-		w.Header().Set(HeaderLimit, limit)
+	for name, value := range p.notices() {
+		w.Header().Set(name, value)
 	}
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != p.ID {
 		w.Header().Set("Instance-Id", p.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if retryAfter != "" {
+		w.Header().Set("Retry-After", retryAfter)
+		p.reject(w, r, http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/stage-run":
 		p.stageRun(w, r)
@@ -366,6 +401,20 @@
 	writeJSON(w, map[string]any{"epoch": p.Born, "next": len(events) + 1, "lost": false, "events": events})
 }
 
+// notices returns the headers with which the replica tells about itself in all answers.
+func (p *Replica) notices() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := map[string]string{}
+	if p.limit != "" {
+		h[HeaderLimit] = p.limit
+	}
+	if p.leaving {
+		h[HeaderLeaving] = "1"
+	}
+	return h
+}
+
 func (p *Replica) action(r *http.Request) Action {
 	if p.Act == nil {
 		return Serve
@@ -445,8 +494,8 @@
 // the blank line that ends them.
 func (p *Replica) head(id string) string {
 	h := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: " + p.ID + "\r\n"
-	if limit := p.Limit(); limit != "" {
-		h += HeaderLimit + ": " + limit + "\r\n"
+	for name, value := range p.notices() {
+		h += name + ": " + value + "\r\n"
 	}
 	return h
 }
