entry: take no rejection without an id on a connection used before

Callers could be told "not run, try again" of a request that an upstream was running, or it ran at a second one. Cause: an answer to a request must bear its id, except a rejection without an id. Change: such a rejection counts on new connections only. On one that was used before, the request may have run. Figures: TestRepeatedRefusal failed before without an id (503 for a request that ran; two runs with two upstreams) and passes; with the earlier request's id it passed before too. Conclusion: it could happen here, and is mended.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -199,7 +199,9 @@
 		}
 		rp.ResponseInfo = platform.ParseResponse(resp.StatusCode, resp.Header)
 		rp.resp = resp
-		if rp.ID == req.id || rp.ID == "" && rp.NotExecuted {
+		// On a connection that was used before, a rejection without an id may be an earlier
+		// one that the upstream has written once more.
+		if rp.ID == req.id || rp.ID == "" && rp.NotExecuted && !c.reused {
 			return rp, nil
 		}
 		if rp.ID != "" {
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -345,6 +345,43 @@
 	}
 }
 
+// TestRepeatedRefusal guards against an earlier refusal that an upstream writes once more on a
+// kept connection: it is no answer to the request that the upstream runs there.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		act  site.Action
+	}{{"with the id of the earlier request", site.RepeatRefusal}, {"without an id", site.RepeatBareRefusal}} {
+		for upstreams := 1; upstreams <= 2; upstreams++ {
+			t.Run(fmt.Sprintf("%s, %d upstreams", tc.name, upstreams), func(t *testing.T) {
+				r := newRig(t)
+				for i := range upstreams {
+					r.addReplica(fmt.Sprint("i-", i), "desk", tc.act)
+				}
+				n := r.startRouter(upstreams)
+				_, _, err := n.do(t, post(deskHost, "/once/refused", "x"))
+				assert.NilError(t, err)
+				for i := range 4 {
+					c := post(deskHost, fmt.Sprint("/once/", i), "x")
+					resp, body, err := n.do(t, c)
+					assert.NilError(t, err)
+					ran := 0
+					for _, run := range r.site.Runs() {
+						if run.ID == c.id && run.Executed {
+							ran++
+						}
+					}
+					assert.Assert(t, ran <= 1, "%s ran %d times", c.id, ran)
+					assert.Assert(t, ran == 0 || resp.StatusCode != http.StatusServiceUnavailable, "%s ran and got 503", c.id)
+					if resp.StatusCode == http.StatusOK {
+						assert.Equal(t, body, site.Body(c.target))
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestLostAnswers guards against an upstream that loses half of its responses but keeps its
 // full share of the requests. Each loss occurred on a reused connection and was mistaken
 // for a connection that had been dropped while idle.
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -25,19 +25,21 @@
 
 // Actions of a replica.
 const (
-	Serve         Action = iota // runs the request and answers
-	Reject                      // answers 503, as a full replica does, and states that the request was not run
-	LoseAnswer                  // runs the request and resets the connection instead of answering; aborts a stream after two events
-	NoAnswer                    // runs the request and never answers
-	AnswerTwice                 // sends the answer twice and closes the connection
-	StrayAnswer                 // sends the answer again when the next request arrives on the connection, or after strayWait
-	Unframed                    // answers without a length, so that the end of the connection ends the answer; cuts off a stream in its third event
-	Truncate                    // closes the connection in the middle of the answer
-	Stall                       // pauses a stream for stallDelay after two events, then goes on
-	RejectEarly                 // like Reject, but answers before it reads the request's body
-	InternalError               // answers 500
-	Crash                       // resets all connections and refuses new ones for Downtime
-	CrashLater                  // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
+	Serve             Action = iota // runs the request and answers
+	Reject                          // answers 503, as a full replica does, and states that the request was not run
+	LoseAnswer                      // runs the request and resets the connection instead of answering; aborts a stream after two events
+	NoAnswer                        // runs the request and never answers
+	AnswerTwice                     // sends the answer twice and closes the connection
+	StrayAnswer                     // sends the answer again when the next request arrives on the connection, or after strayWait
+	Unframed                        // answers without a length, so that the end of the connection ends the answer; cuts off a stream in its third event
+	Truncate                        // closes the connection in the middle of the answer
+	Stall                           // pauses a stream for stallDelay after two events, then goes on
+	RejectEarly                     // like Reject, but answers before it reads the request's body
+	InternalError                   // answers 500
+	Crash                           // resets all connections and refuses new ones for Downtime
+	RepeatRefusal                   // like Reject, and once more when the next request arrives on the connection, which is run
+	RepeatBareRefusal               // like RepeatRefusal, without the id of the request
+	CrashLater                      // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
 )
 
 const (
@@ -361,7 +363,7 @@
 	}
 	run := p.Site.begin(Run{
 		Replica: p.ID, Version: p.version(), ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
-		Header: r.Header.Clone(), Executed: act != Reject,
+		Header: r.Header.Clone(), Executed: act != Reject && act != RepeatRefusal && act != RepeatBareRefusal,
 	})
 	defer p.Site.end(run)
 	// Input-Count lists the handles of stage results, although its name suggests a number.
@@ -436,6 +438,9 @@
 	case Reject:
 		p.reject(w, r, http.StatusServiceUnavailable)
 		return
+	case RepeatRefusal, RepeatBareRefusal:
+		p.repeatRefusal(w, id, act == RepeatBareRefusal)
+		return
 	case Crash:
 		p.crash()
 		panic(http.ErrAbortHandler)
@@ -533,6 +538,40 @@
 	_ = c.Close()
 }
 
+// repeatRefusal turns a request away, and writes the refusal once more when the next request
+// arrives on the connection, which it runs and answers.
+func (p *Replica) repeatRefusal(w http.ResponseWriter, id string, bare bool) {
+	c, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+	if !bare {
+		refusal += "Request-Id: " + id + "\r\n"
+	}
+	refusal += "\r\n"
+	_, _ = rw.WriteString(refusal)
+	_ = rw.Flush()
+	_ = c.SetReadDeadline(time.Now().Add(strayWait))
+	next, err := http.ReadRequest(rw.Reader)
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(next.Body)
+	run := p.Site.begin(Run{
+		Replica: p.ID, Version: p.version(), ID: next.Header.Get("Request-Id"), Method: next.Method, Target: next.RequestURI,
+		Body: string(body), Header: next.Header, Executed: true,
+	})
+	defer p.Site.end(run)
+	_, _ = rw.WriteString(refusal)
+	_ = rw.Flush()
+	time.Sleep(p.ServiceTime)
+	answer := Body(next.RequestURI)
+	_, _ = rw.WriteString(p.head(next.Header.Get("Request-Id")) + "Content-Length: " + strconv.Itoa(len(answer)) + "\r\n\r\n" + answer)
+	_ = rw.Flush()
+}
+
 // Event returns the n-th event of the stream that answers a request target.
 func Event(target string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, target, n)
