entry: resume a stream with events of a stream only

Callers could find the text of an error within their stream, which then ended as if it were complete. Change: the answer that goes on with a stream has the media type of the first one, and its events have ids; otherwise the attempt has failed. Figures: TestErrorWithinStream failed before for a text and for an event without an id, and passes; error statuses, garbled heads, rejections and answers that break off passed before too. Conclusion: it could happen here, and is mended.

--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -245,6 +246,42 @@
 	})
 }
 
+// TestErrorWithinStream guards against the answer of the next upstream, or its text, within a
+// stream that had begun at another one, and against a stream that ends as if it were complete.
+func TestErrorWithinStream(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		act  site.Action
+	}{
+		{"error status", site.InternalError},
+		{"text instead of events", site.ErrorText},
+		{"error as an event", site.ErrorEvent}, {"garbled head", site.GarbledHead},
+		{"rejected", site.Reject},
+		{"broken off at once", site.Crash},
+		{"without a length", site.Unframed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.addReplica("e-1", "engine", site.LoseAnswer).ServiceTime = 150 * time.Millisecond
+			n := r.startRouter(1)
+			c := post(streamHost, "/resume/1", "prompt")
+			var body string
+			var err error
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_, body, err = n.do(t, c)
+			}()
+			r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+			r.addReplica("e-2", "engine", slices.Repeat([]site.Action{tc.act}, 8)...)
+			r.waitForUpstreams(n, 2)
+			<-done
+			assert.Assert(t, err != nil || body == streamBody(c.target, 6), "a part of the stream looks complete: %q", body)
+			assert.Assert(t, strings.HasPrefix(streamBody(c.target, 6), body), "the stream holds other bytes: %q", body)
+		})
+	}
+}
+
 // TestCallerLeaves guards against an upstream that keeps working on a request whose
 // caller has disconnected.
 func TestCallerLeaves(t *testing.T) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -84,7 +84,7 @@
 	began := time.Now()
 	rp, out := st.send(ctx, t, o, st.firstEventTimeout())
 	switch {
-	case out == answered && rp.resp.StatusCode == http.StatusOK && rp.Signed:
+	case out == answered && rp.resp.StatusCode == http.StatusOK && rp.Signed && st.continues(rp):
 		return st.relay(ctx, t, rp, began)
 	case out == answered:
 		return false, st.forwardFailure(ctx, t, rp)
@@ -101,6 +101,12 @@
 	return false, st.giveUpStream(ctx)
 }
 
+// continues reports whether a response may go on with the stream that has begun: it has the
+// media type of the first one. An upstream may report an error with 200.
+func (st *streamExchange) continues(rp *response) bool {
+	return !st.headerSent || rp.resp.Header.Get("Content-Type") == st.w.Header().Get("Content-Type")
+}
+
 // ensureStageResults runs the stages unless their results are still held. It returns a
 // refusal if they fail.
 func (st *streamExchange) ensureStageResults(ctx context.Context) *refusal {
@@ -166,7 +172,7 @@
 // neither counts as a failed send. The result is always nil.
 func (st *streamExchange) forwardFailure(ctx context.Context, t *target, rp *response) *refusal {
 	body, err := readResponseBody(rp.resp)
-	if err != nil || rp.resp.StatusCode < http.StatusMultipleChoices {
+	if err != nil || rp.resp.StatusCode < http.StatusMultipleChoices { // of another media type, unsigned, or no 200
 		rp.release(false)
 		st.recordSendFailure(t, &sendError{sent: true, err: errors.Join(err, errors.New("response is neither an event stream nor an error status"))}, ctx.Err() != nil)
 		return st.giveUpStream(ctx)
@@ -185,8 +191,12 @@
 func (st *streamExchange) relay(ctx context.Context, t *target, rp *response, began time.Time) (again bool, f *refusal) {
 	events := &eventReader{r: bufio.NewReader(rp.resp.Body)}
 	var firstEventAt time.Time
+	goesOn := st.headerSent // whether an earlier attempt has begun the stream
 	for {
 		ev, err := events.next()
+		if err == nil && goesOn && !ev.hasID {
+			err = errUnnumberedEvent // it can't be told whether it follows those sent
+		}
 		if err == nil {
 			if firstEventAt.IsZero() {
 				firstEventAt = time.Now()
@@ -304,6 +314,8 @@
 // eventReader splits a stream into events.
 type eventReader struct{ r *bufio.Reader }
 
+var errUnnumberedEvent = errors.New("event without an id in a resumed stream")
+
 var errEventTooLarge = errors.New("stream event exceeds the size limit")
 
 // next returns the next whole event, including the empty line that ends it. It returns
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -37,6 +37,9 @@
 	RejectEarly                     // like Reject, but answers before it reads the request's body
 	InternalError                   // answers 500
 	Crash                           // resets all connections and refuses new ones for Downtime
+	ErrorText                       // answers 200 with a signature and a text that is no event stream
+	ErrorEvent                      // like ErrorText, but as an event stream
+	GarbledHead                     // sends bytes that are no answer, then those of an error, and closes the connection
 	RepeatRefusal                   // like Reject, and once more when the next request arrives on the connection, which is run
 	RepeatBareRefusal               // like RepeatRefusal, without the id of the request
 	CrashLater                      // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
@@ -450,17 +453,29 @@
 		<-r.Context().Done()
 		return
 	}
-	if p.Events > 0 && act != InternalError {
+	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead {
 		p.stream(w, r, act)
 		return
 	}
 	if !clock.Sleep(r.Context(), p.ServiceTime) {
 		return
 	}
-	if act == InternalError {
+	switch act {
+	case InternalError, ErrorText, ErrorEvent:
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Signature", p.ID)
-		w.WriteHeader(http.StatusInternalServerError)
+		w.Header().Set("Content-Type", map[Action]string{ErrorEvent: "text/event-stream"}[act])
+		if act == InternalError {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		_, _ = io.WriteString(w, errorText)
+		return
+	case GarbledHead:
+		if c, rw, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = rw.WriteString("5xx\r\n" + p.head(id) + "\r\n" + errorText)
+			_ = rw.Flush()
+			_ = c.Close()
+		}
 		return
 	}
 	body := Body(r.RequestURI)
@@ -492,6 +507,10 @@
 	panic(http.ErrAbortHandler)
 }
 
+// errorText is the body of answers that report an error. It has the form of an event, so that
+// it would pass for a part of a stream.
+const errorText = "error: out of memory\n\n"
+
 // Body returns the body with which a plain service answers a request target.
 func Body(target string) string { return "answer to " + target }
 
