--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -255,7 +255,8 @@
 	}{
 		{"error status", site.InternalError},
 		{"text instead of events", site.ErrorText},
-		{"error as an event", site.ErrorEvent}, {"garbled head", site.GarbledHead},
+		{"error as an event", site.ErrorEvent},
+		{"garbled head", site.GarbledHead},
 		{"rejected", site.Reject},
 		{"broken off at once", site.Crash},
 		{"without a length", site.Unframed},
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -464,7 +464,10 @@
 	case InternalError, ErrorText, ErrorEvent:
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Signature", p.ID)
-		w.Header().Set("Content-Type", map[Action]string{ErrorEvent: "text/event-stream"}[act])
+		w.Header().Set("Content-Type", "text/plain")
+		if act == ErrorEvent {
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
 		if act == InternalError {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
