soak, fakes/site: replace engines by other versions, take streams up, leave, pause

Cause: the soak had one software version, callers that never took a stream up, and replicas that said nothing of themselves but limits. Change: engines have versions and are replaced while they drain or after their entry is gone; callers take up streams that break off; replicas say that they leave while the store does not, and turn requests away with Retry-After. Checks: no stream holds events of two versions, streams that are taken up go on half as often as new ones begin while two engines of their version serve, nothing reaches a replica from a router that has been told that it leaves or wants nothing.

--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -62,6 +62,15 @@
 	return slices.Clone(s.replicas)
 }
 
+// Remove deletes a replica's entry in the store and stops it.
+func (s *Site) Remove(p *Replica) {
+	s.Store.Delete("servers/" + p.ID)
+	s.mu.Lock()
+	s.replicas = slices.DeleteFunc(s.replicas, func(q *Replica) bool { return q == p })
+	s.mu.Unlock()
+	p.stop()
+}
+
 // Close stops the store and all replicas.
 func (s *Site) Close() error {
 	s.closed.Store(true)
--- a/soak/check.go
+++ b/soak/check.go
@@ -69,6 +69,9 @@
 	c.checkCancellation()
 	c.checkBadParts(recordsByID)
 	c.checkLimits(recordsByID)
+	c.checkVersions()
+	c.checkTakeUps(recordsByID)
+	c.checkNotices(recordsByID)
 	if afterRecovery < 10 || float64(servedAfterRecovery) < minServedRatio*float64(afterRecovery) {
 		c.fail("recovery", "%d of %d requests were served from %v after the last fault", servedAfterRecovery, afterRecovery, recoveryLimit)
 	}
@@ -84,6 +87,8 @@
 	runs       map[string][]site.Run // requests that replicas received, by ID
 	count      map[string]int        // violations by kind, including those not reported
 	violations []string
+	// takenUp and wentOn count the streams that checkTakeUps has judged.
+	takenUp, wentOn int
 }
 
 // fail records a violation, up to maxViolationsPerKind of each kind.
@@ -140,11 +145,11 @@
 // checkAnswer checks the body of a 200 answer: complete if it ended without an error, else
 // a prefix of the expected one.
 func (c *checker) checkAnswer(rec *requestRecord) {
-	want := rec.expectedAnswer()
+	want, answer := rec.expectedAnswer(), untagged(rec.answer)
 	switch {
-	case rec.err == nil && rec.answer != want:
+	case rec.err == nil && answer != want:
 		c.fail("answer", "%s ended without an error, but its body is wrong: %q", rec.id, truncate(rec.answer))
-	case rec.err != nil && !strings.HasPrefix(want, rec.answer):
+	case rec.err != nil && !strings.HasPrefix(want, answer):
 		c.fail("answer", "%s ended with an error, and its body is not a prefix of the expected answer: %q", rec.id, truncate(rec.answer))
 	}
 }
@@ -209,7 +214,7 @@
 			case rec == nil && strings.HasPrefix(id, "probe-"): // of probeConfig
 			case rec == nil:
 				c.fail("unasked", "%s ran at %s, but no caller sent it", id, run.Replica)
-			case run.Method != rec.method || run.Target != rec.target || run.Body != rec.body:
+			case run.Method != rec.method || run.Target != rec.target || run.Body != rec.body && run.RetryAfter == "":
 				c.fail("changed", "%s arrived as %s %s with %d bytes, not %s %s with %d", id, run.Method, run.Target, len(run.Body), rec.method, rec.target, len(rec.body))
 			case c.banned(rec, run):
 				c.fail("banned", "%s arrived at %s, which is draining or in an evacuated data centre", id, run.Replica)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -158,6 +158,10 @@
 	{"prompt part crashes engines", scopeReplicas, crashOnPart},
 	{"configuration changes", scopePlanned, changeConfig},
 	{"replica drains", scopeBanned, drainReplica},
+	{"engine is replaced", scopeBanned, replaceEngine},
+	{"engine is replaced", scopeBanned, replaceEngine},
+	{"replica says that it leaves", scopePlanned, sayLeaving},
+	{"replica turns requests away", scopeReplicas, turnAway},
 	{"data centre is evacuated", scopeBanned, evacuateCentre},
 }
 
@@ -175,6 +179,15 @@
 
 func (r *Run) randomRouter(rng *rand.Rand) *router { return r.routers[rng.IntN(len(r.routers))] }
 
+// randomReplica returns a random replica of a service, or of any if it is empty.
+func (r *Run) randomReplica(rng *rand.Rand, service string) *replica {
+	all := r.allReplicas()
+	if service != "" {
+		all = slices.DeleteFunc(all, func(rp *replica) bool { return rp.Service != service })
+	}
+	return all[rng.IntN(len(all))]
+}
+
 // randomDuration returns a duration from low up to, but not including, high.
 func randomDuration(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Int64N(int64(high-low)))
@@ -314,7 +327,7 @@
 
 // faultReplicaLink disturbs the connections of all routers to one replica.
 func faultReplicaLink(r *Run, rng *rand.Rand, e *event) {
-	rp := r.replicas[rng.IntN(len(r.replicas))]
+	rp := r.randomReplica(rng, "")
 	r.events.setTargets(e, "", rp)
 	rp.proxy.SetFault(linkFaults[rng.IntN(len(linkFaults))])
 	time.Sleep(randomDuration(rng, 200*time.Millisecond, 3*time.Second))
@@ -327,7 +340,7 @@
 
 // failReplica makes one replica misbehave.
 func failReplica(r *Run, rng *rand.Rand, e *event) {
-	r.applyAction(rng, e, replicaActions[rng.IntN(len(replicaActions))], r.replicas[rng.IntN(len(r.replicas))])
+	r.applyAction(rng, e, replicaActions[rng.IntN(len(replicaActions))], r.randomReplica(rng, ""))
 }
 
 // failService makes all replicas of a service misbehave, so that retries of a request meet
@@ -335,7 +348,7 @@
 func failService(r *Run, rng *rand.Rand, e *event) {
 	service := []string{"desk", "engine"}[rng.IntN(2)]
 	var all []*replica
-	for _, rp := range r.replicas {
+	for _, rp := range r.allReplicas() {
 		if rp.Service == service {
 			all = append(all, rp)
 		}
@@ -376,7 +389,7 @@
 // another event drains the replica: the first to end would make it ready again while the
 // checker still counts the second.
 func drainReplica(r *Run, rng *rand.Rand, e *event) {
-	rp := r.replicas[rng.IntN(len(r.replicas))]
+	rp := r.randomReplica(rng, "")
 	if !r.claims.claim(rp.ID) {
 		r.events.remove(e)
 		return
@@ -412,7 +425,7 @@
 	for _, p := range r.storeProxies {
 		p.SetFault(Forward)
 	}
-	for _, rp := range r.replicas {
+	for _, rp := range r.allReplicas() {
 		rp.proxy.SetFault(Forward)
 		rp.actionPercent.Store(0)
 	}
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -33,9 +33,9 @@
 // nameLimit makes a replica name a limit in its answers for a random time. Half of the times
 // it names a value that is no number before.
 func nameLimit(r *Run, rng *rand.Rand, e *event) {
-	rp := r.replicas[rng.IntN(len(r.replicas))]
+	rp := r.randomReplica(rng, "")
 	for rng.IntN(3) > 0 && rp.Service != "desk" { // the others get few requests each
-		rp = r.replicas[rng.IntN(len(r.replicas))]
+		rp = r.randomReplica(rng, "")
 	}
 	if !r.claims.claim("limit of " + rp.ID) {
 		r.events.remove(e)
--- a/soak/load.go
+++ b/soak/load.go
@@ -21,6 +21,9 @@
 	attempts                       int    // number of replicas that may run it
 	router                         string // name of the router it was sent to
 	badPart                        string // part of its prompt that crashes engines, or empty
+	parts, pieces                  string // prompt parts and numbers of pieces, empty if it has none
+	resumes                        string // ID of the request that began the stream that it takes up, or empty
+	after                          int    // last event of that stream that the caller has
 	began, ended                   time.Time
 	abandonedAt                    time.Time // when the caller closed the connection early; zero if it did not
 	status                         int       // 0 if there was no answer
@@ -81,14 +84,9 @@
 // sendOne sends one request of a random kind to a router and records its outcome.
 func (c *callers) sendOne(client *http.Client, rng *rand.Rand, r *router) {
 	k := requestKinds[rng.IntN(len(requestKinds))]
-	c.mu.Lock()
-	c.lastID++
-	rec := &requestRecord{
-		id: fmt.Sprintf("q%d", c.lastID), method: k.method, host: k.host, target: fmt.Sprintf("%s%d", k.prefix, c.lastID),
-		atMostOnce: k.atMostOnce, stream: k.stream, attempts: k.attempts, router: r.name, began: time.Now(),
-	}
-	c.records = append(c.records, rec)
-	c.mu.Unlock()
+	rec := &requestRecord{method: k.method, host: k.host, atMostOnce: k.atMostOnce, stream: k.stream, attempts: k.attempts, router: r.name, pieces: k.pieceCounts}
+	c.add(rec)
+	rec.target = k.prefix + rec.id[1:]
 	if k.method == http.MethodPost {
 		rec.body = strings.Repeat(rec.id, 1+rng.IntN(2000))
 	}
@@ -96,24 +94,48 @@
 	if rng.IntN(abandonOneIn) == 0 {
 		timeout = randomDuration(rng, maxAbandonDelay/50, maxAbandonDelay)
 	}
+	if k.stream {
+		rec.badPart = c.run.badParts.draw(rng)
+		rec.parts = promptParts(rec.id, rec.badPart, rng)
+	}
+	c.send(client, r, rec, timeout)
+	if k.stream && timeout == requestTimeout {
+		c.takeUp(client, rng, rec)
+	}
+}
+
+// add records a request that is about to be sent, under a new ID.
+func (c *callers) add(rec *requestRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastID++
+	rec.id, rec.began = fmt.Sprintf("q%d", c.lastID), time.Now()
+	c.records = append(c.records, rec)
+}
+
+// send sends the request of a record to a router and records its outcome.
+func (c *callers) send(client *http.Client, r *router, rec *requestRecord, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, k.method, "http://"+r.callers+rec.target, strings.NewReader(rec.body))
+	req, err := http.NewRequestWithContext(ctx, rec.method, "http://"+r.callers+rec.target, strings.NewReader(rec.body))
 	if err != nil {
 		rec.err = err
 		return
 	}
-	req.Host = k.host
+	req.Host = rec.host
 	req.Header.Set(site.HeaderID, rec.id)
 	req.Header.Set(site.HeaderDeadline, fmt.Sprint(requestTimeout.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+teamKey)
-	if k.pieceCounts != "" {
-		req.Header.Set(site.HeaderPieceCounts, k.pieceCounts)
+	if rec.pieces != "" {
+		req.Header.Set(site.HeaderPieceCounts, rec.pieces)
 		req.Header.Set(site.HeaderPieceKey, rec.id)
 	}
-	if k.stream {
-		rec.badPart = c.run.badParts.draw(rng)
-		req.Header.Set(site.HeaderParts, promptParts(rec.id, rec.badPart, rng))
+	if rec.parts != "" {
+		req.Header.Set(site.HeaderParts, rec.parts)
+	}
+	if rec.resumes != "" {
+		req.Header.Set(site.HeaderResumes, rec.resumes)
+		req.Header.Set(site.HeaderLastEvent, fmt.Sprint(rec.after))
 	}
 	// Keep net/http from resending the request by itself.
 	req.GetBody = nil
@@ -129,7 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rec.err, rec.ended = err, time.Now()
-	if timeout < requestTimeout && ctx.Err() != nil {
+	if timeout < requestTimeout && rec.resumes == "" && ctx.Err() != nil {
 		rec.abandonedAt = rec.ended
 	}
 }
@@ -140,7 +162,7 @@
 		return site.Body(rec.target)
 	}
 	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
+	for i := rec.after + 1; i <= streamEvents; i++ {
 		b.WriteString(site.Event(rec.target, i))
 	}
 	return b.String()
--- a/soak/run.go
+++ b/soak/run.go
@@ -11,7 +11,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -53,8 +55,12 @@
 	Options
 	site          *site.Site
 	routers       []*router
+	replicasMu    sync.Mutex // guards replicas, removed, lastEngine and engines
 	replicas      []*replica
-	storeProxies  []*Proxy // proxy to the store of each router
+	removed       []*replica   // replicas that have left
+	lastEngine    int          // number of the latest engine
+	engines       []engineLife // all engines that the run has had
+	storeProxies  []*Proxy     // proxy to the store of each router
 	callers       *callers
 	configVersion int
 	events        eventLog
@@ -131,14 +137,18 @@
 		service string
 		n       int
 		work    time.Duration
-		events  int
-	}{{"desk", 3, 10 * time.Millisecond, 0}, {"engine", 5, 40 * time.Millisecond, streamEvents}, {"archive", 4, 25 * time.Millisecond, 0}, {"school", 3, 25 * time.Millisecond, 0}} {
+	}{{"desk", 3, 10 * time.Millisecond}, {"archive", 4, 25 * time.Millisecond}, {"school", 3, 25 * time.Millisecond}} {
 		for i := range s.n {
-			if err = r.addReplica(s.service, i, s.work, s.events); err != nil {
+			if err = r.addReplica(s.service, "", i, s.work, 0); err != nil {
 				return err
 			}
 		}
 	}
+	for i := range 5 {
+		if err = r.addEngine(fmt.Sprint("v", 1+i%2)); err != nil {
+			return err
+		}
+	}
 	if err = r.addRouters(); err != nil {
 		return err
 	}
@@ -161,10 +171,10 @@
 
 // addReplica starts the i-th replica of a service behind a proxy, whose address the replica
 // publishes. work is the time that a request takes or, in a stream of the given number of
-// events, the time between events.
-func (r *Run) addReplica(service string, i int, work time.Duration, events int) error {
+// events, the time between events. version is that of its software, v1 if empty.
+func (r *Run) addReplica(service, version string, i int, work time.Duration, events int) error {
 	rp := &replica{}
-	rp.Replica = &site.Replica{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Centre: centres[i%len(centres)], ServiceTime: work, Events: events, Downtime: crashDowntime}
+	rp.Replica = &site.Replica{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Version: version, TagEvents: events > 0, Centre: centres[i%len(centres)], ServiceTime: work, Events: events, Downtime: crashDowntime}
 	var proxyErr error
 	rp.PublicAddr = func(addr string) string {
 		p, err := NewProxy(addr)
@@ -188,10 +198,56 @@
 	if err := r.site.Add(rp.Replica); err != nil {
 		return err
 	}
+	r.replicasMu.Lock()
+	defer r.replicasMu.Unlock()
 	r.replicas = append(r.replicas, rp)
 	return proxyErr
 }
 
+// engineEventTime is the time between the events of a stream.
+const engineEventTime = 40 * time.Millisecond
+
+// addEngine starts an engine of a software version.
+func (r *Run) addEngine(version string) error {
+	r.replicasMu.Lock()
+	i := r.lastEngine
+	r.lastEngine++
+	r.replicasMu.Unlock()
+	if err := r.addReplica("engine", version, i, engineEventTime, streamEvents); err != nil {
+		return err
+	}
+	r.replicasMu.Lock()
+	defer r.replicasMu.Unlock()
+	r.engines = append(r.engines, engineLife{id: fmt.Sprint("engine-", i), version: version, from: time.Now()})
+	return nil
+}
+
+// endEngine records that an engine is about to leave.
+func (r *Run) endEngine(rp *replica) {
+	r.replicasMu.Lock()
+	defer r.replicasMu.Unlock()
+	for i := range r.engines {
+		if r.engines[i].id == rp.ID {
+			r.engines[i].till = time.Now()
+		}
+	}
+}
+
+// removeReplica moves a replica to those that have left.
+func (r *Run) removeReplica(rp *replica) {
+	r.replicasMu.Lock()
+	defer r.replicasMu.Unlock()
+	r.replicas = slices.DeleteFunc(r.replicas, func(o *replica) bool { return o == rp })
+	r.removed = append(r.removed, rp)
+}
+
+// allReplicas returns the replicas that have not left.
+func (r *Run) allReplicas() []*replica {
+	r.replicasMu.Lock()
+	defer r.replicasMu.Unlock()
+	return slices.Clone(r.replicas)
+}
+
 // addRouters starts the routers, each with its own proxy to the store. The first three are
 // the seeds of all.
 func (r *Run) addRouters() error {
@@ -252,7 +308,7 @@
 
 // centreOf returns the data centre of a replica, or "" if the ID is unknown.
 func (r *Run) centreOf(id string) string {
-	for _, rp := range r.replicas {
+	for _, rp := range slices.Concat(r.replicas, r.removed) {
 		if rp.ID == id {
 			return rp.Centre
 		}
@@ -269,7 +325,7 @@
 	for _, p := range r.storeProxies {
 		p.Close()
 	}
-	for _, rp := range r.replicas {
+	for _, rp := range slices.Concat(r.replicas, r.removed) {
 		rp.proxy.Close()
 	}
 	if r.site != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 }{
 	{1, "none: an arbitrary seed"},
 	{202, "the proxy forwarded data of a connection after it had dropped some"},
+	{41003, "streams went on at another software version, and upstreams that wanted no requests got some"},
 }
 
 // TestSoak guards against invariants that are violated when real router processes are
@@ -179,3 +180,81 @@
 		})
 	}
 }
+
+// TestStreamChecks guards against a soak that misses streams which are joined from two software
+// versions or lost, and requests to replicas that leave or want none.
+func TestStreamChecks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	event := func(version string, n int) string {
+		return strings.TrimSuffix(site.Event("/resume/1", n), "\n") + site.TagPrefix + version + "\n\n"
+	}
+	check := func(records []*requestRecord, runs map[string][]site.Run) []string {
+		c := &checker{r: &Run{callers: &callers{records: records}, engines: []engineLife{{"e0", "v1", now.Add(-time.Hour), time.Time{}}, {"e1", "v1", now.Add(-time.Hour), time.Time{}}}}, runs: runs, count: map[string]int{}}
+		byID := map[string]*requestRecord{}
+		for _, rec := range records {
+			byID[rec.id] = rec
+		}
+		c.checkVersions()
+		c.checkTakeUps(byID)
+		c.checkNotices(byID)
+		return c.violations
+	}
+	first := func(answer string) *requestRecord {
+		return &requestRecord{id: "q1", stream: true, router: "r0", began: now, ended: now.Add(time.Second), status: 200, answer: answer, err: http.ErrServerClosed}
+	}
+	again := func(answer string) *requestRecord {
+		return &requestRecord{id: "q2", stream: true, router: "r1", began: now.Add(time.Second), ended: now.Add(2 * time.Second), status: 200, answer: answer, resumes: "q1", after: 1}
+	}
+	lost := func(status int) (records []*requestRecord) {
+		records = append(records, first(event("v1", 1)))
+		for range minTakeUps {
+			rec := again("")
+			rec.status = status
+			records = append(records, rec)
+		}
+		return records
+	}
+	visits := func(gap time.Duration, n int, run site.Run) (records []*requestRecord, runs map[string][]site.Run) {
+		runs = map[string][]site.Run{}
+		for i := range n + 1 {
+			rec := &requestRecord{id: string(rune('a' + i)), router: "r0", began: now, ended: now, status: 200}
+			run.ID, run.Replica, run.Began, run.Ended = rec.id, "d0", now, now
+			if i > 0 {
+				rec.began, run.Began, run.Ended = now.Add(gap), now.Add(gap), now.Add(gap)
+			}
+			records, runs[rec.id] = append(records, rec), []site.Run{run}
+		}
+		return records, runs
+	}
+	for _, tc := range []struct {
+		name, kind string
+		play       func() []string
+	}{
+		{"one version", "", func() []string {
+			return check([]*requestRecord{first(event("v1", 1)), again(event("v1", 2))}, nil)
+		}},
+		{"two versions in one answer", "versions", func() []string {
+			return check([]*requestRecord{first(event("v1", 1) + event("v2", 2))}, nil)
+		}},
+		{"two versions over two attempts", "versions", func() []string {
+			return check([]*requestRecord{first(event("v1", 1)), again(event("v2", 2))}, nil)
+		}},
+		{"taken up and served", "", func() []string { return check(lost(http.StatusOK), nil) }},
+		{"taken up and refused", "lost streams", func() []string { return check(lost(http.StatusServiceUnavailable), nil) }},
+		{"leaving, in time", "", func() []string { return check(visits(drainLimit, 1, site.Run{Leaving: true})) }},
+		{"leaving, late", "leaving", func() []string { return check(visits(drainLimit+1, 1, site.Run{Leaving: true})) }},
+		{"pause, allowed", "", func() []string { return check(visits(pauseDelay+1, pauseAllowed, site.Run{RetryAfter: "1.5"})) }},
+		{"pause", "pause", func() []string { return check(visits(pauseDelay+1, pauseAllowed+1, site.Run{RetryAfter: "1.5"})) }},
+		{"pause is over", "", func() []string {
+			return check(visits(1500*time.Millisecond, pauseAllowed+1, site.Run{RetryAfter: "1.5"}))
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			violations := tc.play()
+			assert.Equal(t, len(violations) > 0, tc.kind != "", "%v", violations)
+			for _, v := range violations {
+				assert.Assert(t, strings.HasPrefix(v, tc.kind+":"), v)
+			}
+		})
+	}
+}
