--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -108,8 +108,9 @@
 	bodies, errs = make([]string, n), make([]error, n)
 	var wg sync.WaitGroup
 	for i := range n {
-		cs = append(cs, stream(i))
-		wg.Go(func() { _, bodies[i], errs[i] = r.nodes[0].do(r.t, cs[i]) })
+		c := stream(i)
+		cs = append(cs, c)
+		wg.Go(func() { _, bodies[i], errs[i] = r.nodes[0].do(r.t, c) })
 	}
 	r.waitFor("the streams have begun", func() bool { return len(r.site.Runs()) == n })
 	r.release(same)
