entry: accept a router that starts again with an earlier time of day

Peers ignored a router for good whose host's clock had been set back before it started again: it owned no queue, counted for no shared limit and held no record of streams. Cause: the start by the time of day decides which of two runs of a router is later. Change: once the run known has been silent for ownerTimeout, another start is taken as the later run, whichever is higher. Conclusion: found while the owners of records were looked at; a clock that jumps and a kill together were not played for it.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -297,7 +297,7 @@
 }
 
 // mergeMember records that m was last heard of at the given time. It ignores m if a
-// later run of that router is known, or the same run was heard of since. The caller
+// later run of that router is alive, or the same run was heard of since. The caller
 // holds mu.
 func (p *peers) mergeMember(at time.Time, m Member) {
 	if m.Name == p.self.Name || m.Name == "" {
@@ -307,13 +307,13 @@
 	switch {
 	case old == nil:
 		p.s.log.Info("peer found", "peer", m.Name, "address", m.Address, "centre", m.Centre)
-	case m.Boot < old.Boot:
-		return
+	case m.Boot < old.Boot && at.Sub(old.seenAt) < ownerTimeout:
+		return // of a run before the one known; a lower start later on shows that the clock was set back
 	case m.Boot == old.Boot && !at.After(old.seenAt):
 		return
 	}
 	p.members[m.Name] = &peerRecord{m, at}
-	if old == nil || m.Boot > old.Boot {
+	if old == nil || m.Boot != old.Boot {
 		p.s.background.Go(func() { p.s.origins.peerStarted(m.Name) })
 	}
 }
--- /dev/null
+++ b/entry/peers_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/wire"
+)
+
+// TestMemberBoot guards against a router that its peers ignore for good, because the time of
+// day was set back before it started again.
+func TestMemberBoot(t *testing.T) {
+	start := time.Now()
+	for _, tc := range []struct {
+		name  string
+		boot  int64
+		after time.Duration // since the first run was heard of
+		taken bool
+	}{
+		{"a later run", 200, time.Millisecond, true},
+		{"the former run, told by another router", 50, time.Millisecond, false},
+		{"a run with an earlier time of day, after the former one fell silent", 50, ownerTimeout, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, err := New(Settings{Name: "r1", Level: "info"}, "", io.Discard)
+			assert.NilError(t, err)
+			merge := func(at time.Time, m Member) {
+				s.peers.mu.Lock()
+				defer s.peers.mu.Unlock()
+				s.peers.mergeMember(at, m)
+			}
+			merge(start, Member{Name: "r2", Address: "old", Boot: 100})
+			merge(start.Add(tc.after), Member{Name: "r2", Address: "new", Boot: tc.boot})
+			want := wire.Address("old")
+			if tc.taken {
+				want = "new"
+			}
+			got, _ := s.peers.address("r2")
+			assert.Equal(t, got, want)
+		})
+	}
+}
