--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -36,8 +36,8 @@
 }
 
 const (
-	// departureMemory is the time for which removed entries are remembered. The copies from
-	// which a store is restored are some seconds old.
+	// departureMemory is the time for which removed entries are remembered. A store is
+	// restored from copies that are some seconds old.
 	departureMemory = 5 * time.Minute
 	// maxDepartures bounds the removed entries that are remembered; the oldest is forgotten.
 	maxDepartures = 4096
--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -35,8 +35,8 @@
 	lastSeen map[fleet.ServiceID]map[fleet.SoftwareVersion]time.Time
 }
 
-// Observe records the registered upstreams of all services. After a gap of more than MaxGap
-// the observation begins anew.
+// Observe records the registered upstreams of all services. A gap of more than MaxGap starts
+// the observation over.
 func (h *History) Observe(now time.Time, us []fleet.Upstream) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -67,7 +67,7 @@
 	}
 }
 
-// Reset begins the observation anew, for instance after the process was suspended.
+// Reset starts the observation over, for instance after the process was suspended.
 func (h *History) Reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -96,9 +96,9 @@
 }
 
 // Resolve returns the service and the version that began a stream, given the answers of
-// several routers, or false if they can't be known. Without a record it is the only version
-// that the service sole has had, if one router has observed it for long enough and none has
-// seen another; sole is empty if the stream may have begun at several services.
+// several routers, or false if they can't be known. Without a record it is the only version of
+// the service sole, if one router has observed it for long enough and none has seen another.
+// sole is empty if the stream may have begun at several services.
 func Resolve(answers []Answer, sole fleet.ServiceID) (r Record, ok bool) {
 	for _, a := range answers {
 		if a.Record.Version != "" {
--- a/entry/control.go
+++ b/entry/control.go
@@ -164,8 +164,8 @@
 
 // enterEra prepares for the listing of a store that was restored from a copy. The
 // revisions of the records known say nothing about those in the listing any more. Upstreams
-// that the copy lacks have the grace period to register again, and the data centres that
-// are out stay so until the operator has written again.
+// missing from the copy have the grace period to register again, and data centres that are
+// out stay so until the operator has written again.
 func (c *control) enterEra(now time.Time, u update) {
 	a := &c.areas[u.area]
 	c.s.log.Warn("store restored", "area", u.area, "era", u.page.Era, "before", a.Era, "revision", u.page.Revision, "known", a.At, "peer", u.fromPeer)
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -55,7 +55,7 @@
 func TestPausedUpstream(t *testing.T) {
 	const (
 		pause    = 2500 * time.Millisecond
-		inFlight = 500 * time.Millisecond // in which requests may still arrive
+		inFlight = 500 * time.Millisecond // requests may still arrive within it
 		allowed  = 2
 		routers  = 3
 	)
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -41,7 +41,7 @@
 // OriginQuery asks which software version began a stream.
 type OriginQuery struct {
 	Stream  wire.RequestID
-	Service fleet.ServiceID // whose versions to return
+	Service fleet.ServiceID // the answer holds its versions
 	Window  time.Duration
 }
 
--- a/entry/reads.go
+++ b/entry/reads.go
@@ -106,8 +106,8 @@
 	return parts, nil
 }
 
-// readers returns the versions of the engines of a service that have read the prompt segment
-// which only this request or its session has.
+// readers returns the versions of the engines of a service that have read the last segment of
+// the prompt, which belongs to this request or its session alone.
 func (x *exchange) readers(svc fleet.ServiceID) (found []fleet.SoftwareVersion) {
 	if !x.route.Engine || len(x.spec.PromptSegments) == 0 {
 		return nil
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -167,8 +167,8 @@
 }
 
 // TestStartAfterRestore guards against a router that starts while the restored store lacks
-// what was written last, and serves by an older configuration, or sends requests to upstreams
-// that drain or have left and to data centres that are out.
+// what was written last, and serves by an older configuration, or sends requests to draining
+// upstreams, to some that have left, and to data centres that are out.
 func TestStartAfterRestore(t *testing.T) {
 	r := newRestoredRig(t)
 	third := r.addReplica("i-3", "desk")
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -49,7 +49,7 @@
 	return rec.after + strings.Count(rec.answer, "\n\n")
 }
 
-// stream returns the ID of the request that began the stream of a record.
+// origin returns the ID of the request that began the stream of a record.
 func (rec *requestRecord) origin() string {
 	if rec.resumes != "" {
 		return rec.resumes
