soak, fakes/site: tie notices to the process and to answers passed on

Change: runs bear the start of their replica, and notices count for that start only; a router has been told by an answer that it passed on, or by a refusal whose connection had no fault; Replica.StartAgain ends all notices.

--- a/soak/notices.go
+++ b/soak/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -26,8 +27,7 @@
 	defer r.claims.release(rp.ID)
 	rp.SetLeaving(true)
 	time.Sleep(randomDuration(rng, 2*time.Second, 8*time.Second))
-	rp.SetLeaving(false)
-	r.site.Store.SetField("servers/"+rp.ID, "born", time.Now().UnixMilli())
+	rp.StartAgain()
 }
 
 // turnAway makes a replica turn all requests away for a random time.
@@ -75,11 +75,11 @@
 // checkLeaving checks the visits after one whose answer said that the replica leaves, and was
 // passed on.
 func (c *checker) checkLeaving(router string, told visit, vs []visit) {
-	if !told.run.Leaving || told.rec.err != nil || told.rec.ended.IsZero() {
-		return
+	if !told.run.Leaving || told.rec.status != http.StatusOK || told.rec.err != nil || told.rec.ended.IsZero() || len(c.runs[told.rec.id]) > 1 {
+		return // the answer may not have been passed on
 	}
 	for _, v := range vs {
-		if v.run.Leaving && v.rec.began.After(told.rec.ended.Add(drainLimit)) && !c.r.events.restarted(router, told.run.Began, v.run.Began) {
+		if v.run.Born == told.run.Born && v.rec.began.After(told.rec.ended.Add(drainLimit)) && !c.r.events.restarted(router, told.run.Began, v.run.Began) {
 			c.fail("leaving", "%s reached %s from %s, which had been told %v before that it leaves", v.rec.id, v.run.Replica, router, v.rec.began.Sub(told.rec.ended))
 		}
 	}
@@ -88,13 +88,13 @@
 // checkPause checks the visits after one that was turned away.
 func (c *checker) checkPause(router string, told visit, vs []visit) {
 	seconds, err := strconv.ParseFloat(told.run.RetryAfter, 64)
-	if err != nil {
-		return
+	if err != nil || c.r.events.affected(c.exposure(told.rec, told.run.Began, told.run.Ended), scopeReplicaLink) {
+		return // none was given, or it may have been lost on the way
 	}
 	end := told.run.Ended.Add(time.Duration(seconds * float64(time.Second)))
 	n := 0
 	for _, v := range vs {
-		if v.run.Began.After(told.run.Ended.Add(pauseDelay)) && v.run.Began.Before(end) && !c.r.events.restarted(router, told.run.Began, v.run.Began) {
+		if v.run.Born == told.run.Born && v.run.Began.After(told.run.Ended.Add(pauseDelay)) && v.run.Began.Before(end) && !c.r.events.restarted(router, told.run.Began, v.run.Began) {
 			n++
 		}
 	}
