limit, entry: keep notices of an upstream whose start the store tells late

An upstream that had said that it leaves got requests again once the store named another start for it. Cause: a router whose view of the store was behind heard the notice under the former start of the upstream. Change: a notice counts for another start too, for 15 s, if that start lies before the notice.

--- a/core/limit/notice.go
+++ b/core/limit/notice.go
@@ -12,6 +12,10 @@
 	// leavingMemory is the time for which an upstream that leaves is remembered after the
 	// store has dropped it, since a restored store may list it again.
 	leavingMemory = 5 * time.Minute
+	// bornLag is the time for which a notice counts for another start of the upstream too, if
+	// that lies before the notice: the store may tell of a start only after the first answers.
+	// It is bounded, since the clocks of hosts differ.
+	bornLag = 15 * time.Second
 	// maxPause bounds the time for which an upstream may want no requests.
 	maxPause = 10 * time.Minute
 	// maxNotices bounds the upstreams whose notices are kept.
@@ -65,12 +69,17 @@
 	return left, paused
 }
 
+// of reports whether the notice is of the process that u describes.
+func (e *notice) of(u fleet.Upstream, now time.Time) bool {
+	return e.born == u.Born || u.Born > e.born && u.Born <= e.heardAt.UnixMilli() && now.Sub(e.heardAt) < bornLag
+}
+
 // Leaving reports whether an upstream has said that it leaves.
-func (n *Notices) Leaving(u fleet.Upstream) bool {
+func (n *Notices) Leaving(now time.Time, u fleet.Upstream) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	e := n.byUpstream[u.ID]
-	return e != nil && e.born == u.Born && e.leaving
+	return e != nil && e.leaving && e.of(u, now)
 }
 
 // Wait returns the time for which an upstream wants no requests, 0 if it takes them.
@@ -78,7 +87,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	e := n.byUpstream[u.ID]
-	if e == nil || e.born != u.Born {
+	if e == nil || !e.of(u, now) {
 		return 0
 	}
 	return max(e.pausedUntil.Sub(now), 0)
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -179,7 +179,7 @@
 		return refuse("unknown", reasonOriginUnknown)
 	case !slices.ContainsFunc(x.route.Split, func(w fleet.WeightedService) bool { return w.Service == r.Service }):
 		return refuse("moved", "service of the stream has changed")
-	case !slices.ContainsFunc(x.view.Upstreams[r.Service], func(u fleet.Upstream) bool { return u.Software == r.Version && !x.s.notices.Leaving(u) }):
+	case !slices.ContainsFunc(x.view.Upstreams[r.Service], func(u fleet.Upstream) bool { return u.Software == r.Version && !x.s.notices.Leaving(time.Now(), u) }):
 		return refuse("gone", "no upstream of the stream's software version")
 	}
 	x.s.incCounter("streams_taken_up", "outcome", outcome)
--- a/entry/place.go
+++ b/entry/place.go
@@ -31,7 +31,7 @@
 		if x.pinned != "" && u.Software != x.pinned {
 			continue
 		}
-		if !x.s.notices.Leaving(u) && !slices.Contains(x.tried, u.ID) && fleet.Allowed(x.route, x.team, x.s.cfg.region(u.Centre)) {
+		if !x.s.notices.Leaving(time.Now(), u) && !slices.Contains(x.tried, u.ID) && fleet.Allowed(x.route, x.team, x.s.cfg.region(u.Centre)) {
 			us = append(us, u)
 		}
 	}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -154,7 +154,7 @@
 			sq := qs.getOrCreate(sh.ID, svc.StageCalls)
 			sq.mu.Lock()
 			sq.q.SetCalls(*svc.StageCalls)
-			us := slices.DeleteFunc(slices.Clone(sh.Upstreams), qs.s.notices.Leaving)
+			us := slices.DeleteFunc(slices.Clone(sh.Upstreams), func(u fleet.Upstream) bool { return qs.s.notices.Leaving(time.Now(), u) })
 			sq.q.SetUpstreams(us)
 			clear(sq.upstreams)
 			for _, u := range us {
--- a/entry/reads.go
+++ b/entry/reads.go
@@ -73,7 +73,7 @@
 // readCache asks an engine for its cache events.
 func (s *Server) readCache(u fleet.Upstream) (parts map[string]bool, err error) {
 	began := time.Now()
-	if s.notices.Leaving(u) || s.notices.Wait(began, u) > 0 || !s.takeLimited(began, u) {
+	if s.notices.Leaving(began, u) || s.notices.Wait(began, u) > 0 || !s.takeLimited(began, u) {
 		return nil, errors.New("the engine takes no request now")
 	}
 	req, err := platform.NewCacheEventsRequest(u)
--- a/entry/target.go
+++ b/entry/target.go
@@ -91,7 +91,7 @@
 // stageWait is limitWait for the router whose queue alone sends calls to a stage upstream. It
 // reports false for one that leaves, which must get none any more.
 func (s *Server) stageWait(now time.Time, u fleet.Upstream) (wait time.Duration, ok bool) {
-	return max(s.notices.Wait(now, u), s.limits.Wait(now, u.ID, limit.Whole)), !s.notices.Leaving(u)
+	return max(s.notices.Wait(now, u), s.limits.Wait(now, u.ID, limit.Whole)), !s.notices.Leaving(now, u)
 }
 
 // takeLimited reports whether a request may be sent to an upstream now within the limit
