router: charge a late cost against the estimate of its own attempt

A team could be charged by the estimate of a later attempt. Cause: the cost of a lost call is collected in the background, and the charge was corrected by the stage's present estimate, which a further attempt replaces meanwhile. Change: the estimate is passed along with the attempt that it belongs to.

--- a/router/serve.go
+++ b/router/serve.go
@@ -329,15 +329,16 @@
 	if !o.succeeded() && o.executed != wire.ExecutedNone {
 		l.recordFailure(now)
 	}
+	estimatedCost := s.estimatedCost // a later attempt replaces it before a pending cost arrives
 	if o.costPending {
-		s.r.collectCost(l, c.Ref, func(res *wire.Result) { s.recordCost(l, c.Ref, res, o.reason, took, true) })
+		s.r.collectCost(l, c.Ref, func(res *wire.Result) { s.recordCost(l, c.Ref, res, o.reason, took, estimatedCost, true) })
 	}
 	if o.result != nil {
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.upstream, Centre: s.upstreamCentre(l.upstream), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
 		if o.succeeded() {
 			s.stages = append(s.stages, run)
 		}
-		s.recordCost(l, c.Ref, o.result, o.reason, took, o.result.Wasted)
+		s.recordCost(l, c.Ref, o.result, o.reason, took, estimatedCost, o.result.Wasted)
 	}
 	switch {
 	case o.reason == wire.ReasonCrashed:
@@ -361,9 +362,10 @@
 	return u.Centre
 }
 
-// recordCost charges the team for an attempt and records it in the accounts.
-func (s *activeStage) recordCost(l *agentLink, ref wire.Ref, res *wire.Result, cause wire.Reason, took time.Duration, wasted bool) {
-	s.adjustCharge(l.pool, &res.Cost)
+// recordCost charges the team for an attempt, whose cost was estimated on placement, and
+// records it in the accounts.
+func (s *activeStage) recordCost(l *agentLink, ref wire.Ref, res *wire.Result, cause wire.Reason, took time.Duration, estimatedCost int64, wasted bool) {
+	s.adjustCharge(l.pool, &res.Cost, estimatedCost)
 	s.r.accounts.RecordStageRun(time.Now(), acct.StageRun{
 		Ref: ref, Team: s.req.Team, Pipeline: s.req.Pipeline, Upstream: l.upstream, Centre: s.upstreamCentre(l.upstream), Took: took,
 		Cost: res.Cost, Wasted: wasted, Cause: cause,
@@ -376,10 +378,10 @@
 // on placement to the actual cost of an attempt, wasted work included, so that fair
 // shares depend on cost and not on the number of requests. Non-repeatable stages don't
 // pass through the queue and are not charged there.
-func (s *activeStage) adjustCharge(p *pool, c *wire.Cost) {
+func (s *activeStage) adjustCharge(p *pool, c *wire.Cost, estimatedCost int64) {
 	p.meanCost.Observe(int64(c.Busy))
 	if !s.stage.Once {
-		p.queue.ChargeRank(s.req.Team, s.pipeline.Rank, int64(c.Busy)-s.estimatedCost)
+		p.queue.ChargeRank(s.req.Team, s.pipeline.Rank, int64(c.Busy)-estimatedCost)
 	}
 }
 
