platform, entry: log what a late router waits for

A router now measures the lag of its scheduler ten times a second and logs it with the queues that it owns ("short of processor", once a second at most); failed and slow reads of the store name when they were connected, written, answered and ended; slow updates of the state and failed states of peers name how long they waited and took.

No decision is changed.

--- a/entry/control.go
+++ b/entry/control.go
@@ -20,6 +20,8 @@
 	// maxReadAge is the age of the last read of an area, beyond watchWait, from which a
 	// router takes the area's state from its peers.
 	maxReadAge = 700 * time.Millisecond
+	// slowUpdate is the time from which an update of the state is logged.
+	slowUpdate = 200 * time.Millisecond
 )
 
 // View is an immutable snapshot of a router's configuration and upstreams.
@@ -78,6 +80,7 @@
 	storeLost bool          // whether the store did not answer; page is empty then
 	state     *State        // state of a peer whose memory is to be added; page is empty then
 	err       error         // why it did not answer
+	queuedAt  time.Time     // when it was handed to the control goroutine
 	applied   chan struct{} // closed when the snapshot contains the update
 }
 
@@ -110,9 +113,15 @@
 	for {
 		select {
 		case u := <-c.s.updates:
-			c.apply(time.Now(), u)
+			began := time.Now()
+			c.apply(began, u)
 			c.publish(time.Now())
 			close(u.applied)
+			if took, waited := time.Since(began), began.Sub(u.queuedAt); took+waited > slowUpdate {
+				c.s.log.Warn("slow update of the state", "area", u.area, "records", len(u.page.Records), "peer", u.fromPeer,
+					"waited_ms", waited.Milliseconds(), "took_ms", took.Milliseconds())
+				c.s.incCounter("updates_slow")
+			}
 		case reply := <-c.s.stateRequests:
 			reply <- c.export(time.Now())
 		case <-tick.C:
@@ -194,7 +203,7 @@
 	if !c.storeLost[area] {
 		c.storeLost[area] = true
 		c.s.lost[area].Store(true)
-		c.s.log.Warn("store lost", "area", area, "revision", c.areas[area].At, "err", err)
+		c.s.log.Warn("store lost", "area", area, "revision", c.areas[area].At, "lag_ms", c.s.lag.current().Milliseconds(), "err", err)
 		c.s.incCounter("store_lost", "area", area.String())
 	}
 	if area == platform.AreaUpstreamRegistry {
@@ -392,7 +401,7 @@
 // applyUpdate sends an update to the control goroutine and waits until the snapshot
 // contains it or ctx is done.
 func (s *Server) applyUpdate(ctx context.Context, u update) {
-	u.applied = make(chan struct{})
+	u.applied, u.queuedAt = make(chan struct{}), time.Now()
 	select {
 	case s.updates <- u:
 	case <-ctx.Done():
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -185,6 +185,7 @@
 	var answer Beat
 	if err := p.call(ctx, addr, "Peer.Beat", p.composeHeartbeat(time.Now()), &answer, heartbeatTimeout); err != nil {
 		p.s.log.Debug("heartbeat failed", "peer", addr, "err", err)
+		p.s.incCounter("heartbeats_failed")
 		return
 	}
 	p.mergeHeartbeat(time.Now(), answer)
@@ -205,8 +206,10 @@
 		return
 	}
 	var state State
+	began := time.Now()
 	if err := p.call(ctx, addr, "Peer.State", 0, &state, 2*heartbeatTimeout); err != nil {
-		p.s.log.Warn("could not read state from peer", "peer", addr, "err", err)
+		p.s.log.Warn("could not read state from peer", "peer", addr, "took_ms", time.Since(began).Milliseconds(), "lag_ms", p.s.lag.current().Milliseconds(), "err", err)
+		p.s.incCounter("peer_states_failed")
 		return
 	}
 	for i, a := range state.Areas {
--- a/entry/server.go
+++ b/entry/server.go
@@ -80,6 +80,7 @@
 	latencies      routeLatencies
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
+	lag            lagMonitor
 
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
 	lost     [2]atomic.Bool                 // by platform.Area: whether the area can't be read from the store
@@ -242,10 +243,12 @@
 	s.spawn("control", func() error { return newControl(s).run(ctx) })
 	s.spawn("timers", func() error { return s.clock.Run(ctx) })
 	store := platform.NewStore(s.cfg.Store)
+	store.OnRead = s.recordRead
 	for _, a := range platform.Areas {
 		s.spawn("watch "+a.String(), func() error { return s.watch(ctx, store, a) })
 	}
 	s.spawn("peers", func() error { return s.peers.run(ctx) })
+	s.spawn("lag", func() error { return s.watchLag(ctx) })
 	s.spawn("sweep", func() error { return s.sweepIdleConns(ctx) })
 	s.spawn("peer listener", func() error { return s.servePeers(l.peers) })
 	s.spawn("readiness", func() error { return s.readyServer.Serve(l.ready) })
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -22,6 +22,9 @@
 	// failed reads of the store.
 	minReadRetryDelay = 50 * time.Millisecond
 	maxReadRetryDelay = 400 * time.Millisecond
+	// slowReadDivisor divides the time limit of a read of the store to give the time that its
+	// parts other than the wait may take before it is logged.
+	slowReadDivisor = 8
 )
 
 // watch follows one area of the store until ctx is done.
@@ -67,6 +70,16 @@
 	return ctx.Err()
 }
 
+// recordRead records how long a read of the store took, and logs one that took long before
+// the request was written or after the answer began to arrive.
+func (s *Server) recordRead(path string, t platform.Timing, limit time.Duration) {
+	s.scope().Timer("store_read_time").Record(t.Ended)
+	if slow := limit / slowReadDivisor; t.Written > slow || t.Answered > 0 && t.Ended-t.Answered > slow {
+		s.log.Warn("slow read of the store", "call", path, "timing", t, "lag_ms", s.lag.current().Milliseconds())
+		s.incCounter("store_reads_slow")
+	}
+}
+
 // read lists the whole area or, if it has been listed, waits for changes after revision
 // at.
 func (s *Server) read(ctx context.Context, store *platform.Store, area platform.Area, at fleet.Revision, listed bool) (platform.Page, error) {
