--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -137,6 +137,34 @@
 	t.Run("no router", func(t *testing.T) { assert.Equal(t, len(Assign(all[:1], nil)), 0) })
 }
 
+// TestAssignUndivided guards against small routers and single routers that own the queues of
+// whole services, and against a router whose loss moves the queues of others.
+func TestAssignUndivided(t *testing.T) {
+	rs := routers(3)
+	byName := map[wire.HostID]Router{}
+	for _, r := range rs {
+		byName[r.Name] = r
+	}
+	for i := range 50 {
+		var all []ID
+		for j := range 3 {
+			all = append(all, ID{Service: fleet.ServiceID(fmt.Sprint("s", i, j))})
+		}
+		owners := Assign(all, rs)
+		owned := map[wire.HostID]int{}
+		for id, name := range owners {
+			owned[name]++
+			assert.Assert(t, byName[name].CPU > 0.5, "%s owns %s", name, id)
+			assert.Assert(t, owned[name] == 1, "%s owns %d queues", name, owned[name])
+		}
+		for k, r := range rs {
+			for id, name := range Assign(all, slices.Delete(slices.Clone(rs), k, k+1)) {
+				assert.Assert(t, name == owners[id] || owned[r.Name] > 0, "%s moved when %s was lost", id, r.Name)
+			}
+		}
+	}
+}
+
 // TestChoose guards against orders that leave their data centre for a small gain, and
 // against those that stay in one that is overloaded.
 func TestChoose(t *testing.T) {
--- /dev/null
+++ b/entry/late_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes/site"
+)
+
+// hostNames returns n names of hosts, for routes that make a configuration large.
+func hostNames(n int) (names []string) {
+	for i := range n {
+		names = append(names, fmt.Sprintf("host-%d.example", i))
+	}
+	return names
+}
+
+// TestSlowAnswerOfStore guards against reads of the store that are aborted while their answer
+// still arrives, and so never end.
+func TestSlowAnswerOfStore(t *testing.T) {
+	for name, compact := range map[string]bool{"change": false, "listing": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.addReplica("i-1", "desk")
+			n := r.startRouter(1)
+			r.site.Store.SetPace(site.Pace{Bytes: 4 << 10, Pause: 150 * time.Millisecond})
+			r.putVersion(2, hostNames(500)...)
+			if compact {
+				r.site.Store.Compact()
+			}
+			r.waitForVersion(n, 2)
+		})
+	}
+}
+
+// storeGate is a way to the store of a site that can be closed: calls then get no answer.
+type storeGate struct {
+	*httptest.Server
+	closed atomic.Bool
+}
+
+func (r *rig) newStoreGate() *storeGate {
+	g := &storeGate{}
+	g.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if g.closed.Load() {
+			<-req.Context().Done()
+			return
+		}
+		r.site.Store.ServeHTTP(w, req)
+	}))
+	r.t.Cleanup(g.Close)
+	return g
+}
+
+func (g *storeGate) address() wire.Address { return wire.Address(g.Listener.Addr().String()) }
+
+// TestConfigurationFromPeers guards against a router that neither the store nor its own calls
+// to its peers reach, and that does not learn from them what they know.
+func TestConfigurationFromPeers(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	g := r.newStoreGate()
+	behind := r.settings("r1")
+	behind.Store = g.address()
+	ahead := r.settings("r2", behind.Peers)
+	unreachable := r.settings("r2").Peers
+	n := r.start(behind)
+	other, err := New(ahead, "", r.log)
+	assert.NilError(t, err)
+	other.peers.self.Address = unreachable // so that the router behind can't call it
+	m := r.run(other)
+	r.waitForUpstreams(n, 1)
+	r.waitForUpstreams(m, 1)
+	g.closed.Store(true)
+	r.putVersion(2, hostNames(500)...)
+	r.waitForVersion(m, 2)
+	r.waitForVersion(n, 2)
+}
+
+// TestUnknownAge guards against a caller that is told 401 or 404 by a router whose
+// configuration may be outdated.
+func TestUnknownAge(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	n := r.startRouter(1)
+	unknownKey := get(deskHost, "/safe/x")
+	unknownKey.key = "key-2"
+	unknownRoute := get("added.example", "/x")
+	n.assertStatus(t, unknownKey, http.StatusUnauthorized, "")
+	n.assertStatus(t, unknownRoute, http.StatusNotFound, "")
+	r.site.Store.SetMode(site.Silent)
+	r.waitFor("unknown keys are turned away without a verdict", func() bool {
+		resp, _, err := n.do(t, unknownKey)
+		return err == nil && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
+	})
+	n.assertStatus(t, unknownRoute, http.StatusServiceUnavailable, "")
+	n.assertStatus(t, get(deskHost, "/safe/y"), http.StatusOK, "")
+	r.site.Store.SetMode(site.Up)
+	r.waitFor("unknown keys are refused again", func() bool {
+		resp, _, err := n.do(t, unknownKey)
+		return err == nil && resp.StatusCode == http.StatusUnauthorized
+	})
+	n.assertStatus(t, unknownRoute, http.StatusNotFound, "")
+}
+
+// TestKnownBehind guards against requests that are handled by a configuration although a
+// peer is known to have a newer one.
+func TestKnownBehind(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	n := r.startRouter(1)
+	beat := Beat{From: Member{Name: "r9", Address: r.settings("r9").Peers, Boot: 1}, Config: 9}
+	r.waitFor("requests are turned away", func() bool {
+		n.peers.mergeHeartbeat(time.Now(), beat)
+		resp, _, err := n.do(t, get(deskHost, "/safe/x"))
+		return err == nil && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
+	})
+	r.putVersion(9)
+	r.waitForVersion(n, 9)
+	n.assertStatus(t, get(deskHost, "/safe/y"), http.StatusOK, "")
+}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -155,6 +155,12 @@
 	r.t.Helper()
 	s, err := New(cfg, "", r.log)
 	assert.NilError(r.t, err)
+	return r.run(s)
+}
+
+// run runs a router that was created, which the test's clean-up stops.
+func (r *rig) run(s *Server) *node {
+	r.t.Helper()
 	s.openListener = r.openListener
 	n := &node{Server: s, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -53,6 +53,21 @@
 	mode         Mode
 	changed      chan struct{} // closed and replaced at each write
 	calls        int
+	pace         Pace
+}
+
+// Pace slows down the bodies of the store's answers, as a short link does or a caller that
+// is slow to read.
+type Pace struct {
+	Bytes int           // sent at a time; 0 for all at once
+	Pause time.Duration // after each
+}
+
+// SetPace sets the pace of later answers.
+func (s *Store) SetPace(p Pace) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = p
 }
 
 // NewStore returns an empty store.
@@ -219,9 +234,15 @@
 // list answers with a page of the entries under a prefix, in the order of their keys.
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after")
+	items, more, rev := s.page(w, prefix, after)
+	s.writeJSON(w, map[string]any{"items": items, "truncated": more, "as_of": rev})
+}
+
+// page returns the entries of one page of a listing, whether more follow, and the revision.
+// It sets the era in w's header.
+func (s *Store) page(w http.ResponseWriter, prefix, after string) (items []Item, more bool, rev int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var items []Item
 	for k, it := range s.items {
 		if strings.HasPrefix(k, prefix) && k > after {
 			items = append(items, it)
@@ -229,11 +250,10 @@
 	}
 	w.Header().Set(HeaderEra, strconv.FormatInt(s.era, 10))
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > pageSize
-	if more {
-		items = items[:pageSize]
+	if len(items) > pageSize {
+		return items[:pageSize], true, s.rev
 	}
-	writeJSON(w, map[string]any{"items": items, "truncated": more, "as_of": s.rev})
+	return items, false, s.rev
 }
 
 // watch answers with the writes after a revision, and waits for one if there is none yet.
@@ -255,13 +275,13 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, map[string]any{"events": events, "as_of": rev})
+			s.writeJSON(w, map[string]any{"events": events, "as_of": rev})
 			return
 		}
 		select {
 		case <-changed:
 		case <-t.C:
-			writeJSON(w, map[string]any{"events": []Item{}, "as_of": rev})
+			s.writeJSON(w, map[string]any{"events": []Item{}, "as_of": rev})
 			return
 		case <-r.Context().Done():
 			return
@@ -286,6 +306,37 @@
 	return events, s.era, s.rev, true, s.changed
 }
 
+// writeJSON sends an answer at the store's pace. Sending fails only if the caller has
+// disconnected.
+func (s *Store) writeJSON(w http.ResponseWriter, v any) {
+	s.mu.Lock()
+	p := s.pace
+	s.mu.Unlock()
+	writeJSON(pacedWriter{w, p}, v)
+}
+
+// pacedWriter is a ResponseWriter with a pace.
+type pacedWriter struct {
+	http.ResponseWriter
+	pace Pace
+}
+
+// Write implements io.Writer.
+func (w pacedWriter) Write(b []byte) (n int, err error) {
+	for err == nil && w.pace.Bytes > 0 && len(b)-n > w.pace.Bytes {
+		var m int
+		m, err = w.ResponseWriter.Write(b[n : n+w.pace.Bytes])
+		n += m
+		_ = http.NewResponseController(w.ResponseWriter).Flush() // fails like the next Write
+		time.Sleep(w.pace.Pause)
+	}
+	if err != nil {
+		return n, err
+	}
+	m, err := w.ResponseWriter.Write(b[n:])
+	return n + m, err
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // fails only if the caller has disconnected
