core/shard: give the queues of whole services to large routers

Each router that was late owned the queue of at least one service on 0.32 of a core, and goroutines there waited up to 1.1 s for the processor.

Cause: the queue of a service with up to 24 upstreams went to the router with the highest hash, whatever its processor share, and several could go to the same one. Queues of divided services were assigned by processor share before.

Change: all queues are assigned by that rule, whole services first.

--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -17,7 +17,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hornbeamcove.example/core/fleet"
-	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -112,30 +111,25 @@
 
 // Assign returns the owner of each queue. Routers that know the same queues and routers
 // agree on it. A queue of a divided service goes to a router in its data centre if there is
-// one, to the one that then owns the fewest queues for its processor share. The single queue
-// of a service that is not divided may go to any router.
+// one, other queues to any router: to the one that then owns the fewest queues for its
+// processor share. Queues of whole services come first, because they are the largest.
 func Assign(ids []ID, routers []Router) map[ID]wire.HostID {
 	owners := make(map[ID]wire.HostID, len(ids))
 	owned := make(map[wire.HostID]int, len(routers))
-	names := make([]wire.HostID, len(routers))
 	byCentre := map[wire.DataCentreID][]Router{}
-	for i, r := range routers {
-		names[i] = r.Name
+	for _, r := range routers {
 		byCentre[r.Centre] = append(byCentre[r.Centre], r)
 	}
-	for _, id := range slices.SortedFunc(slices.Values(ids), compareIDs) {
-		if id.Centre == "" {
-			owners[id] = route.Owner(id.String(), names)
-			continue
-		}
-		local := byCentre[id.Centre]
-		if len(local) == 0 {
-			local = routers
+	undividedFirst := func(a, b ID) int { return cmp.Or(cmp.Compare(a.Centre, b.Centre), compareIDs(a, b)) }
+	for _, id := range slices.SortedFunc(slices.Values(ids), undividedFirst) {
+		candidates := byCentre[id.Centre]
+		if len(candidates) == 0 {
+			candidates = routers
 		}
-		if len(local) == 0 {
+		if len(candidates) == 0 {
 			continue
 		}
-		best := slices.MinFunc(local, func(a, b Router) int {
+		best := slices.MinFunc(candidates, func(a, b Router) int {
 			return cmp.Or(
 				cmp.Compare(float64(owned[a.Name]+1)/a.cpu(), float64(owned[b.Name]+1)/b.cpu()),
 				cmp.Compare(preference(id, b.Name), preference(id, a.Name)), cmp.Compare(a.Name, b.Name))
