--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// TestManyChanges guards against a router that was without the store for so long that the
+// changes since then exceed the size of an answer that it reads.
+func TestManyChanges(t *testing.T) {
+	r := newRestoredRig(t)
+	const versions = 80
+	hosts := hostNames(500)
+	r.away(func(*site.Store) {
+		for v := range versions {
+			r.putVersion(2+v, hosts...)
+		}
+	})
+	r.waitForVersion(r.n, 1+versions)
+}
+
 // storeGate is a way to the store of a site that can be closed: calls then get no answer.
 type storeGate struct {
 	*httptest.Server
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -62,6 +62,9 @@
 		s.log.Debug("could not read store", "area", area, "err", err)
 		s.incCounter("store_failed", "area", area.String())
 		s.applyUpdate(ctx, update{area: area, storeLost: true, err: err})
+		if errors.Is(err, platform.ErrPartialAnswer) {
+			listed = false // a listing doesn't grow with the changes since the last read
+		}
 		if !clock.Sleep(ctx, retryDelay) {
 			break
 		}
