entry, core/fleet: bring newer configurations to peers that stay behind

Cause: a router behind had to ask. Its calls for a peer's state were limited to 800 ms in all and shared a connection with heartbeats, whose limit of 400 ms closed it; four peers were asked at once, over one short link.

Change: a router that hears of an older version for 500 ms sends the peer its configuration, compressed, once a second at most (fleet.Followers). States and configurations go over connections of their own, bounded by progress; a router reads one state at a time.

TestStateOverSlowLink failed on the code before ('condition not met within 20s') and takes 3 s now.

--- a/entry/control.go
+++ b/entry/control.go
@@ -26,7 +26,8 @@
 
 // View is an immutable snapshot of a router's configuration and upstreams.
 type View struct {
-	Config *fleet.Config // nil until a configuration has been read
+	Config     *fleet.Config   // nil until a configuration has been read
+	configFrom platform.Record // record of Config
 	// Upstreams holds the upstreams that may receive work, by service.
 	Upstreams  map[fleet.ServiceID][]fleet.Upstream
 	OutCentres map[wire.DataCentreID]bool // data centres that are out of service
@@ -346,7 +347,7 @@
 func (c *control) publish(now time.Time) {
 	c.observeVersions(now)
 	v := &View{
-		Config: c.config, Upstreams: map[fleet.ServiceID][]fleet.Upstream{}, OutCentres: c.centres.Out(now),
+		Config: c.config, configFrom: c.configFrom, Upstreams: map[fleet.ServiceID][]fleet.Upstream{}, OutCentres: c.centres.Out(now),
 		Listed: c.areas[platform.AreaUpstreamRegistry].Listed, LastRead: c.lastRead,
 	}
 	var usable []fleet.Upstream
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -98,6 +100,61 @@
 	r.waitForVersion(n, 2)
 }
 
+// newSlowLink returns the address of a relay to another address that passes on bytesPerSecond
+// in each direction.
+func (r *rig) newSlowLink(to wire.Address, bytesPerSecond int) wire.Address {
+	r.t.Helper()
+	ln, err := listenTCP("127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = ln.Close() })
+	const interval = 10 * time.Millisecond
+	relay := func(dst, src net.Conn) {
+		defer dst.Close()
+		defer src.Close()
+		for {
+			if _, err := io.CopyN(dst, src, int64(bytesPerSecond)/int64(time.Second/interval)); err != nil {
+				return
+			}
+			time.Sleep(interval)
+		}
+	}
+	go func() {
+		for {
+			near, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", string(to))
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go relay(far, near)
+			go relay(near, far)
+		}
+	}()
+	return wire.Address(ln.Addr().String())
+}
+
+// TestStateOverSlowLink guards against states of peers whose transfer heartbeats abort, so
+// that a router without the store never learns the upstreams.
+func TestStateOverSlowLink(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	r.putVersion(2, hostNames(500)...)
+	ahead := r.settings("r2")
+	link := r.newSlowLink(ahead.Peers, 100<<10)
+	other, err := New(ahead, "", r.log)
+	assert.NilError(t, err)
+	other.peers.self.Address = link
+	r.waitForUpstreams(r.run(other), 1)
+	g := r.newStoreGate()
+	g.closed.Store(true)
+	behind := r.settings("r1", link)
+	behind.Store = g.address()
+	r.waitForUpstreams(r.start(behind), 1)
+}
+
 // TestUnknownAge guards against a caller that is told 401 or 404 by a router whose
 // configuration may be outdated.
 func TestUnknownAge(t *testing.T) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,6 +7,7 @@
 	"net/rpc"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hornbeamcove.example/core/admit"
@@ -93,6 +94,13 @@
 	// resumedAt is the end of the last pause of run, for instance because the process was
 	// suspended.
 	resumedAt time.Time
+
+	followers fleet.Followers
+	leader    fleet.Leader
+	packer    configPacker
+	// catchingUp is whether a peer's state is being read. States of several peers at once
+	// would share a short link.
+	catchingUp atomic.Bool
 }
 
 // peerRecord is a member and the time when it was last heard of.
@@ -189,6 +197,7 @@
 		return
 	}
 	p.mergeHeartbeat(time.Now(), answer)
+	p.followConfig(ctx, answer)
 	p.catchUp(ctx, addr, answer)
 }
 
@@ -196,6 +205,10 @@
 // position in an area that this router can't read from the store itself, and adds the
 // peer's memory if the store may have lost what the peer knows.
 func (p *peers) catchUp(ctx context.Context, addr wire.Address, b Beat) {
+	if !p.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	defer p.catchingUp.Store(false)
 	v := p.s.view.Load()
 	behind := false
 	for i := range b.At {
@@ -207,7 +220,7 @@
 	}
 	var state State
 	began := time.Now()
-	if err := p.call(ctx, addr, "Peer.State", 0, &state, 2*heartbeatTimeout); err != nil {
+	if err := p.transfer(ctx, addr, "Peer.State", 0, &state); err != nil {
 		p.s.log.Warn("could not read state from peer", "peer", addr, "took_ms", time.Since(began).Milliseconds(), "lag_ms", p.s.lag.current().Milliseconds(), "err", err)
 		p.s.incCounter("peer_states_failed")
 		return
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -98,6 +98,7 @@
 func (p *Peer) Beat(b Beat, answer *Beat) error {
 	now := time.Now()
 	p.s.peers.mergeHeartbeat(now, b)
+	p.s.peers.followConfig(context.Background(), b)
 	*answer = p.s.peers.composeHeartbeat(now)
 	return nil
 }
