entry: refuse requests while a peer has had a newer configuration

Cause: a router went on with its configuration although heartbeats had told it that peers had a newer one. Change: if it can't follow within a second it answers 503 with Retry-After, so that callers go to routers that have it, and its processor is free to catch up (fleet.Leader). A version that is heard of no more for 1.1 s doesn't count: the only router that had it may be lost.

--- a/entry/control.go
+++ b/entry/control.go
@@ -39,6 +39,14 @@
 	LastRead [2]time.Time
 }
 
+// version returns the version in force, 0 if there is none.
+func (v *View) version() fleet.Version {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
+
 // AreaState is a router's copy of one area of the store, in the form in which routers
 // send it to each other.
 type AreaState struct {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -170,13 +170,9 @@
 		logEnd = logger.Warn
 	}
 	v := x.view
-	var version fleet.Version
-	if v.Config != nil {
-		version = v.Config.Version
-	}
 	logEnd("request ended", "request", x.spec.ID, "status", status, "reason", reason, "route", routeID, "team", team,
 		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
-		"left_ms", x.remaining().Milliseconds(), "config", version,
+		"left_ms", x.remaining().Milliseconds(), "config", v.version(),
 		"config_age_ms", time.Since(v.LastRead[platform.AreaOperatorSettings]).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
 		"upstreams_age_ms", time.Since(v.LastRead[platform.AreaUpstreamRegistry]).Milliseconds())
@@ -228,6 +224,9 @@
 	if cfg == nil || !x.view.Listed {
 		return &refusal{http.StatusServiceUnavailable, "no configuration", retryAfterStart}
 	}
+	if x.s.peers.leader.Outdated(time.Now(), cfg.Version) {
+		return &refusal{http.StatusServiceUnavailable, "configuration outdated", retryAfterBusy}
+	}
 	path, _, _ := strings.Cut(x.requestTarget(), "?")
 	if x.route = cfg.Match(x.r.Host, path); x.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -271,9 +271,7 @@
 	b := Beat{From: p.self, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if v.Config != nil {
-		b.Config = v.Config.Version
-	}
+	b.Config = v.version()
 	for i, at := range v.At {
 		b.At[i], b.Eras[i] = at.Revision, at.Era
 	}
@@ -289,8 +287,10 @@
 	return b
 }
 
-// mergeHeartbeat adds the crashes and members of a peer's heartbeat to those known.
+// mergeHeartbeat adds the crashes and members of a peer's heartbeat to those known, and notes
+// the version in force there.
 func (p *peers) mergeHeartbeat(now time.Time, b Beat) {
+	p.leader.Heard(now, b.Config, p.s.view.Load().version())
 	for _, k := range b.Strikes {
 		if p.s.strikes.Add(now, k) {
 			p.s.log.Info("crash reported by peer", "peer", b.From.Name, "upstream", k.Upstream, "born", k.Born, "print", k.Print)
--- a/entry/push.go
+++ b/entry/push.go
@@ -86,11 +86,7 @@
 // can't fetch it in time.
 func (p *peers) followConfig(ctx context.Context, b Beat) {
 	now, v := time.Now(), p.s.view.Load()
-	var own fleet.Version
-	if v.Config != nil {
-		own = v.Config.Version
-	}
-	p.leader.Heard(now, b.Config, own)
+	own := v.version()
 	if b.Config == 0 || !p.followers.Heard(now, b.From.Name, b.Config, own) {
 		return
 	}
