entry, platform: withhold verdicts of a configuration of unknown age

Cause: the age of the last read of the store decided nothing. Change: a request that the configuration doesn't allow gets 401, 404 or 413 only if the store has answered within a watch and its pause (1.8 s), and else 503 with Retry-After; requests that it allows are served as before. The age counts from the time at which the store's answer began to arrive, and from the peer's read if a peer brought it, no longer from the time at which it was applied.

--- a/entry/control.go
+++ b/entry/control.go
@@ -33,8 +33,8 @@
 	OutCentres map[wire.DataCentreID]bool // data centres that are out of service
 	// Listed reports whether all upstreams have been read at least once.
 	Listed bool
-	// At and LastRead hold, by platform.Area, the position reached and the time of the last
-	// read, from the store or from a peer.
+	// At and LastRead hold, by platform.Area, the position reached and the time of the
+	// store's last answer, read here or by a peer.
 	At       [2]fleet.Position
 	LastRead [2]time.Time
 }
@@ -54,6 +54,7 @@
 	At      fleet.Revision             // revision reached
 	Records map[string]platform.Record // keyed by recordKey
 	Listed  bool                       // whether the whole area has been read at least once
+	Age     time.Duration              // time since the last read, in an exported state
 }
 
 func (a *AreaState) position() fleet.Position { return fleet.Position{Era: a.Era, Revision: a.At} }
@@ -164,7 +165,9 @@
 	if !u.fromPeer {
 		c.markStoreRegained(now, u.area)
 	}
-	c.lastRead[u.area] = now
+	if u.page.Answered.After(c.lastRead[u.area]) {
+		c.lastRead[u.area] = u.page.Answered
+	}
 	if restored {
 		c.enterEra(now, u)
 	}
@@ -383,6 +386,7 @@
 	out := State{Areas: c.areas, Memory: Memory{Config: c.configFrom, Roster: c.roster.Memory(), Centres: map[wire.DataCentreID]HeldForPeer{}}}
 	for i := range out.Areas {
 		out.Areas[i].Records = maps.Clone(out.Areas[i].Records)
+		out.Areas[i].Age = now.Sub(c.lastRead[i])
 	}
 	for id, h := range c.centres.Held(now) {
 		out.Memory.Centres[id] = HeldForPeer{h.Out, h.Until.Sub(now)}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -229,7 +229,7 @@
 	}
 	path, _, _ := strings.Cut(x.requestTarget(), "?")
 	if x.route = cfg.Match(x.r.Host, path); x.route == nil {
-		return &refusal{status: http.StatusNotFound, reason: "no route"}
+		return x.deny(http.StatusNotFound, "no route")
 	}
 	x.setDeadline()
 	if drainEnd := x.s.drainEnd.Load(); drainEnd != nil && x.deadline.Sub(*drainEnd) > 0 {
@@ -267,6 +267,19 @@
 	return x.admitStages()
 }
 
+// maxDenyAge is the age of the last read of the configuration beyond which it may be outdated:
+// a watch without changes, the pause after one with changes, and a margin.
+const maxDenyAge = watchWait + watchBatchDelay + 100*time.Millisecond
+
+// deny returns the refusal of a request that the configuration does not allow. Callers don't
+// repeat such a request, so a configuration that may be outdated is no ground for it.
+func (x *exchange) deny(status int, reason string) *refusal {
+	if time.Since(x.view.LastRead[platform.AreaOperatorSettings]) > maxDenyAge {
+		return &refusal{http.StatusServiceUnavailable, "configuration of unknown age: " + reason, retryAfterBusy}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
 // reasonPartQuarantined is the reason for refusing a request with a quarantined prompt part.
 const reasonPartQuarantined = "prompt part quarantined"
 
@@ -327,7 +340,7 @@
 		x.team = cfg.Team(key)
 	}
 	if x.team == nil && !x.route.Anonymous && len(cfg.Teams) > 0 {
-		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+		return x.deny(http.StatusUnauthorized, "unknown key")
 	}
 	return nil
 }
@@ -346,7 +359,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+		return x.deny(http.StatusRequestEntityTooLarge, "body too large")
 	case err != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not read"}
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -231,7 +231,7 @@
 		}
 		p.s.log.Info("state taken from peer", "peer", b.From.Name, "area", platform.Area(i), "era", a.Era, "revision", a.At,
 			"known_era", v.At[i].Era, "known", v.At[i].Revision)
-		p.s.applyUpdate(ctx, update{area: platform.Area(i), page: platform.Page{Records: slices.Collect(maps.Values(a.Records)), Position: a.position()}, full: true, fromPeer: true})
+		p.s.applyUpdate(ctx, update{area: platform.Area(i), page: platform.Page{Records: slices.Collect(maps.Values(a.Records)), Position: a.position(), Answered: began.Add(-a.Age)}, full: true, fromPeer: true})
 	}
 	p.s.applyUpdate(ctx, update{state: &state, fromPeer: true})
 }
