entry: don't take streams up by an outdated list of versions

Change: that conclusion, and the one from engines' caches, needs an answer of the store within a watch and its pause, and an answer of one other router unless there is none. TestOutOfStep: 'peers unreachable' and 'store unreachable' got 200 before, and get 503 now.

--- a/entry/origin.go
+++ b/entry/origin.go
@@ -11,6 +11,7 @@
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
 )
 
 const (
@@ -117,9 +118,16 @@
 	now := time.Now()
 	a.Record, _ = o.table.Find(now, q.Stream)
 	a.Versions, a.Covered = o.history.Versions(now, q.Service, q.Window)
+	a.Covered = a.Covered && o.current(now)
 	return a
 }
 
+// current reports whether this router follows the upstreams. Otherwise a version may have
+// joined and begun streams at other routers without its notice.
+func (o *origins) current(now time.Time) bool {
+	return now.Sub(o.s.view.Load().LastRead[platform.AreaUpstreamRegistry]) <= maxDenyAge
+}
+
 // resolve returns what this router and those that may hold the record of a stream know about
 // it, and whether all of them have answered.
 func (o *origins) resolve(ctx context.Context, q OriginQuery) (answers []origin.Answer, complete bool) {
@@ -148,6 +156,10 @@
 		})
 	}
 	wg.Wait()
+	if len(answers) == 1 && o.s.peers.knowsOthers(time.Now()) {
+		// Streams of a version that has just joined are known to others alone.
+		answers[0].Covered, complete = false, false
+	}
 	return answers, complete
 }
 
@@ -162,7 +174,7 @@
 	answers, complete := x.s.origins.resolve(ctx, q)
 	r, ok := origin.Resolve(answers, q.Service)
 	outcome := "pinned"
-	if !ok && q.Service != "" {
+	if !ok && q.Service != "" && x.s.origins.current(time.Now()) {
 		r, ok = x.originFromReads(q.Service)
 		outcome = "pinned by cache"
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -364,6 +364,18 @@
 	return names
 }
 
+// knowsOthers reports whether another router was heard of within memberTimeout.
+func (p *peers) knowsOthers(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if now.Sub(m.seenAt) < memberTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // routerCount returns the number of routers among which limits are divided: those heard
 // of within memberTimeout, this one included, and at least as many as there are seeds.
 func (p *peers) routerCount(now time.Time) int {
--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -11,9 +11,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
+	"hornbeamcove.example/platform"
 )
 
 // versionRig is a rig whose engines run several versions of their software.
@@ -101,6 +103,52 @@
 	}
 }
 
+// observeLong makes a router believe that it has seen version v1 alone for a minute.
+func (n *node) observeLong() {
+	n.origins.history.Reset()
+	for now, end := time.Now().Add(-time.Minute), time.Now(); now.Before(end); now = now.Add(time.Second) {
+		n.origins.history.Observe(now, []fleet.Upstream{{ID: "e-1", Service: "engine", Software: "v1"}})
+	}
+}
+
+// TestOutOfStep guards against a stream that a router out of step with the others takes up at
+// the only version that it knows, while another one has joined.
+func TestOutOfStep(t *testing.T) {
+	begin := func(t *testing.T) (*versionRig, *storeGate, *node) {
+		r := &versionRig{rig: newRig(t)}
+		r.addReplica("e-1", "engine")
+		g := r.newStoreGate()
+		cfg := r.settings("r1")
+		cfg.Store = g.address()
+		n := r.start(cfg)
+		r.nodes = []*node{n}
+		r.waitForUpstreams(n, 1)
+		n.observeLong()
+		return r, g, n
+	}
+	again := takeUp(stream(1), 2)
+	t.Run("in step", func(t *testing.T) {
+		_, _, n := begin(t)
+		n.assertStatus(t, again, http.StatusOK, eventsAfter(stream(1), 2))
+	})
+	t.Run("peers unreachable", func(t *testing.T) {
+		_, _, n := begin(t)
+		n.peers.mu.Lock()
+		n.peers.mergeMember(time.Now().Add(-2*ownerTimeout), Member{Name: "r2", Address: "127.0.0.1:1", Boot: 1})
+		n.peers.mu.Unlock()
+		resp := n.assertStatus(t, again, http.StatusServiceUnavailable, "")
+		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	})
+	t.Run("store unreachable", func(t *testing.T) {
+		r, g, n := begin(t)
+		g.closed.Store(true)
+		r.waitFor("the last read is old", func() bool {
+			return time.Since(n.view.Load().LastRead[platform.AreaUpstreamRegistry]) > 2*time.Second
+		})
+		n.assertStatus(t, again, http.StatusServiceUnavailable, "")
+	})
+}
+
 // startBroken starts streams that e-1 begins and breaks off after two events, and calls
 // release before it does. It returns the requests and what their callers got.
 func (r *versionRig) startBroken(n int, same bool) (cs []call, bodies []string, errs []error) {
