core/plat, router: follow a host list with an odd entry

It can happen here: one entry of another type, with a number too large or nested over 10,000 deep failed the whole list, and routers stopped following it without a line in their logs; an address with a port out of range was taken. Entries are now separated before they are decoded, those that can't be used are left out and counted, and a list that can't be read is logged.

--- a/core/plat/client.go
+++ b/core/plat/client.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -105,18 +106,20 @@
 	return p, nil
 }
 
-// Hosts returns the host list and the number of entries left out because they
-// have no name or an unknown state.
+// Hosts returns the host list and the number of entries left out because they can't be
+// decoded or have no name, an unknown state or an address without a valid port.
 func (c *Client) Hosts(ctx context.Context) (hosts []Host, dropped int, err error) {
-	var list struct {
-		Hosts []Host `json:"hosts"`
+	var doc json.RawMessage
+	if err = c.get(ctx, c.hosts, c.baseURL+"/v1/hosts", hostsTimeout, &doc); err != nil {
+		return nil, 0, fmt.Errorf("read hosts: %w", err)
 	}
-	if err = c.get(ctx, c.hosts, c.baseURL+"/v1/hosts", hostsTimeout, &list); err != nil {
+	entries, err := listEntries(doc, "hosts")
+	if err != nil {
 		return nil, 0, fmt.Errorf("read hosts: %w", err)
 	}
-	hosts = list.Hosts[:0]
-	for _, h := range list.Hosts {
-		if h.Name == "" || h.State != HostLive && h.State != HostLeaving {
+	for _, e := range entries {
+		var h Host
+		if json.Unmarshal(e, &h) != nil || h.Name == "" || h.State != HostLive && h.State != HostLeaving || !validAddress(h.Address) {
 			dropped++
 			continue
 		}
@@ -131,7 +134,8 @@
 	c.hosts.close()
 }
 
-// get decodes the JSON body of a response into dst. timeout doesn't include the
+// get decodes the JSON body of a response into dst, or copies it if dst is a
+// *json.RawMessage. timeout doesn't include the
 // time spent waiting for the rate limit.
 func (c *Client) get(ctx context.Context, hc *cancellableClient, url string, timeout time.Duration, dst any) error {
 	if err := c.limiter.Wait(ctx); err != nil {
@@ -147,6 +151,10 @@
 	if code := resp.StatusCode(); code != fasthttp.StatusOK {
 		return &StatusError{code, retryAfter(resp)}
 	}
+	if raw, ok := dst.(*json.RawMessage); ok {
+		*raw = bytes.Clone(resp.Body())
+		return nil
+	}
 	return json.Unmarshal(resp.Body(), dst)
 }
 
--- a/core/plat/plat_test.go
+++ b/core/plat/plat_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +157,26 @@
 	assert.Assert(t, status.IsRateLimited() && status.RetryAfter == 2*time.Second)
 }
 
+// TestOddHost guards against a host list that is not followed because of one odd entry.
+func TestOddHost(t *testing.T) {
+	const good = `{"name": "r1", "role": "router", "address": "10.0.0.1:80", "state": "live"}`
+	for name, odd := range map[string]string{
+		"deeply nested":     strings.Repeat(`[{"a":`, 1<<16) + "1" + strings.Repeat("}]", 1<<16),
+		"number too large":  `{"name": "r2", "state": "live", "address": 1e400}`,
+		"another type":      `{"name": 5, "state": "live"}`,
+		"port out of range": `{"name": "r2", "role": "router", "address": "10.0.0.1:65536", "state": "live"}`,
+		"no object":         `"]}"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestClient(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hosts": [` + odd + `, ` + good + `]}`) })
+			hosts, dropped, err := c.Hosts(t.Context())
+			assert.NilError(t, err)
+			assert.DeepEqual(t, hosts, []Host{{Name: "r1", Role: "router", Address: "10.0.0.1:80", State: HostLive}})
+			assert.Equal(t, dropped, 1)
+		})
+	}
+}
+
 // TestClientStops guards against a waiting read that outlives its context.
 func TestClientStops(t *testing.T) {
 	started, release := make(chan struct{}), make(chan struct{})
--- a/router/platform.go
+++ b/router/platform.go
@@ -66,6 +66,8 @@
 		}
 		if err == nil {
 			_ = r.control.do(ctx, func() { r.control.setHosts(hosts) })
+		} else if ctx.Err() == nil {
+			r.logEvent(log.WarnLevel, "discarded", wire.ReasonUnavailable, "could not read the host list, keeping the previous one", "err", err)
 		}
 		if !clock.Sleep(ctx, hostsInterval+rand.N(hostsJitter)) {
 			return
