--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -257,6 +257,7 @@
 		{"text instead of events", site.ErrorText},
 		{"error as an event", site.ErrorEvent},
 		{"garbled head", site.GarbledHead},
+		{"truncated head", site.TruncateHead},
 		{"rejected", site.Reject},
 		{"broken off at once", site.Crash},
 		{"without a length", site.Unframed},
@@ -283,6 +284,35 @@
 	}
 }
 
+// TestTruncatedHead guards against a success with an empty or short body when an upstream
+// stops within the head of its answer.
+func TestTruncatedHead(t *testing.T) {
+	for _, c := range []call{get(deskHost, "/safe/1"), post(deskHost, "/once/1", "x"), post(streamHost, "/resume/1", "x"), post(streamHost, "/once/1", "x")} {
+		t.Run(c.host+c.target, func(t *testing.T) {
+			r := newRig(t)
+			r.addReplica("i-1", "desk", slices.Repeat([]site.Action{site.TruncateHead}, 8)...)
+			r.addReplica("e-1", "engine", slices.Repeat([]site.Action{site.TruncateHead}, 8)...)
+			n := r.startRouter(2)
+			resp, _, err := n.do(t, c)
+			assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway)
+		})
+	}
+	t.Run("at any byte", func(t *testing.T) {
+		const answer = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Signature: s\r\nContent-Length: 12\r\n\r\n"
+		for cut := range len(answer) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(far))
+				_, _ = io.WriteString(far, answer[:cut])
+				_ = far.Close()
+			}()
+			_, err := newUpstreamConn(near).roundTrip(&upstreamRequest{method: "GET", target: "/", host: "h", id: "1"})
+			assert.Assert(t, err != nil, "cut after %q", answer[:cut])
+			_ = near.Close()
+		}
+	})
+}
+
 // TestCallerLeaves guards against an upstream that keeps working on a request whose
 // caller has disconnected.
 func TestCallerLeaves(t *testing.T) {
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -42,6 +42,7 @@
 	GarbledHead                     // sends bytes that are no answer, then those of an error, and closes the connection
 	RepeatRefusal                   // like Reject, and once more when the next request arrives on the connection, which is run
 	RepeatBareRefusal               // like RepeatRefusal, without the id of the request
+	TruncateHead                    // closes the connection in the middle of the answer's head
 	CrashLater                      // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
 )
 
@@ -485,7 +486,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead {
+	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead && act != TruncateHead {
 		p.stream(w, r, act)
 		return
 	}
@@ -505,9 +506,13 @@
 		}
 		_, _ = io.WriteString(w, errorText)
 		return
-	case GarbledHead:
+	case GarbledHead, TruncateHead:
+		bytes := "5xx\r\n" + p.head(id) + "\r\n" + errorText
+		if act == TruncateHead {
+			bytes = p.head(id)
+		}
 		if c, rw, err := http.NewResponseController(w).Hijack(); err == nil {
-			_, _ = rw.WriteString("5xx\r\n" + p.head(id) + "\r\n" + errorText)
+			_, _ = rw.WriteString(bytes)
 			_ = rw.Flush()
 			_ = c.Close()
 		}
