soak: play slow answers of the store, large configurations, odd entries

It now slows the store's answers down, adds 800 routes in a third of the changes, leaves odd entries among the replicas, cuts answers within their head, and probes the newest route of all routers four times a second: a 404 later than 3 s after the change is a violation unless the router was paused or the store restored.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -21,6 +21,7 @@
 	scopeBanned                        // a planned change after which its replicas or data centre must get no request
 	scopeRouters                       // router processes
 	scopeStore                         // the store or the connection to it
+	scopeRestore                       // a restore of the store, beside scopeStore
 	scopeReplicaLink                   // the connection to a replica
 	scopeReplicas                      // how replicas handle requests
 )
@@ -148,6 +149,8 @@
 	{"fault on the store connection", scopeStore, faultStoreLink},
 	{"store fails", scopeStore, failStore},
 	{"store is restored", scopeStore, restoreStore},
+	{"store answers slowly", scopeStore, slowStore},
+	{"entry of another writer", scopePlanned, putOddEntry},
 	{"store is compacted", scopeStore, func(r *Run, _ *rand.Rand, _ *event) { r.site.Store.Compact() }},
 	{"fault on a replica connection", scopeReplicaLink, faultReplicaLink},
 	{"replica fails", scopeReplicas, failReplica},
@@ -314,6 +317,8 @@
 		return
 	}
 	defer r.claims.release("restore")
+	lost := r.events.begin("versions are lost", scopeRestore)
+	defer r.events.end(lost)
 	old := r.site.Store.Copy()
 	time.Sleep(randomDuration(rng, 200*time.Millisecond, 5*time.Second))
 	r.site.Store.SetMode([]site.Mode{site.Busy, site.Reset, site.Silent}[rng.IntN(3)])
@@ -336,7 +341,7 @@
 
 // replicaActions are the ways in which replicas misbehave. Crash must be the last, because
 // failService leaves the last one out.
-var replicaActions = []site.Action{site.Reject, site.LoseAnswer, site.NoAnswer, site.AnswerTwice, site.StrayAnswer, site.Unframed, site.Truncate, site.Stall, site.RejectEarly, site.InternalError, site.Crash}
+var replicaActions = []site.Action{site.Reject, site.LoseAnswer, site.NoAnswer, site.AnswerTwice, site.StrayAnswer, site.Unframed, site.Truncate, site.Stall, site.RejectEarly, site.InternalError, site.TruncateHead, site.Crash}
 
 // failReplica makes one replica misbehave.
 func failReplica(r *Run, rng *rand.Rand, e *event) {
@@ -373,16 +378,21 @@
 const addedHost = "added.example"
 
 // changeConfig publishes a newer configuration with an additional route, which only
-// probeConfig uses.
+// newProbe uses, and in a third of the cases with many others.
 // The lock of the event log keeps the versions in order.
-func changeConfig(r *Run, _ *rand.Rand, _ *event) {
+func changeConfig(r *Run, rng *rand.Rand, _ *event) {
+	var more []site.Route
+	if rng.IntN(3) == 0 {
+		more = largeConfig()
+	}
 	r.events.mu.Lock()
+	defer r.events.mu.Unlock()
 	r.configVersion++
 	v := r.configVersion
-	r.site.Store.PutJSON("op/config", site.Config(v, append([]site.Route{
+	r.site.Store.PutJSON("op/config", site.Config(v, slices.Concat([]site.Route{
 		{Name: fmt.Sprint("added-", v), Host: addedHost, Prefix: fmt.Sprintf("/%d/", v), Kind: "safe", Service: "desk", Timeout: 6000, TargetLatency: 300, Attempts: 1},
-	}, routes...), site.Services, map[string]string{teamKey: team}))
-	r.events.mu.Unlock()
+	}, routes, more), site.Services, map[string]string{teamKey: team}))
+	r.configPut = time.Now()
 }
 
 // drainReplica marks a replica as draining and later as ready again. It does nothing if
@@ -422,6 +432,7 @@
 // clearFaults ends the faults of the store, the proxies and the replicas.
 func (r *Run) clearFaults() {
 	r.site.Store.SetMode(site.Up)
+	r.site.Store.SetPace(site.Pace{})
 	for _, p := range r.storeProxies {
 		p.SetFault(Forward)
 	}
--- a/soak/load.go
+++ b/soak/load.go
@@ -175,13 +175,10 @@
 		return nil
 	}
 	for _, rt := range r.routers {
-		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/%d/", rt.callers, r.configVersion), nil)
+		req, err := newProbe(rt, r.configVersion)
 		if err != nil {
 			return append(violations, err.Error())
 		}
-		req.Host = addedHost
-		req.Header.Set(site.HeaderID, "probe-"+rt.name)
-		req.Header.Set("Authorization", "Bearer "+teamKey)
 		client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 		resp, err := client.Do(req)
 		if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -63,6 +63,7 @@
 	storeProxies  []*Proxy     // proxy to the store of each router
 	callers       *callers
 	configVersion int
+	configPut     time.Time // when it was written
 	events        eventLog
 	claims        claims
 	badParts      badParts
@@ -106,6 +107,8 @@
 	for i := range o.Callers {
 		callerGroup.Go(func() { r.callers.runCaller(ctx, o.Seed*1000+uint64(i)) })
 	}
+	var denials []denial
+	callerGroup.Go(func() { denials = r.watchDenials(ctx) })
 	rng := rand.New(rand.NewPCG(o.Seed, 7))
 	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end); {
 		r.inject(rng)
@@ -119,6 +122,7 @@
 	callerGroup.Wait()
 	violations, served = r.check()
 	violations = append(violations, stale...)
+	violations = append(violations, r.checkDenials(denials)...)
 	if o.ReportPath != "" {
 		err = r.report(o.ReportPath, violations)
 	}
