entry: hand over many records of streams on a connection of their own

On a short link none arrived, and the streams could be taken up only by the caches of engines. More than 64 records now go as states of peers do, bounded by progress. TestRecordsOverSlowLink failed before (0 of 5000 records).

--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
 )
@@ -155,6 +156,26 @@
 	r.waitForUpstreams(r.start(behind), 1)
 }
 
+// TestRecordsOverSlowLink guards against the loss of all records of streams that a router
+// hands over, because their transfer takes longer than a short call.
+func TestRecordsOverSlowLink(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	n := r.startRouter(1)
+	ahead := r.settings("r2")
+	m := r.start(ahead)
+	n.peers.mu.Lock()
+	n.peers.mergeMember(time.Now(), Member{Name: "r2", Address: r.newSlowLink(ahead.Peers, 200<<10), Boot: 1})
+	n.peers.mu.Unlock()
+	const count = 5000
+	records := make([]origin.Record, count)
+	for i := range records {
+		records[i] = origin.Record{Stream: wire.RequestID(fmt.Sprint("stream-", i)), Service: "engine", Version: "v1", Left: time.Minute}
+	}
+	n.origins.sendTo("r2", records)
+	assert.Equal(t, m.origins.table.Len(), count)
+}
+
 // TestUnknownAge guards against a caller that is told 401 or 404 by a router whose
 // configuration may be outdated.
 func TestUnknownAge(t *testing.T) {
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -20,6 +20,9 @@
 	originFlushDelay = 5 * time.Millisecond
 	// originTimeout bounds a call for records, far above the delay between data centres.
 	originTimeout = 250 * time.Millisecond
+	// maxRecordsAtOnce bounds the records in one call that shares a connection with
+	// heartbeats. A router that stops or has a peer that starts sends thousands.
+	maxRecordsAtOnce = 64
 	// defaultStreamTime is the time for which a stream may be taken up if its caller gave no
 	// deadline, and streamTimeMargin what is added to the time until one that it gave.
 	defaultStreamTime = time.Minute
@@ -93,7 +96,13 @@
 		return
 	}
 	var n int
-	if err := o.s.peers.call(context.Background(), addr, "Peer.Origins", rs, &n, originTimeout); err != nil {
+	var err error
+	if len(rs) > maxRecordsAtOnce {
+		err = o.s.peers.transfer(context.Background(), addr, "Peer.Origins", rs, &n)
+	} else {
+		err = o.s.peers.call(context.Background(), addr, "Peer.Origins", rs, &n, originTimeout)
+	}
+	if err != nil {
 		o.s.log.Debug("could not send records of streams", "peer", peer, "records", len(rs), "err", err)
 		o.s.addCounter("origins_unsent", int64(len(rs)))
 	}
