--- a/entry/watch.go
+++ b/entry/watch.go
@@ -22,6 +22,9 @@
 	// failed reads of the store.
 	minReadRetryDelay = 50 * time.Millisecond
 	maxReadRetryDelay = 400 * time.Millisecond
+	// maxWatchFailures is the number of failed watches in a row from which the area is
+	// listed: the changes may have become too many to be answered in time.
+	maxWatchFailures = 3
 	// slowReadDivisor divides the time limit of a read of the store to give the time that its
 	// parts other than the wait may take before it is logged.
 	slowReadDivisor = 8
@@ -32,6 +35,7 @@
 	var at fleet.Position
 	retryDelay := minReadRetryDelay
 	listed := false
+	failures := 0 // failed reads in a row
 	for ctx.Err() == nil {
 		// Changes that a peer has sent since the last read need not be read again.
 		if v := s.view.Load(); listed && at.Before(v.At[area]) {
@@ -45,7 +49,7 @@
 			continue
 		case err == nil:
 			s.applyUpdate(ctx, update{area: area, page: page, full: !listed})
-			at, listed, retryDelay = page.Position, true, minReadRetryDelay
+			at, listed, retryDelay, failures = page.Position, true, minReadRetryDelay, 0
 			if len(page.Records) > 0 {
 				clock.Sleep(ctx, watchBatchDelay)
 			}
@@ -62,7 +66,7 @@
 		s.log.Debug("could not read store", "area", area, "err", err)
 		s.incCounter("store_failed", "area", area.String())
 		s.applyUpdate(ctx, update{area: area, storeLost: true, err: err})
-		if errors.Is(err, platform.ErrPartialAnswer) {
+		if failures++; failures >= maxWatchFailures || errors.Is(err, platform.ErrPartialAnswer) {
 			listed = false // a listing doesn't grow with the changes since the last read
 		}
 		if !clock.Sleep(ctx, retryDelay) {
