entry: count the time of suspension in the age of the state

Times of reads are now on the boot clock. TestAgeAfterSuspension guards it; a suspension itself can't be played in a test.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -9,6 +9,7 @@
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/platform"
 )
 
 // Dump is the state of a router that the admin listener serves as JSON at /state.
@@ -83,8 +84,8 @@
 	for i, at := range v.At {
 		d.Revisions[i], d.Eras[i] = at.Revision, at.Era
 	}
-	for i, t := range v.LastRead {
-		d.Ages[i] = now.Sub(t).Milliseconds()
+	for _, a := range platform.Areas {
+		d.Ages[a] = v.age(a).Milliseconds()
 	}
 	for c := range v.OutCentres {
 		d.Out = append(d.Out, c)
--- a/entry/control.go
+++ b/entry/control.go
@@ -36,9 +36,13 @@
 	// At and LastRead hold, by platform.Area, the position reached and the time of the
 	// store's last answer, read here or by a peer.
 	At       [2]fleet.Position
-	LastRead [2]time.Time
+	LastRead [2]Instant
 }
 
+// age returns the time since the store's last answer for an area, the time for which the host
+// was suspended included.
+func (v *View) age(a platform.Area) time.Duration { return bootNow().Sub(v.LastRead[a]) }
+
 // version returns the version in force, 0 if there is none.
 func (v *View) version() fleet.Version {
 	if v.Config == nil {
@@ -98,7 +102,7 @@
 type control struct {
 	s          *Server
 	areas      [2]AreaState
-	lastRead   [2]time.Time
+	lastRead   [2]Instant
 	storeLost  [2]bool
 	roster     *fleet.Roster
 	config     *fleet.Config
@@ -165,9 +169,7 @@
 	if !u.fromPeer {
 		c.markStoreRegained(now, u.area)
 	}
-	if u.page.Answered.After(c.lastRead[u.area]) {
-		c.lastRead[u.area] = u.page.Answered
-	}
+	c.lastRead[u.area] = max(c.lastRead[u.area], bootNow().Add(-time.Since(u.page.Answered)))
 	if restored {
 		c.enterEra(now, u)
 	}
@@ -349,7 +351,7 @@
 	}
 	c.observedAt = boot
 	const area = platform.AreaUpstreamRegistry
-	if c.areas[area].Listed && now.Sub(c.lastRead[area]) < maxReadAge+watchWait {
+	if c.areas[area].Listed && boot.Sub(c.lastRead[area]) < maxReadAge+watchWait {
 		c.s.origins.history.Observe(now, c.roster.Entries())
 	}
 }
@@ -386,7 +388,7 @@
 	out := State{Areas: c.areas, Memory: Memory{Config: c.configFrom, Roster: c.roster.Memory(), Centres: map[wire.DataCentreID]HeldForPeer{}}}
 	for i := range out.Areas {
 		out.Areas[i].Records = maps.Clone(out.Areas[i].Records)
-		out.Areas[i].Age = now.Sub(c.lastRead[i])
+		out.Areas[i].Age = bootNow().Sub(c.lastRead[i])
 	}
 	for id, h := range c.centres.Held(now) {
 		out.Memory.Centres[id] = HeldForPeer{h.Out, h.Until.Sub(now)}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -173,9 +173,9 @@
 	logEnd("request ended", "request", x.spec.ID, "status", status, "reason", reason, "route", routeID, "team", team,
 		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
 		"left_ms", x.remaining().Milliseconds(), "config", v.version(),
-		"config_age_ms", time.Since(v.LastRead[platform.AreaOperatorSettings]).Milliseconds(),
+		"config_age_ms", v.age(platform.AreaOperatorSettings).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
-		"upstreams_age_ms", time.Since(v.LastRead[platform.AreaUpstreamRegistry]).Milliseconds())
+		"upstreams_age_ms", v.age(platform.AreaUpstreamRegistry).Milliseconds())
 	s.incCounter("requests", "status", strconv.Itoa(status), "reason", reason)
 	if status < http.StatusBadRequest {
 		s.scope().Timer("request_time").Record(took)
@@ -274,7 +274,7 @@
 // deny returns the refusal of a request that the configuration does not allow. Callers don't
 // repeat such a request, so a configuration that may be outdated is no ground for it.
 func (x *exchange) deny(status int, reason string) *refusal {
-	if time.Since(x.view.LastRead[platform.AreaOperatorSettings]) > maxDenyAge {
+	if x.view.age(platform.AreaOperatorSettings) > maxDenyAge {
 		return &refusal{http.StatusServiceUnavailable, "configuration of unknown age: " + reason, retryAfterBusy}
 	}
 	return &refusal{status: status, reason: reason}
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -202,6 +202,17 @@
 	n.assertStatus(t, unknownRoute, http.StatusNotFound, "")
 }
 
+// TestAgeAfterSuspension guards against a configuration that seems fresh because the host was
+// suspended since it was read: the steady clock stands still then, the boot clock does not.
+func TestAgeAfterSuspension(t *testing.T) {
+	const suspended = 10 * time.Second
+	s := &Server{}
+	s.view.Store(&View{LastRead: [2]Instant{bootNow().Add(-suspended), bootNow().Add(-suspended)}})
+	x := &exchange{s: s, view: s.view.Load()}
+	assert.Equal(t, x.deny(http.StatusUnauthorized, "unknown key").status, http.StatusServiceUnavailable)
+	assert.Assert(t, !(&origins{s: s}).current())
+}
+
 // TestKnownBehind guards against requests that are handled by a configuration although a
 // peer is known to have a newer one.
 func TestKnownBehind(t *testing.T) {
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -127,14 +127,14 @@
 	now := time.Now()
 	a.Record, _ = o.table.Find(now, q.Stream)
 	a.Versions, a.Covered = o.history.Versions(now, q.Service, q.Window)
-	a.Covered = a.Covered && o.current(now)
+	a.Covered = a.Covered && o.current()
 	return a
 }
 
 // current reports whether this router follows the upstreams. Otherwise a version may have
 // joined and begun streams at other routers without its notice.
-func (o *origins) current(now time.Time) bool {
-	return now.Sub(o.s.view.Load().LastRead[platform.AreaUpstreamRegistry]) <= maxDenyAge
+func (o *origins) current() bool {
+	return o.s.view.Load().age(platform.AreaUpstreamRegistry) <= maxDenyAge
 }
 
 // resolve returns what this router and those that may hold the record of a stream know about
@@ -183,7 +183,7 @@
 	answers, complete := x.s.origins.resolve(ctx, q)
 	r, ok := origin.Resolve(answers, q.Service)
 	outcome := "pinned"
-	if !ok && q.Service != "" && x.s.origins.current(time.Now()) {
+	if !ok && q.Service != "" && x.s.origins.current() {
 		r, ok = x.originFromReads(q.Service)
 		outcome = "pinned by cache"
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -212,7 +212,7 @@
 	v := p.s.view.Load()
 	behind := false
 	for i := range b.At {
-		stale := time.Since(v.LastRead[i]) > maxReadAge+watchWait || v.At[i].Revision == 0
+		stale := v.age(platform.Area(i)) > maxReadAge+watchWait || v.At[i].Revision == 0
 		behind = behind || v.At[i].Before(fleet.Position{Era: b.Eras[i], Revision: b.At[i]}) && (stale || p.s.storeLost(platform.Area(i)))
 	}
 	if introduce := p.introduce(v, b); !behind && !introduce && !hasLostConfig(v, b) {
--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -143,7 +143,7 @@
 		r, g, n := begin(t)
 		g.closed.Store(true)
 		r.waitFor("the last read is old", func() bool {
-			return time.Since(n.view.Load().LastRead[platform.AreaUpstreamRegistry]) > 2*time.Second
+			return n.view.Load().age(platform.AreaUpstreamRegistry) > 2*time.Second
 		})
 		n.assertStatus(t, again, http.StatusServiceUnavailable, "")
 	})
