core/fleet: refuse by the time of the version that follows, rename

The time now counts from when the oldest version newer than the router's own was first heard of. 'followed two versions later' of TestNewestVersion failed before.

Followers is now Offers, and Leader NewestVersion: nothing is elected here.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -224,7 +224,7 @@
 	if cfg == nil || !x.view.Listed {
 		return &refusal{http.StatusServiceUnavailable, "no configuration", retryAfterStart}
 	}
-	if x.s.peers.leader.Outdated(time.Now(), cfg.Version) {
+	if x.s.peers.newest.Outdates(time.Now(), cfg.Version) {
 		return &refusal{http.StatusServiceUnavailable, "configuration outdated", retryAfterBusy}
 	}
 	path, _, _ := strings.Cut(x.requestTarget(), "?")
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -95,9 +95,9 @@
 	// suspended.
 	resumedAt time.Time
 
-	followers fleet.Followers
-	leader    fleet.Leader
-	packer    configPacker
+	offers fleet.Offers
+	newest fleet.NewestVersion
+	packer configPacker
 	// catchingUp is whether a peer's state is being read. States of several peers at once
 	// would share a short link.
 	catchingUp atomic.Bool
@@ -290,7 +290,7 @@
 // mergeHeartbeat adds the crashes and members of a peer's heartbeat to those known, and notes
 // the version in force there.
 func (p *peers) mergeHeartbeat(now time.Time, b Beat) {
-	p.leader.Heard(now, b.Config, p.s.view.Load().version())
+	p.newest.Heard(now, b.Config, p.s.view.Load().version())
 	for _, k := range b.Strikes {
 		if p.s.strikes.Add(now, k) {
 			p.s.log.Info("crash reported by peer", "peer", b.From.Name, "upstream", k.Upstream, "born", k.Born, "print", k.Print)
--- a/entry/push.go
+++ b/entry/push.go
@@ -87,7 +87,7 @@
 func (p *peers) followConfig(ctx context.Context, b Beat) {
 	now, v := time.Now(), p.s.view.Load()
 	own := v.version()
-	if b.Config == 0 || !p.followers.Heard(now, b.From.Name, b.Config, own) {
+	if b.Config == 0 || !p.offers.Due(now, b.From.Name, b.Config, own) {
 		return
 	}
 	p.s.background.Go(func() {
