entry: log why a request is not repeated, silences, and panics

The logs could not tell a request that was ended because of a silence from one whose upstream broke off, nor why it was not sent again. A panic of a handler closed the connection without an answer, and net/http's line on it has the debug level; it is logged as an error now and answered with 502. TestHandlerPanic failed before with the panic itself.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -67,6 +67,9 @@
 type sendError struct {
 	sent bool // whether any byte of the request may have reached the upstream
 	err  error
+	// silent is the time since the last byte from the upstream, or since the request was
+	// written; 0 if nothing was sent.
+	silent time.Duration
 }
 
 // Error implements error.
@@ -83,6 +86,7 @@
 	w         *bufio.Writer
 	expires   time.Time // end of the time in which it may be reused
 	idleSince time.Time // end of its last use
+	heardAt   time.Time // when the request was written or the last bytes of its answer arrived
 	reused    bool
 }
 
@@ -96,10 +100,29 @@
 }
 
 func newUpstreamConn(nc net.Conn) *upstreamConn {
-	limited := &limitedReader{r: nc, left: math.MaxInt64}
-	return &upstreamConn{Conn: nc, limit: limited, r: bufio.NewReaderSize(limited, connBufferSize), w: bufio.NewWriterSize(nc, connBufferSize)}
+	c := &upstreamConn{Conn: nc, w: bufio.NewWriterSize(nc, connBufferSize)}
+	c.limit = &limitedReader{r: readerFunc(c.read), left: math.MaxInt64}
+	c.r = bufio.NewReaderSize(c.limit, connBufferSize)
+	return c
 }
 
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// read reads from the connection and records when bytes arrive.
+func (c *upstreamConn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heardAt = time.Now()
+	}
+	return n, err
+}
+
+// silence returns the time since the last byte from the upstream, or since the request was
+// written.
+func (c *upstreamConn) silence() time.Duration { return time.Since(c.heardAt) }
+
 // limitedReader reads at most left bytes from r and then fails with errResponseTooLarge.
 type limitedReader struct {
 	r    io.Reader
@@ -182,6 +205,13 @@
 // those to other requests are skipped. The error is a *sendError. The caller interrupts
 // a round trip through the deadline of c.
 func (c *upstreamConn) roundTrip(req *upstreamRequest) (rp *response, err error) {
+	defer func() {
+		var se *sendError
+		if errors.As(err, &se) {
+			se.silent = c.silence()
+		}
+	}()
+	c.heardAt = time.Now()
 	rp = &response{conn: c, writeErr: make(chan error, 1)}
 	if err = c.write(req, rp.writeErr); err != nil {
 		return nil, &sendError{sent: true, err: fmt.Errorf("write request: %w", err)}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +57,7 @@
 	// that it names, 0 if the last choice left none out for its limit.
 	limitWait    time.Duration
 	choiceReason string // why upstream was chosen, for the log
+	notRepeated  string // why the request was not sent again, for the log
 	headerSent   bool   // whether the response header was sent to the caller
 	// inputsGone is whether the upstream that rejected the request last could no longer
 	// fetch a stage result.
@@ -171,7 +174,7 @@
 	}
 	v := x.view
 	logEnd("request ended", "request", x.spec.ID, "status", status, "reason", reason, "route", routeID, "team", team,
-		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
+		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "not_repeated", x.notRepeated, "took_ms", took.Milliseconds(),
 		"left_ms", x.remaining().Milliseconds(), "config", v.version(),
 		"config_age_ms", v.age(platform.AreaOperatorSettings).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
@@ -199,12 +202,29 @@
 		return
 	}
 	defer x.releaseUnqueued()
+	defer x.recoverPanic()
 	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
 	defer cancel()
 	defer context.AfterFunc(s.stopCtx, cancel)()
 	x.serve(ctx)
 }
 
+// recoverPanic logs a panic of the handler and answers the request, whose connection net/http
+// would close without an answer and without a log line at the default level. It must be deferred.
+func (x *exchange) recoverPanic() {
+	v := recover()
+	switch {
+	case v == nil:
+		return
+	case v == http.ErrAbortHandler:
+		panic(v)
+	}
+	x.s.log.Error("handler of a request panicked", "request", x.spec.ID, "err", fmt.Sprint(v), "stack", string(debug.Stack()))
+	x.s.incCounter("handler_panics")
+	x.runs = max(x.runs, 1) // the panic may have come after a send
+	x.refuse(refusal{status: http.StatusBadGateway, reason: "internal error"})
+}
+
 // timeoutReason returns the reason for a request whose context has ended.
 func (x *exchange) timeoutReason() string {
 	if x.s.stopCtx.Err() != nil {
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,3 +28,19 @@
 		})
 	}
 }
+
+// TestHandlerPanic guards against a request whose connection is closed without an answer, and
+// without a log line, because its handler panicked.
+func TestHandlerPanic(t *testing.T) {
+	r := newRig(t)
+	s, err := New(r.settings("r1"), "", r.log)
+	assert.NilError(t, err)
+	w := httptest.NewRecorder()
+	func() {
+		x := &exchange{s: s, w: w, r: httptest.NewRequest(http.MethodGet, "/safe/1", nil), view: &View{}, start: bootNow()}
+		defer x.recoverPanic()
+		x.svc.MaxConns++
+	}()
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Equal(t, w.Body.String(), "internal error\n")
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -217,7 +217,15 @@
 // allowRepeat reports whether the request may be sent again after an upstream that may
 // have run it. If so, it takes a retry from the budget.
 func (x *exchange) allowRepeat() bool {
-	return x.route.Repeatable() && x.runs < x.route.MaxAttempts && x.allowResend()
+	switch {
+	case !x.route.Repeatable():
+		x.notRepeated = "route"
+	case x.runs >= x.route.MaxAttempts:
+		x.notRepeated = "attempts"
+	default:
+		return x.allowResend()
+	}
+	return false
 }
 
 // minAttemptTime is the remaining time below which no further attempt is made.
@@ -227,14 +235,21 @@
 const maxResends = 3
 
 // allowResend reports whether the request may be sent again, and takes a retry from the
-// budget if an upstream was already reached.
+// budget if an upstream was already reached. If not, it sets notRepeated.
 func (x *exchange) allowResend() bool {
-	if x.sends == 0 {
-		return x.remaining() > minAttemptTime
-	}
-	if x.sends > maxResends {
+	switch {
+	case x.remaining() <= minAttemptTime:
+		x.notRepeated = "time"
+		return false
+	case x.sends == 0:
+		return true
+	case x.sends > maxResends:
+		x.notRepeated = "sends"
 		return false
 	}
 	_, ok := x.retryBudget.Allow(1, x.remaining(), minAttemptTime)
+	if !ok {
+		x.notRepeated = "budget"
+	}
 	return ok
 }
--- a/entry/send.go
+++ b/entry/send.go
@@ -105,9 +105,12 @@
 // router or the caller, or an idle connection was dropped.
 func (x *exchange) recordSendFailure(t *target, err error, notUpstreamFault bool) {
 	var se *sendError
-	sent := errors.As(err, &se) && se.sent
+	sent, silent := false, time.Duration(0)
+	if errors.As(err, &se) {
+		sent, silent = se.sent, se.silent
+	}
 	x.s.log.Info("send failed", "request", x.spec.ID, "upstream", t.ID, "address", t.Address, "sent", sent,
-		"ours", notUpstreamFault, "left_ms", x.remaining().Milliseconds(), "err", err)
+		"silent_ms", silent.Milliseconds(), "ours", notUpstreamFault, "left_ms", x.remaining().Milliseconds(), "err", err)
 	x.s.incCounter("sends", "outcome", "failed")
 	x.tried = append(x.tried, t.ID)
 	if notUpstreamFault {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -226,7 +226,7 @@
 			return false, nil
 		}
 		rp.release(false)
-		st.recordSendFailure(t, &sendError{sent: true, err: err}, ctx.Err() != nil)
+		st.recordSendFailure(t, &sendError{sent: true, err: err, silent: rp.conn.silence()}, ctx.Err() != nil)
 		if ctx.Err() == nil && st.allowRepeat() {
 			st.resume = st.resume || st.eventsSent > 0
 			st.s.incCounter("streams_resumed")
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -98,7 +98,7 @@
 	}
 	if err != nil {
 		rp.release(false)
-		x.recordSendFailure(t, &sendError{sent: true, err: err}, ctx.Err() != nil)
+		x.recordSendFailure(t, &sendError{sent: true, err: err, silent: rp.conn.silence()}, ctx.Err() != nil)
 		return nil, noResponse
 	}
 	rp.release(true)
