router: move the linger of a stop into Run

The linger was a step of its own in hbrouter, so the router learned of a stop only after it, with a drain timeout that ended later than that of the process by the linger. Run now lingers itself, and its drain timeout includes it, so that the router knows from the start when the stop ends.

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/router/cmd/hbrouter/main.go
+++ b/router/cmd/hbrouter/main.go
@@ -57,6 +57,7 @@
 	book := acct.NewBook(acct.WithLogger(p.Log()), acct.WithScope(p.Scope()))
 	r := router.New(router.Config{
 		Name: cfg.Name, Centre: cfg.Centre, Region: cfg.Region, Peers: peers, MaxInFlight: int(cfg.Flight), MaxQueued: cfg.Queue,
+		Linger: time.Duration(cfg.Linger) * time.Millisecond,
 	}, q, q, router.WithPlatform(client), router.WithLogger(p.Log()), router.WithIncarnation(inc),
 		router.WithAccounts(book), router.WithScope(p.Scope()))
 	r.Routes(p.Admin())
@@ -92,8 +93,7 @@
 }
 
 // serve starts the callers' listener and the router. It registers the steps of the
-// drain: it still accepts requests for cfg.Linger, so that the load balancer can notice,
-// then lets the requests in flight finish and closes the listener.
+// drain: the router ends its requests, then the listener is closed.
 func serve(p *proc.Process, r *router.Router, client *platform, cfg *conf.Router) error {
 	ln, err := net.Listen("tcp", string(cfg.Callers))
 	if err != nil {
@@ -104,13 +104,6 @@
 	p.Go("callers", func(context.Context) error {
 		return app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
 	})
-	p.OnDrain("linger", func(ctx context.Context) error {
-		select {
-		case <-time.After(time.Duration(cfg.Linger) * time.Millisecond):
-		case <-ctx.Done():
-		}
-		return nil
-	})
 	drain := time.Duration(cfg.Drain) * time.Millisecond
 	p.GoUntilDrain("router", "requests", func(ctx context.Context) error { return r.Run(ctx, drain) })
 	p.OnDrain("callers", func(ctx context.Context) error {
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,9 @@
 	MaxInFlight int
 	// MaxQueued is the maximum number of stages queued per pool; 0 means 1,024.
 	MaxQueued wire.Slots
+	// Linger is the time for which a planned stop still accepts requests, so that the
+	// load balancer can notice. The drain timeout includes it.
+	Linger time.Duration
 }
 
 const (
@@ -136,9 +139,9 @@
 	return r
 }
 
-// Run serves until ctx is done and then drains: it refuses new requests and waits
-// at most drainTimeout for those in flight and for the costs of abandoned calls. It
-// returns an error if some were still missing then.
+// Run serves until ctx is done and then drains: after Config.Linger it refuses new
+// requests and waits for those in flight and for the costs of abandoned calls. All
+// this takes at most drainTimeout. It returns an error if some were still missing then.
 func (r *Router) Run(ctx context.Context, drainTimeout time.Duration) (err error) {
 	defer func() {
 		if err != nil {
@@ -167,12 +170,13 @@
 	return err
 }
 
-// drain refuses new requests and waits until those in flight have ended and the
-// costs of abandoned calls have arrived. It returns an error after timeout.
+// drain lingers, refuses new requests and waits until those in flight have ended and
+// the costs of abandoned calls have arrived. It returns an error after timeout.
 func (r *Router) drain(timeout time.Duration) error {
+	expired := time.After(timeout)
+	clock.Sleep(context.Background(), min(r.cfg.Linger, timeout))
 	r.draining.Store(true)
 	r.log.Info("drain started", "flight", r.inFlight.Load())
-	expired := time.After(timeout)
 	sub := r.ticker.Subscribe(drainPollInterval, "drain")
 	defer sub.Close()
 	for r.inFlight.Load()+r.costCollections.Load() > 0 {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -218,6 +218,11 @@
 
 // runWithFixture runs f with a fixture in a synctest bubble, where time is virtual.
 func runWithFixture(t *testing.T, f func(fx *fixture)) {
+	runWithConfig(t, Config{Name: "r1", Centre: "palermo", Region: "sicily"}, f)
+}
+
+// runWithConfig is like runWithFixture for a router with the given settings.
+func runWithConfig(t *testing.T, cfg Config, f func(fx *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		fx := &fixture{t: t, net: link.NewNet(), platform: &fakePlatform{}}
 		ctx, stop := context.WithCancel(t.Context())
