router: answer requests that a planned stop can't finish

Callers whose requests lasted longer than the drain saw their connections close without an answer. A request that came during the linger was taken however long it could last. The drain gave up at the moment at which the process ended, and nobody ended the requests that were still in flight.

A stop now has a plan: until the end of the linger the router takes a request only if its deadline, or the timeout of a reservation, lies before the cut; others are refused at once with leaving and none, which is certain then.

Before: TestStopAnswersCutRequests/repeatable, /non-repeatable, /queued: the router stopped without an answer to the request TestStopTakesOnlyWhatItCanFinish/may_outlast_the_stop: assertion failed: "one" (string) != leaving none (c.want string)

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/router/reserve.go
+++ b/router/reserve.go
@@ -21,9 +21,14 @@
 		return "", s.refuse(reason, "")
 	}
 	defer r.endRequest()
+	if !r.stop.Load().takes(time.Now(), reserveTimeout) {
+		return "", s.refuse(wire.ReasonLeaving, "")
+	}
+	ctx, release := r.cuttable(ctx)
+	defer release()
 	tok, reason := s.reserve(ctx)
 	if reason != "" {
-		return "", s.refuse(reason, "")
+		return "", s.refuse(refusalReason(ctx, reason, &s.executed), "")
 	}
 	return tok, nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,9 @@
 	// costCollections is the number of abandoned calls whose cost is being collected.
 	costCollections atomic.Int64
 	draining        atomic.Bool
+	stop            atomic.Pointer[stopPlan] // set when a planned stop begins
+	cutContext      context.Context          // ends when a stop cuts off the requests in flight
+	cutRequests     context.CancelFunc
 	meter.Counters
 	newID func() wire.RequestID
 }
@@ -124,6 +127,7 @@
 		accountQueries:  make(chan struct{}, maxAccountQueries),
 		newID:           func() wire.RequestID { return wire.RequestID(uuid.NewString()) },
 	}
+	r.cutContext, r.cutRequests = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(r)
 	}
@@ -141,7 +145,8 @@
 
 // Run serves until ctx is done and then drains: after Config.Linger it refuses new
 // requests and waits for those in flight and for the costs of abandoned calls. All
-// this takes at most drainTimeout. It returns an error if some were still missing then.
+// this takes at most drainTimeout; requests that last longer are cut off with a
+// refusal, and Run returns an error.
 func (r *Router) Run(ctx context.Context, drainTimeout time.Duration) (err error) {
 	defer func() {
 		if err != nil {
@@ -170,26 +175,6 @@
 	return err
 }
 
-// drain lingers, refuses new requests and waits until those in flight have ended and
-// the costs of abandoned calls have arrived. It returns an error after timeout.
-func (r *Router) drain(timeout time.Duration) error {
-	expired := time.After(timeout)
-	clock.Sleep(context.Background(), min(r.cfg.Linger, timeout))
-	r.draining.Store(true)
-	r.log.Info("drain started", "flight", r.inFlight.Load())
-	sub := r.ticker.Subscribe(drainPollInterval, "drain")
-	defer sub.Close()
-	for r.inFlight.Load()+r.costCollections.Load() > 0 {
-		select {
-		case <-sub.C:
-		case <-expired:
-			return fmt.Errorf("drain exceeded %s with %d requests in flight", timeout, r.inFlight.Load())
-		}
-	}
-	r.log.Info("drain complete")
-	return nil
-}
-
 // Ready returns an error while the router must not receive new requests, because
 // it is draining or has no configuration.
 func (r *Router) Ready() error {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -178,9 +178,11 @@
 	platform *fakePlatform
 	r        *Router
 	agents   []*fakeAgent
+	stop     func() error // stops the router and returns the error of Run; nil after the first time
 }
 
 const (
+	testDrain                        = 10 * time.Second
 	testTeam         wire.TeamID     = "folders"
 	plainPipeline    wire.PipelineID = "notes"
 	reservedPipeline wire.PipelineID = "kits"
@@ -234,13 +236,21 @@
 			go a.run(ctx)
 		}
 		fx.platform.publish(t, 1, fleetObjects()...)
-		fx.r = New(Config{Name: "r1", Centre: "palermo", Region: "sicily"}, fx.net, nil, WithPlatform(fx.platform))
+		fx.r = New(cfg, fx.net, nil, WithPlatform(fx.platform))
 		runErr := make(chan error, 1)
-		go func() { runErr <- fx.r.Run(ctx, 10*time.Second) }()
+		runCtx, stopRouter := context.WithCancel(ctx)
+		fx.stop = func() error {
+			stopRouter()
+			err := <-runErr
+			runErr <- nil
+			return err
+		}
+		go func() { runErr <- fx.r.Run(runCtx, testDrain) }()
 		time.Sleep(time.Second)
 		f(fx)
+		err := fx.stop()
 		stop()
-		assert.NilError(t, <-runErr)
+		assert.NilError(t, err)
 	})
 }
 
--- a/router/serve.go
+++ b/router/serve.go
@@ -57,6 +57,8 @@
 		return nil, s.refuse(reason, "")
 	}
 	s.deadline = time.Now().Add(s.timeout())
+	ctx, release := r.cuttable(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	return s.run(ctx)
@@ -112,6 +114,9 @@
 	if _, ok = budget.Split(s.timeout(), s.expectedTimes(0)); !ok {
 		return wire.ReasonDeadline
 	}
+	if !s.r.stop.Load().takes(time.Now(), s.timeout()) {
+		return wire.ReasonLeaving
+	}
 	return ""
 }
 
@@ -145,7 +150,7 @@
 		st := &activeStage{activeRequest: s, stage: &s.pipeline.Stages[i], index: i, last: i == len(s.pipeline.Stages)-1}
 		out, reason := st.run(ctx, prior)
 		if reason != "" {
-			return nil, s.refuse(reason, st.stage.Name)
+			return nil, s.refuse(refusalReason(ctx, reason, &s.executed), st.stage.Name)
 		}
 		prior = out
 	}
