router: wait for a lost session while no retry is possible

After about a second without its agent, a repeatable call was given up for a retry, and only then was the retry budget asked. Callers got unknown although the agent still ran the call and was back soon; with no other upstream the call was sent to the same one again.

The router now claims the retry before it gives up the wait: the stage must be repeatable, no text passed on, attempts and time left, another replica with free capacity, and the budget must grant it. Otherwise it asks again every 300 ms and takes up the call when the session is back. "retry denied" says why.

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -16,8 +16,8 @@
 	// silenceTimeout is the time without a frame on an open stream after which its
 	// session counts as lost. Agents send a frame at least every 250 ms.
 	silenceTimeout = 800 * time.Millisecond
-	// resumeTimeout bounds the wait for a new session if the call can be retried on
-	// another replica instead. A host that is down never opens one.
+	// resumeTimeout is the wait for a new session after which the call is retried on
+	// another replica instead, if one can take it. A host that is down never opens one.
 	resumeTimeout = 300 * time.Millisecond
 	// outcomeMargin is subtracted from the time that a call is given, so that the agent
 	// can still report the outcome and cost of a call that ran out of time.
@@ -36,6 +36,7 @@
 	report        *wire.Report
 	upstream      wire.UpstreamID
 	neverReceived bool // whether the agent never received the call, nor its reservation token
+	retryClaimed  bool // whether the attempt was given up for a retry, which the budget has granted
 }
 
 // succeeded reports whether the attempt succeeded.
@@ -47,6 +48,7 @@
 	link        *agentLink
 	call        *wire.Call
 	emit        func([]byte) error // receives generated text; an error cancels the call
+	claimRetry  func() bool        // takes a retry on another replica, if one is possible
 	incarnation wire.Incarnation   // run of the agent to which the call was sent
 	nextChunk   int                // number of the next chunk
 	accepted    bool               // whether the agent accepted the call
@@ -126,10 +128,11 @@
 
 // runAttempt sends a call and follows it until its outcome is known, ctx is done or the
 // call's time is over. If the session is lost, it queries the outcome over a new one.
-// emit sets *textSent when it passes text to the caller.
-func (r *Router) runAttempt(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error, textSent *bool) outcome {
+// emit sets *textSent when it passes text to the caller. claimRetry is called while the
+// agent can't be reached; if it returns true, the attempt is given up for a retry.
+func (r *Router) runAttempt(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error, textSent *bool, claimRetry func() bool) outcome {
 	left := time.Duration(c.Left) * time.Millisecond
-	a := &attempt{r: r, link: l, call: c, emit: emit, textSent: textSent, deadline: time.Now().Add(left)}
+	a := &attempt{r: r, link: l, call: c, emit: emit, textSent: textSent, claimRetry: claimRetry, deadline: time.Now().Add(left)}
 	ctx, cancel := context.WithTimeout(ctx, left+outcomeGrace)
 	defer cancel()
 	sess, _ := l.session()
@@ -145,9 +148,10 @@
 	for err != nil {
 		sess.Close("no answer on an open call")
 		r.logEvent(log.WarnLevel, "session_lost", "", "session lost during a call", "upstream", l.upstream, "request", c.Ref.Request, "stage", c.Ref.Stage)
-		if sess, err = a.awaitNewSession(ctx, sess); err != nil {
+		var claimed bool
+		if sess, claimed = a.awaitNewSession(ctx, sess); sess == nil {
 			out = a.unknownOutcome(ctx)
-			out.costPending = true
+			out.costPending, out.retryClaimed = true, claimed
 			return out
 		}
 		if sess.Peer().Incarnation != a.incarnation {
@@ -170,16 +174,22 @@
 	return a.follow(ctx, st, &wire.Frame{Query: &wire.Query{Ref: a.call.Ref, Next: a.nextChunk}})
 }
 
-// awaitNewSession waits for a session to the agent other than old. It waits for at
-// most resumeTimeout if the call can be retried elsewhere, which is the case if it is
-// repeatable and none of its text was passed to the caller.
-func (a *attempt) awaitNewSession(ctx context.Context, old link.Session) (link.Session, error) {
-	if !a.call.Once && !*a.textSent {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, resumeTimeout)
-		defer cancel()
+// awaitNewSession waits for a session to the agent other than old. The session is nil
+// if ctx ends first, or if a retry on another replica was claimed meanwhile. A call that
+// can't be retried keeps its wait, since its run may still succeed.
+func (a *attempt) awaitNewSession(ctx context.Context, old link.Session) (sess link.Session, claimed bool) {
+	for ctx.Err() == nil {
+		waitCtx, cancel := context.WithTimeout(ctx, resumeTimeout)
+		sess, err := a.link.awaitSession(waitCtx, old)
+		cancel()
+		if err == nil {
+			return sess, false
+		}
+		if ctx.Err() == nil && a.claimRetry() {
+			return nil, true
+		}
 	}
-	return a.link.awaitSession(ctx, old)
+	return nil, false
 }
 
 // unknownOutcome returns the outcome of a call that was sent but whose agent can't be
--- a/router/attempt_test.go
+++ b/router/attempt_test.go
@@ -49,7 +49,7 @@
 			time.Sleep(resumeTimeout / 2)
 			l.setSession(&brokenSession{done: make(chan struct{})})
 		}()
-		o := r.runAttempt(t.Context(), l, &wire.Call{Ref: wire.Ref{Request: "q", Stage: "one", Attempt: 1}, Left: 3000}, nil, new(bool))
+		o := r.runAttempt(t.Context(), l, &wire.Call{Ref: wire.Ref{Request: "q", Stage: "one", Attempt: 1}, Left: 3000}, nil, new(bool), func() bool { return true })
 		assert.Equal(t, o.reason, wire.ReasonUnknown)
 		assert.Assert(t, o.costPending, "the cost is not collected")
 	})
--- a/router/pool.go
+++ b/router/pool.go
@@ -204,6 +204,14 @@
 	return members[c.Index].link, true
 }
 
+// hasCapacity reports whether some upstream has free capacity for w.
+func (p *pool) hasCapacity(w *placement) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.pick(w)
+	return ok
+}
+
 // candidate returns the member as a candidate for w, or for any stage if w is nil.
 // Without a report, or if w may not run there, its limit is 0, so that it isn't picked.
 func (m *poolMember) candidate(w *placement) route.Candidate {
--- a/router/serve.go
+++ b/router/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -235,7 +236,7 @@
 	if !ok {
 		return outcome{reason: wire.ReasonDeadline, executed: wire.ExecutedNone}
 	}
-	o := s.call(ctx, l, n, input, timeout)
+	o := s.call(ctx, p, l, n, input, timeout)
 	o.upstream = l.upstream
 	return o
 }
@@ -255,9 +256,9 @@
 	})
 }
 
-// call runs the stage on l within timeout. A request suspected of crashing upstreams
+// call runs the stage on l, a link of p, within timeout. A request suspected of crashing upstreams
 // runs solo, that is with no other call on the upstream.
-func (s *activeStage) call(ctx context.Context, l *agentLink, n wire.Attempt, input []byte, timeout time.Duration) outcome {
+func (s *activeStage) call(ctx context.Context, p *pool, l *agentLink, n wire.Attempt, input []byte, timeout time.Duration) outcome {
 	state := s.r.crashes.State(time.Now(), s.fingerprint)
 	if state == wire.MarkStateQuarantined {
 		return outcome{reason: wire.ReasonQuarantined, executed: wire.ExecutedNone}
@@ -280,7 +281,7 @@
 		// whether this one may run.
 		return outcome{reason: wire.ReasonSolo, executed: wire.ExecutedNone}
 	}
-	o := s.r.runAttempt(ctx, l, c, s.emit, &s.textSent)
+	o := s.r.runAttempt(ctx, l, c, s.emit, &s.textSent, func() bool { return s.claimRetry(p, l.upstream, n) })
 	s.recordAttempt(l, c, &o, time.Since(start))
 	if solo {
 		s.r.crashes.Release(s.fingerprint, claimEnd)
@@ -402,8 +403,8 @@
 		if s.stage.Once || s.checkQuarantine(o) {
 			return false
 		}
-		if _, ok := p.retryBudget.Allow(n, left, expect); !ok {
-			s.r.logEvent(log.InfoLevel, "retry_denied", o.reason, "retry denied", "request", s.id, "stage", s.stage.Name, "attempt", n)
+		if why, ok := s.allowRetry(p, n, left, o.retryClaimed); !ok {
+			s.r.logEvent(log.InfoLevel, "retry_denied", o.reason, "retry denied", "request", s.id, "stage", s.stage.Name, "attempt", n, "why", why)
 			return false
 		}
 		s.r.logEvent(log.InfoLevel, "retried", o.reason, "stage retried", "request", s.id, "stage", s.stage.Name, "attempt", n)
@@ -414,6 +415,45 @@
 	return clock.Sleep(ctx, min(budget.Backoff(p.newRand(), n), max(0, left-expect)))
 }
 
+// allowRetry takes a retry from the budget, unless one was claimed before. If ok is
+// false, why is the budget's reason.
+func (s *activeStage) allowRetry(p *pool, n wire.Attempt, left time.Duration, claimed bool) (why wire.Reason, ok bool) {
+	if claimed {
+		return "", true
+	}
+	return p.retryBudget.Allow(n, left, time.Duration(s.stage.Expect)*time.Millisecond)
+}
+
+// claimRetry takes a retry of the stage from the budget while attempt n can't be
+// followed at the given upstream. It reports whether another replica of p can run the
+// stage now, in time, and the budget allows it.
+func (s *activeStage) claimRetry(p *pool, current wire.UpstreamID, n wire.Attempt) bool {
+	if !mayRepeat(s.stage.Once, s.textSent, n) {
+		return false
+	}
+	timeout, ok := budget.Split(time.Until(s.deadline), s.expectedTimes(s.index))
+	if !ok || !p.hasCapacity(s.placementElsewhere(current)) {
+		return false
+	}
+	_, ok = s.allowRetry(p, n, timeout, false)
+	return ok
+}
+
+// mayRepeat reports whether attempt n of a stage may be followed by another one: not if
+// the stage is non-repeatable, if the caller has seen text of it, or if the attempts are
+// used up.
+func mayRepeat(once, textSent bool, n wire.Attempt) bool {
+	return !once && !textSent && n < maxPlacements
+}
+
+// placementElsewhere returns a placement of the stage that leaves out the given upstream
+// and those of the earlier attempts.
+func (s *activeStage) placementElsewhere(current wire.UpstreamID) *placement {
+	avoid := maps.Clone(s.avoid)
+	avoid[current] = true
+	return &placement{model: s.stage.Model, adapter: s.stage.Adapter, avoid: avoid}
+}
+
 // checkQuarantine reports whether the attempt's crash led to the request's
 // quarantine, and if so sets the reason of o accordingly.
 func (s *activeStage) checkQuarantine(o *outcome) bool {
