router: cancel an abandoned run once its agent is reached again

When a call was retried on another replica after its session was lost, the query for the cost attached to the first run and so kept it going to its end: two replicas worked on the same call though the first could be reached.

The router now resets that query after its first frame, which cancels the run, and collects the cost with a second query. Before the first frame a reset could overtake the query.

Before: TestAbandonedRunIsCancelled: assertion failed: expression is false: cancelled.Load(): the first replica works on

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -33,6 +33,7 @@
 	reason        wire.Reason  // reason of the failure; empty if the attempt succeeded
 	executed      wire.Executed
 	costPending   bool // whether the cost must be collected, as the attempt was abandoned before its result came
+	runsOn        bool // whether the agent may still run the abandoned call, which must be cancelled
 	report        *wire.Report
 	upstream      wire.UpstreamID
 	neverReceived bool // whether the agent never received the call, nor its reservation token
@@ -67,10 +68,14 @@
 	maxCostCollections = 1024
 )
 
+// errRunCancelled reports that the agent was told to cancel a run.
+var errRunCancelled = errors.New("run cancelled")
+
 // collectCost queries an agent for the result of an abandoned call in the background
-// and passes it to record. The drain waits for it. Costs that can't be collected are
-// counted as cost_lost.
-func (r *Router) collectCost(l *agentLink, ref wire.Ref, record func(*wire.Result)) {
+// and passes it to record. If cancelRun is set, it cancels the run first, as soon as the
+// agent is reached. The drain waits for it. Costs that can't be collected are counted as
+// cost_lost.
+func (r *Router) collectCost(l *agentLink, ref wire.Ref, cancelRun bool, record func(*wire.Result)) {
 	if r.costCollections.Add(1) > maxCostCollections {
 		r.costCollections.Add(-1)
 		r.Inc("cost_lost", wire.ReasonOverload)
@@ -80,9 +85,10 @@
 		defer r.costCollections.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), collectTimeout)
 		defer cancel()
-		res, err := l.queryResult(ctx, ref)
-		for errors.Is(err, errSessionLost) && ctx.Err() == nil {
-			res, err = l.queryResult(ctx, ref)
+		res, err := l.queryResult(ctx, ref, cancelRun)
+		for (errors.Is(err, errSessionLost) || errors.Is(err, errRunCancelled)) && ctx.Err() == nil {
+			cancelRun = cancelRun && !errors.Is(err, errRunCancelled)
+			res, err = l.queryResult(ctx, ref, cancelRun)
 		}
 		switch {
 		case err != nil:
@@ -95,8 +101,9 @@
 
 // queryResult queries the agent for the result of a call. The result is nil if the
 // agent never accepted the call. The error is errSessionLost if the session was lost
-// before the agent answered.
-func (l *agentLink) queryResult(ctx context.Context, ref wire.Ref) (*wire.Result, error) {
+// before the agent answered. If cancelRun is set and the call still runs, queryResult
+// cancels it and returns errRunCancelled.
+func (l *agentLink) queryResult(ctx context.Context, ref wire.Ref, cancelRun bool) (*wire.Result, error) {
 	sess, err := l.awaitSession(ctx, nil)
 	if err != nil {
 		return nil, err
@@ -122,6 +129,11 @@
 		case f.Result != nil && f.Result.Ref == ref:
 			_ = st.Send(&wire.Frame{Ack: &wire.Ack{Ref: ref}})
 			return f.Result, nil
+		case cancelRun:
+			// The frame shows that the agent serves the query. A reset before that may
+			// overtake the query.
+			st.Reset()
+			return nil, errRunCancelled
 		}
 	}
 }
@@ -151,7 +163,7 @@
 		var claimed bool
 		if sess, claimed = a.awaitNewSession(ctx, sess); sess == nil {
 			out = a.unknownOutcome(ctx)
-			out.costPending, out.retryClaimed = true, claimed
+			out.costPending, out.retryClaimed, out.runsOn = true, claimed, !c.Once
 			return out
 		}
 		if sess.Peer().Incarnation != a.incarnation {
--- a/router/attempt_test.go
+++ b/router/attempt_test.go
@@ -93,7 +93,7 @@
 		}
 		l := fx.r.snapshot.Load().links["u0"]
 		before, _ := l.session()
-		fx.r.collectCost(l, wire.Ref{Request: "q", Stage: "one", Attempt: 1}, func(*wire.Result) { t.Error("a cost was recorded") })
+		fx.r.collectCost(l, wire.Ref{Request: "q", Stage: "one", Attempt: 1}, false, func(*wire.Result) { t.Error("a cost was recorded") })
 		time.Sleep(collectTimeout)
 		after, _ := l.session()
 		assert.Assert(t, before == after, "the session was closed")
--- a/router/serve.go
+++ b/router/serve.go
@@ -337,7 +337,7 @@
 	}
 	estimatedCost := s.estimatedCost // a later attempt replaces it before a pending cost arrives
 	if o.costPending {
-		s.r.collectCost(l, c.Ref, func(res *wire.Result) { s.recordCost(l, c.Ref, res, o.reason, took, estimatedCost, true) })
+		s.r.collectCost(l, c.Ref, o.runsOn, func(res *wire.Result) { s.recordCost(l, c.Ref, res, o.reason, took, estimatedCost, true) })
 	}
 	if o.result != nil {
 		run := StageRun{Stage: c.Ref.Stage, Upstream: l.upstream, Centre: s.upstreamCentre(l.upstream), Attempt: c.Ref.Attempt, Millis: millis(took), Cost: o.result.Cost}
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,6 +66,33 @@
 	}
 }
 
+// TestAbandonedRunIsCancelled guards against two replicas that work on the same call: the
+// first one must stop once it is reached again.
+func TestAbandonedRunIsCancelled(t *testing.T) {
+	runWithFixture(t, func(fx *fixture) {
+		agent := fx.agents[0]
+		agent.answer = fx.pauseNetwork(agent, time.Second)
+		var cancelled atomic.Bool
+		agent.query = func(st link.Stream, q *wire.Query) {
+			if cancelled.Load() {
+				_ = st.Send(&wire.Frame{Result: &wire.Result{
+					Ref: q.Ref, Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled, Executed: wire.ExecutedSome, Cost: wire.Cost{Busy: 70},
+				}})
+				return
+			}
+			_ = st.Send(&wire.Frame{Accept: &wire.Accept{Ref: q.Ref}})
+			_, err := st.Recv(context.Background())
+			cancelled.Store(errors.Is(err, link.ErrReset))
+		}
+		for agent.callCount() == 0 {
+			fx.expect(`"one"`, plainPipeline, "")
+		}
+		time.Sleep(collectTimeout)
+		assert.Assert(t, cancelled.Load(), "the first replica works on")
+		assert.Equal(t, fx.r.accounts.Totals().Reasons[wire.ReasonUnknown].Cost.Busy, wire.Micros(70))
+	})
+}
+
 // TestMayRepeat guards against a wait that is shortened for an attempt that must not be
 // made.
 func TestMayRepeat(t *testing.T) {
