agent: keep a large call to a silent upstream

A call whose body filled the buffers of its connection failed when the upstream read nothing for 1.5 s, also a non-repeatable one, with outcome unknown. TCP_USER_TIMEOUT counts the time during which the peer's window is closed, though the peer's kernel answers the probes.

Connections for calls now have a user timeout of 5 s; those for load reports, orders and cancels keep 1.5 s, since such requests don't close the window. A dead path under a call is noticed later by the same 3.5 s.

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/agent/conns.go
+++ b/agent/conns.go
@@ -17,10 +17,14 @@
 	dialTimeout  = time.Second
 	maxIdleConns = 64               // idle connections kept per pool
 	maxIdleAge   = 30 * time.Second // an older idle connection is not reused
-	// tcpUserTimeout closes a connection whose peer stopped acknowledging data, for
-	// instance because a device on the path lost the connection's state.
-	tcpUserTimeout    = 1500 * time.Millisecond
-	optTCPUserTimeout = 0x12 // socket option TCP_USER_TIMEOUT; its value is in milliseconds
+	// callUserTimeout and controlUserTimeout close a connection whose peer stopped
+	// acknowledging data, for instance because a device on the path lost the
+	// connection's state. The kernel counts the time during which the peer's window is
+	// closed, too. A large call closes it while the upstream is silent, which one
+	// without a fault may be for 2 s. Control requests are too small to close it.
+	callUserTimeout    = 5 * time.Second
+	controlUserTimeout = 1500 * time.Millisecond
+	optTCPUserTimeout  = 0x12 // socket option TCP_USER_TIMEOUT; its value is in milliseconds
 )
 
 // conn is one connection to the upstream. It uses fasthttp only to encode requests
@@ -37,21 +41,25 @@
 // connPool keeps the idle connections to one address. It is safe for concurrent
 // use.
 type connPool struct {
-	addr string
-	mu   sync.Mutex
-	idle []*conn
+	addr   string
+	dialer *net.Dialer
+	mu     sync.Mutex
+	idle   []*conn
 }
 
-// dialer sets keep-alive probes and the user timeout, so that a dead peer is detected
-// on an idle connection as well as on one with unacknowledged data.
-var dialer = net.Dialer{
-	Timeout:         dialTimeout,
-	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
-	Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(tcpUserTimeout/time.Millisecond))
-		})
-	},
+// newConnPool returns a pool without connections. Its dialer sets keep-alive probes and
+// the user timeout, so that a dead peer is detected on an idle connection as well as on
+// one with unacknowledged data.
+func newConnPool(addr string, userTimeout time.Duration) connPool {
+	return connPool{addr: addr, dialer: &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(userTimeout/time.Millisecond))
+			})
+		},
+	}}
 }
 
 // get returns an idle connection, or a new one if forceNew is set or none is idle.
@@ -61,7 +69,7 @@
 			return c, nil
 		}
 	}
-	nc, err := dialer.DialContext(ctx, "tcp", p.addr)
+	nc, err := p.dialer.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		return nil, &UpstreamError{Err: err}
 	}
--- a/agent/http.go
+++ b/agent/http.go
@@ -54,7 +54,7 @@
 	if u.Scheme != "http" || u.Port() == "" {
 		return nil, fmt.Errorf("upstream address %q: want http://IP:PORT", base)
 	}
-	return &HTTP{kind: kind, base: u, calls: connPool{addr: u.Host}, control: connPool{addr: u.Host}}, nil
+	return &HTTP{kind: kind, base: u, calls: newConnPool(u.Host, callUserTimeout), control: newConnPool(u.Host, controlUserTimeout)}, nil
 }
 
 // callKey returns the key that identifies a call at the upstream. A non-repeatable
