agent: resume a stream also before the configuration is confirmed

After a pause of the agent (read in the code) its read deadlines have passed, so a stream is taken for silent and resumed. The resume was refused as long as no router had confirmed the configuration, and the stream failed although the engine went on with it. A resume is no new work, so it is now sent without that check.

Before: TestStreamResumesAfterPause: error is not nil: upstream call: configuration may predate a pause of the process

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -120,9 +120,11 @@
 	req.Header.Set(callKeyHeader, callKey(c))
 	s := &stream{h: h, emit: emit, cost: wire.Cost{Calls: 1}}
 	err = s.readConnection(ctx, req)
+	// A resumed stream is no new work, so it may go on without a check.
+	resumeCtx := withSendCheck(ctx, func() error { return nil })
 	for err != nil && s.resumable(ctx, err) {
 		resumeReq := h.newRequest(fasthttp.MethodGet, fmt.Sprintf("/v1/completions/%s?after=%d", s.id, s.received), nil)
-		err = markSent(s.readConnection(ctx, resumeReq))
+		err = markSent(s.readConnection(resumeCtx, resumeReq))
 		fasthttp.ReleaseRequest(resumeReq)
 	}
 	if err != nil && !s.hasUsage && s.id != "" {
--- a/agent/silence_test.go
+++ b/agent/silence_test.go
@@ -54,6 +54,20 @@
 	assert.Equal(t, text, fakes.Text("a b c", 6))
 }
 
+// TestStreamResumesAfterPause guards against a stream that fails because its process was
+// paused: it is no new work, so the configuration need not be confirmed first.
+func TestStreamResumesAfterPause(t *testing.T) {
+	sends := 0
+	text, err := runSilentEngine(t, func() error {
+		if sends++; sends > 1 {
+			return &UpstreamError{Err: errStaleConfig}
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, text, fakes.Text("a b c", 6))
+}
+
 // TestSilentServiceGetsLargeCall guards against a call that fails because the upstream
 // was silent while the call's body filled the buffers of the connection.
 func TestSilentServiceGetsLargeCall(t *testing.T) {
