agent: give an orphaned call its whole timeout each time

A call that lost its router twice within 2 s was cancelled when the timer of the first loss fired, though its router came back in time: the timer was not stopped, and it found no listener because of the second loss. attach now stops it.

Before: TestCalls/a_call_that_was_orphaned_twice_runs_on_while_its_router_returns_in_time: result failed some (got string) != result done some (want string) A second case shows that frames go on every 250 ms while the upstream is silent and while a call is queued; it passed before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -308,6 +308,37 @@
 			r.expect(st, "result done some")
 			assert.Equal(r.t, r.startedCalls(), 2)
 		},
+		"a call that was orphaned twice runs on while its router returns in time": func(r *fixture) {
+			r.expect(r.send(&wire.Frame{Call: call("1", "")}), "accept")
+			query := func(epoch wire.Epoch) link.Stream {
+				r.dial(epoch)
+				st := r.send(&wire.Frame{Query: &wire.Query{Ref: call("1", "").Ref}})
+				r.expect(st, "accept")
+				return st
+			}
+			r.sess.Close("lost")
+			time.Sleep(orphanTimeout - 200*time.Millisecond)
+			query(2)
+			r.sess.Close("lost again")
+			time.Sleep(400 * time.Millisecond)
+			st := query(3)
+			r.up.ends <- nil
+			r.expect(st, "result done some")
+		},
+		"frames go on while the upstream is silent and the call is queued": func(r *fixture) {
+			streams := []link.Stream{}
+			for _, id := range []wire.RequestID{"1", "2", "3"} {
+				streams = append(streams, r.send(&wire.Frame{Call: call(id, "")}))
+			}
+			for range 8 {
+				for _, st := range streams {
+					ctx, cancel := context.WithTimeout(r.t.Context(), heartbeatInterval+50*time.Millisecond)
+					_, err := st.Recv(ctx)
+					cancel()
+					assert.NilError(r.t, err)
+				}
+			}
+		},
 		"a drain refuses new calls and finishes those under way": func(r *fixture) {
 			st := r.send(&wire.Frame{Call: call("1", "")})
 			r.expect(st, "accept")
--- a/agent/run.go
+++ b/agent/run.go
@@ -33,8 +33,9 @@
 	decided  chan struct{} // closed when the call is accepted or refused
 	refusal  *wire.Refuse  // set before decided is closed if the call is refused
 
-	mu        sync.Mutex
-	listeners int // streams that deliver the result
+	mu          sync.Mutex
+	listeners   int         // streams that deliver the result
+	orphanTimer *time.Timer // cancels the run once it has had no listener for orphanTimeout
 }
 
 // accept marks the call as accepted.
@@ -45,6 +46,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listeners++
+	if r.orphanTimer != nil {
+		r.orphanTimer.Stop()
+	}
 }
 
 // detach undoes one attach. A repeatable call without listeners is cancelled
@@ -57,7 +61,7 @@
 	if r.listeners > 0 || r.call.Once {
 		return
 	}
-	time.AfterFunc(orphanTimeout, func() {
+	r.orphanTimer = time.AfterFunc(orphanTimeout, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.listeners == 0 {
