agent: report the outcome of calls that a planned stop cuts off

At the end of its drain an agent closed its sessions while calls still ran. Their routers learned nothing and (read in the code) waited for a new session, those of non-repeatable calls and of begun streams until the deadline.

The agent now cancels such calls 0.5 s before the end, so that each one's result (unknown) reaches its router while the session is open; the router may retry a repeatable one. The cut is logged and counted as cut_off.

Before: TestCalls/the_router_of_a_call_that_outlasts_the_drain_learns_its_outcome: the agent stopped without a result of the call

go test -race ./router/... ./agent/... ./core/link/... ./matrix/...

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,11 @@
 	// are reported at once.
 	reportInterval    = 60 * time.Second
 	drainPollInterval = 20 * time.Millisecond
+	// cutMargin is the time before the end of the drain timeout at which the calls still
+	// under way are cut off, so that routers learn how they ended. It is at most
+	// 1/maxMarginShare of the drain timeout.
+	cutMargin      = 500 * time.Millisecond
+	maxMarginShare = 4
 )
 
 // Agent serves one upstream to routers.
@@ -74,6 +79,8 @@
 
 	workCtx  context.Context // ends after the drain
 	stopWork context.CancelFunc
+	callCtx  context.Context // ends when the drain cuts off the calls under way
+	cutCalls context.CancelFunc
 	runWG    conc.WaitGroup // goroutines of runs
 	orderWG  conc.WaitGroup // goroutines of orders
 
@@ -123,6 +130,7 @@
 		updates:     make(chan stateUpdate),
 	}
 	a.workCtx, a.stopWork = context.WithCancel(context.Background())
+	a.callCtx, a.cutCalls = context.WithCancel(a.workCtx)
 	// The first router that a new agent hears from may have an outdated configuration,
 	// so no order is sent before a newer one has had time to arrive.
 	a.state.Store(&state{nextOrderAt: time.Now().Add(ticketPropagationLimit)})
@@ -139,7 +147,7 @@
 // Run serves until ctx is done, then drains: it tells routers that it is leaving,
 // refuses new calls, and returns when the calls under way have ended and their
 // results were acknowledged by routers or have expired. If that takes longer than
-// drainTimeout, it stops and returns an error.
+// drainTimeout, it cuts off the calls, stops and returns an error.
 func (a *Agent) Run(ctx context.Context, drainTimeout time.Duration) (err error) {
 	defer func() {
 		if err != nil {
@@ -174,8 +182,9 @@
 }
 
 // drain refuses new calls, tells routers, and waits until the calls under way have
-// ended and their results were acknowledged or have expired. It returns an error if
-// that takes longer than timeout.
+// ended and their results were acknowledged or have expired. It cuts off the calls that
+// last too long and returns an error if there were any, or if a result is still held
+// after timeout.
 func (a *Agent) drain(timeout time.Duration) error {
 	a.update(func(s *state) { s.leaving = true })
 	a.broadcastReport()
@@ -183,20 +192,36 @@
 	a.stopping = true
 	a.mu.Unlock()
 	a.log.Info("drain started")
-	expired := time.After(timeout)
+	cut, expired := time.After(timeout-min(cutMargin, timeout/maxMarginShare)), time.After(timeout)
 	sub := a.ticker.Subscribe(drainPollInterval, "drain")
 	defer sub.Close()
+	cutOff := 0
 	for !a.drained() {
 		select {
 		case <-sub.C:
+		case <-cut:
+			if cutOff = a.callsUnderWay(); cutOff > 0 {
+				a.logEvent(log.WarnLevel, "cut_off", wire.ReasonLeaving, "calls cut off by the stop", "calls", cutOff)
+				a.cutCalls()
+			}
 		case <-expired:
 			return fmt.Errorf("drain exceeded %s", timeout)
 		}
 	}
+	if cutOff > 0 {
+		return fmt.Errorf("drain exceeded %s, %d calls cut off", timeout, cutOff)
+	}
 	a.log.Info("drain complete")
 	return nil
 }
 
+// callsUnderWay returns the number of calls under way.
+func (a *Agent) callsUnderWay() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.runs)
+}
+
 // drained reports whether no call is under way and no result is held.
 func (a *Agent) drained() bool {
 	a.mu.Lock()
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -66,6 +66,8 @@
 	done chan error
 }
 
+const fixtureDrain = time.Minute
+
 const address wire.Address = "10.0.0.1:1"
 
 func hello(role wire.Role, name wire.HostID, inc wire.Incarnation, epoch wire.Epoch) wire.Hello {
@@ -81,7 +83,7 @@
 		r.a = New(Config{Name: "u1", Upstream: "u1", Centre: "palermo", Kind: wire.KindPlain, Bounds: limit.Bounds{Warm: 2, Cold: 2}}, r.up, ln, WithIncarnation("a1"))
 		ctx, stop := context.WithCancel(t.Context())
 		r.stop = stop
-		go func() { r.done <- r.a.Run(ctx, time.Minute) }()
+		go func() { r.done <- r.a.Run(ctx, fixtureDrain) }()
 		r.dial(1)
 		f(r)
 		// End the calls that f left running, so that the drain completes.
@@ -150,6 +152,22 @@
 	}
 }
 
+// result reads frames until the stream's result, or returns nil if the stream ends
+// without one.
+func (r *fixture) result(st link.Stream) *wire.Result {
+	for {
+		ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
+		f, err := st.Recv(ctx)
+		cancel()
+		if err != nil {
+			return nil
+		}
+		if f.Result != nil {
+			return f.Result
+		}
+	}
+}
+
 // reserve returns a new token for a non-repeatable call.
 func (r *fixture) reserve() wire.Token {
 	return r.expect(r.send(&wire.Frame{Reserve: &wire.Reserve{Team: "t", Pipeline: "p"}}), "reserved").Reserved.Token
@@ -339,6 +357,29 @@
 				}
 			}
 		},
+		"the router of a call that outlasts the drain learns its outcome": func(r *fixture) {
+			var streams []link.Stream
+			for id, token := range map[wire.RequestID]wire.Token{"1": "", "2": r.reserve()} {
+				c := call(id, token)
+				c.Left = wire.Millis(2 * fixtureDrain / time.Millisecond)
+				st := r.send(&wire.Frame{Call: c})
+				r.expect(st, "accept")
+				streams = append(streams, st)
+			}
+			r.stop()
+			for _, st := range streams {
+				res := r.result(st)
+				if res == nil {
+					r.t.Error("the agent stopped without a result of the call")
+					continue
+				}
+				assert.Equal(r.t, res.Reason, wire.ReasonUnknown)
+				assert.Assert(r.t, res.Executed != wire.ExecutedNone)
+				_ = st.Send(&wire.Frame{Ack: &wire.Ack{Ref: res.Ref}})
+			}
+			assert.ErrorContains(r.t, <-r.done, "drain exceeded")
+			r.done <- nil
+		},
 		"a drain refuses new calls and finishes those under way": func(r *fixture) {
 			st := r.send(&wire.Frame{Call: call("1", "")})
 			r.expect(st, "accept")
--- a/agent/run.go
+++ b/agent/run.go
@@ -84,7 +84,7 @@
 	if !ok {
 		return nil, reason
 	}
-	ctx, cancel := context.WithDeadline(a.workCtx, deadline)
+	ctx, cancel := context.WithDeadline(a.callCtx, deadline)
 	r = &run{call: c, entry: e, deadline: deadline, cancel: cancel, decided: make(chan struct{})}
 	a.runs[c.Ref] = r
 	a.runWG.Go(func() {
@@ -264,6 +264,10 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		res.Reason = wire.ReasonDeadline
+	case errors.Is(err, context.Canceled) && a.callCtx.Err() != nil:
+		// A router may retry a call that the stop cut off, unlike one that its caller
+		// cancelled.
+		res.Reason = wire.ReasonUnknown
 	case errors.Is(err, context.Canceled):
 		res.Reason = wire.ReasonCancelled
 	case !errors.As(err, &ue):
