--- a/router/attempt.go
+++ b/router/attempt.go
@@ -16,8 +16,8 @@
 	// silenceTimeout is the time without a frame on an open stream after which its
 	// session counts as lost. Agents send a frame at least every 250 ms.
 	silenceTimeout = 800 * time.Millisecond
-	// resumeTimeout bounds the wait for a new session if the call can be retried on
-	// another replica instead. A host that is down never opens one.
+	// resumeTimeout is the wait for a new session after which the call is retried on
+	// another replica instead, if one can take it. A host that is down never opens one.
 	resumeTimeout = 300 * time.Millisecond
 	// outcomeMargin is subtracted from the time that a call is given, so that the agent
 	// can still report the outcome and cost of a call that ran out of time.
@@ -33,9 +33,11 @@
 	reason        wire.Reason  // reason of the failure; empty if the attempt succeeded
 	executed      wire.Executed
 	costPending   bool // whether the cost must be collected, as the attempt was abandoned before its result came
+	runsOn        bool // whether the agent may still run the abandoned call, which must be cancelled
 	report        *wire.Report
 	upstream      wire.UpstreamID
 	neverReceived bool // whether the agent never received the call, nor its reservation token
+	retryClaimed  bool // whether the attempt was given up for a retry, which the budget has granted
 }
 
 // succeeded reports whether the attempt succeeded.
@@ -47,6 +49,7 @@
 	link        *agentLink
 	call        *wire.Call
 	emit        func([]byte) error // receives generated text; an error cancels the call
+	claimRetry  func() bool        // takes a retry on another replica, if one is possible
 	incarnation wire.Incarnation   // run of the agent to which the call was sent
 	nextChunk   int                // number of the next chunk
 	accepted    bool               // whether the agent accepted the call
@@ -65,10 +68,14 @@
 	maxCostCollections = 1024
 )
 
+// errRunCancelled reports that the agent was told to cancel a run.
+var errRunCancelled = errors.New("run cancelled")
+
 // collectCost queries an agent for the result of an abandoned call in the background
-// and passes it to record. The drain waits for it. Costs that can't be collected are
-// counted as cost_lost.
-func (r *Router) collectCost(l *agentLink, ref wire.Ref, record func(*wire.Result)) {
+// and passes it to record. If cancelRun is set, it cancels the run first, as soon as the
+// agent is reached. The drain waits for it. Costs that can't be collected are counted as
+// cost_lost.
+func (r *Router) collectCost(l *agentLink, ref wire.Ref, cancelRun bool, record func(*wire.Result)) {
 	if r.costCollections.Add(1) > maxCostCollections {
 		r.costCollections.Add(-1)
 		r.Inc("cost_lost", wire.ReasonOverload)
@@ -78,9 +85,10 @@
 		defer r.costCollections.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), collectTimeout)
 		defer cancel()
-		res, err := l.queryResult(ctx, ref)
-		for errors.Is(err, errSessionLost) && ctx.Err() == nil {
-			res, err = l.queryResult(ctx, ref)
+		res, err := l.queryResult(ctx, ref, cancelRun)
+		for (errors.Is(err, errSessionLost) || errors.Is(err, errRunCancelled)) && ctx.Err() == nil {
+			cancelRun = cancelRun && !errors.Is(err, errRunCancelled)
+			res, err = l.queryResult(ctx, ref, cancelRun)
 		}
 		switch {
 		case err != nil:
@@ -93,8 +101,9 @@
 
 // queryResult queries the agent for the result of a call. The result is nil if the
 // agent never accepted the call. The error is errSessionLost if the session was lost
-// before the agent answered.
-func (l *agentLink) queryResult(ctx context.Context, ref wire.Ref) (*wire.Result, error) {
+// before the agent answered. If cancelRun is set and the call still runs, queryResult
+// cancels it and returns errRunCancelled.
+func (l *agentLink) queryResult(ctx context.Context, ref wire.Ref, cancelRun bool) (*wire.Result, error) {
 	sess, err := l.awaitSession(ctx, nil)
 	if err != nil {
 		return nil, err
@@ -120,16 +129,22 @@
 		case f.Result != nil && f.Result.Ref == ref:
 			_ = st.Send(&wire.Frame{Ack: &wire.Ack{Ref: ref}})
 			return f.Result, nil
+		case cancelRun:
+			// The frame shows that the agent serves the query. A reset before that may
+			// overtake the query.
+			st.Reset()
+			return nil, errRunCancelled
 		}
 	}
 }
 
 // runAttempt sends a call and follows it until its outcome is known, ctx is done or the
 // call's time is over. If the session is lost, it queries the outcome over a new one.
-// emit sets *textSent when it passes text to the caller.
-func (r *Router) runAttempt(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error, textSent *bool) outcome {
+// emit sets *textSent when it passes text to the caller. claimRetry is called while the
+// agent can't be reached; if it returns true, the attempt is given up for a retry.
+func (r *Router) runAttempt(ctx context.Context, l *agentLink, c *wire.Call, emit func([]byte) error, textSent *bool, claimRetry func() bool) outcome {
 	left := time.Duration(c.Left) * time.Millisecond
-	a := &attempt{r: r, link: l, call: c, emit: emit, textSent: textSent, deadline: time.Now().Add(left)}
+	a := &attempt{r: r, link: l, call: c, emit: emit, textSent: textSent, claimRetry: claimRetry, deadline: time.Now().Add(left)}
 	ctx, cancel := context.WithTimeout(ctx, left+outcomeGrace)
 	defer cancel()
 	sess, _ := l.session()
@@ -145,9 +160,10 @@
 	for err != nil {
 		sess.Close("no answer on an open call")
 		r.logEvent(log.WarnLevel, "session_lost", "", "session lost during a call", "upstream", l.upstream, "request", c.Ref.Request, "stage", c.Ref.Stage)
-		if sess, err = a.awaitNewSession(ctx, sess); err != nil {
+		var claimed bool
+		if sess, claimed = a.awaitNewSession(ctx, sess); sess == nil {
 			out = a.unknownOutcome(ctx)
-			out.costPending = true
+			out.costPending, out.retryClaimed, out.runsOn = true, claimed, !c.Once
 			return out
 		}
 		if sess.Peer().Incarnation != a.incarnation {
@@ -170,16 +186,22 @@
 	return a.follow(ctx, st, &wire.Frame{Query: &wire.Query{Ref: a.call.Ref, Next: a.nextChunk}})
 }
 
-// awaitNewSession waits for a session to the agent other than old. It waits for at
-// most resumeTimeout if the call can be retried elsewhere, which is the case if it is
-// repeatable and none of its text was passed to the caller.
-func (a *attempt) awaitNewSession(ctx context.Context, old link.Session) (link.Session, error) {
-	if !a.call.Once && !*a.textSent {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, resumeTimeout)
-		defer cancel()
+// awaitNewSession waits for a session to the agent other than old. The session is nil
+// if ctx ends first, or if a retry on another replica was claimed meanwhile. A call that
+// can't be retried keeps its wait, since its run may still succeed.
+func (a *attempt) awaitNewSession(ctx context.Context, old link.Session) (sess link.Session, claimed bool) {
+	for ctx.Err() == nil {
+		waitCtx, cancel := context.WithTimeout(ctx, resumeTimeout)
+		sess, err := a.link.awaitSession(waitCtx, old)
+		cancel()
+		if err == nil {
+			return sess, false
+		}
+		if ctx.Err() == nil && a.claimRetry() {
+			return nil, true
+		}
 	}
-	return a.link.awaitSession(ctx, old)
+	return nil, false
 }
 
 // unknownOutcome returns the outcome of a call that was sent but whose agent can't be
--- a/router/attempt_test.go
+++ b/router/attempt_test.go
@@ -49,7 +49,7 @@
 			time.Sleep(resumeTimeout / 2)
 			l.setSession(&brokenSession{done: make(chan struct{})})
 		}()
-		o := r.runAttempt(t.Context(), l, &wire.Call{Ref: wire.Ref{Request: "q", Stage: "one", Attempt: 1}, Left: 3000}, nil, new(bool))
+		o := r.runAttempt(t.Context(), l, &wire.Call{Ref: wire.Ref{Request: "q", Stage: "one", Attempt: 1}, Left: 3000}, nil, new(bool), func() bool { return true })
 		assert.Equal(t, o.reason, wire.ReasonUnknown)
 		assert.Assert(t, o.costPending, "the cost is not collected")
 	})
@@ -93,7 +93,7 @@
 		}
 		l := fx.r.snapshot.Load().links["u0"]
 		before, _ := l.session()
-		fx.r.collectCost(l, wire.Ref{Request: "q", Stage: "one", Attempt: 1}, func(*wire.Result) { t.Error("a cost was recorded") })
+		fx.r.collectCost(l, wire.Ref{Request: "q", Stage: "one", Attempt: 1}, false, func(*wire.Result) { t.Error("a cost was recorded") })
 		time.Sleep(collectTimeout)
 		after, _ := l.session()
 		assert.Assert(t, before == after, "the session was closed")
