fakes/site: play replicas that pause or fall silent and go on

The stand-in could not play that: Stall pauses streams only, for a fixed 2.5 s.

PauseBeforeHead and PauseWithin pause one answer, also that of a stage call, for Replica.Pause. BeginSilence and FallSilent hold back all that a replica writes on any connection, while it goes on reading; what was held back is sent at the end. A write that waits ends when its caller closes the connection, so that a silent replica still notices the close.

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,7 +21,7 @@
 
 // Action selects how a replica handles a request. Not all apply everywhere: a stream
 // serves AnswerTwice and StrayAnswer like Serve, a plain service Stall, and a stage call
-// all but Reject, LoseAnswer and Crash; CrashLater is Crash there. On LoseAnswer a stage call is aborted before any
+// all but Reject, LoseAnswer, Crash and the pauses; CrashLater is Crash there. On LoseAnswer a stage call is aborted before any
 // piece runs.
 type Action int
 
@@ -44,6 +46,8 @@
 	RepeatBareRefusal               // like RepeatRefusal, without the id of the request
 	TruncateHead                    // closes the connection in the middle of the answer's head
 	CrashLater                      // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
+	PauseBeforeHead                 // pauses for the replica's Pause before the head of the answer, then goes on
+	PauseWithin                     // pauses for the replica's Pause in the middle of the answer or, in a stream, after two events, then goes on
 )
 
 const (
@@ -51,6 +55,8 @@
 	// strayWait is the longest wait for the next request before a stray answer is sent.
 	strayWait  = time.Second
 	stallDelay = 2500 * time.Millisecond
+	// defaultPause is longer than the second after which a caller may take a server for dead.
+	defaultPause = 1500 * time.Millisecond
 )
 
 // Run records one request that a replica received, whether it executed it or not.
@@ -81,6 +87,7 @@
 	// TagEvents adds the version to each event of a stream, as a comment.
 	TagEvents bool
 	Downtime  time.Duration // time that the replica is down after a crash, 300 ms if 0
+	Pause     time.Duration // length of PauseBeforeHead and PauseWithin, 1.5 s if 0
 	// SetDown, if set, is told when the replica crashes and when it is back.
 	SetDown func(down bool)
 	Site    *Site
@@ -92,6 +99,8 @@
 	conns map[net.Conn]bool
 	// dropped holds connections that are reset as soon as data arrives on them.
 	dropped    map[net.Conn]bool
+	silences   int             // number of silences that have not ended
+	speaks     chan struct{}   // closed when the last silence ends
 	limit      string          // value of HeaderLimit in all answers, empty for none
 	arrivals   []time.Time     // of all requests, also those that are not run
 	leaving    bool            // whether all answers say that the replica leaves
@@ -167,7 +176,7 @@
 		}
 		p.conns[c] = true
 	}}
-	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(droppableListener{ln, p}) }(p.srv, p.ln)
+	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(serverListener{ln, p}) }(p.srv, p.ln)
 	return nil
 }
 
@@ -193,44 +202,106 @@
 	}
 }
 
-// droppableConn is a connection that is reset when data arrives after DropConns.
-type droppableConn struct {
+// FallSilent makes the replica send nothing for d from now on, see BeginSilence.
+func (p *Replica) FallSilent(d time.Duration) { time.AfterFunc(d, p.BeginSilence()) }
+
+// BeginSilence makes the replica send nothing until end is called. It goes on reading and
+// working on requests, and keeps its connections open unless an Action closes them. At the end
+// it sends what it held back. Silences may overlap and go on after a crash.
+func (p *Replica) BeginSilence() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silences == 0 {
+		p.speaks = make(chan struct{})
+	}
+	p.silences++
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.silences--; p.silences == 0 {
+			close(p.speaks)
+		}
+	})
+}
+
+// silence returns a channel that is closed at the end of the present silence, or nil if the
+// replica is not silent.
+func (p *Replica) silence() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silences == 0 {
+		return nil
+	}
+	return p.speaks
+}
+
+// serverConn is a connection of a replica. It is reset when data arrives after DropConns, and
+// holds back what is written during a silence.
+type serverConn struct {
 	net.Conn
-	p *Replica
+	p    *Replica
+	once sync.Once
+	gone chan struct{} // closed once the connection can't be read any more
 }
 
-func (c *droppableConn) Read(b []byte) (int, error) {
+// end releases writes that wait for the end of a silence.
+func (c *serverConn) end() { c.once.Do(func() { close(c.gone) }) }
+
+// Read implements net.Conn.
+func (c *serverConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http sets a deadline to end a read that it no longer needs
+		c.end()
+	}
 	c.p.mu.Lock()
 	dropped := c.p.dropped[c]
 	c.p.mu.Unlock()
 	if dropped && n > 0 {
-		resetConn(c.Conn)
+		resetConn(c)
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// droppableListener wraps the connections that it accepts in droppableConn.
-type droppableListener struct {
+// Write implements net.Conn.
+func (c *serverConn) Write(b []byte) (int, error) {
+	for end := c.p.silence(); end != nil; end = c.p.silence() {
+		select {
+		case <-end:
+		case <-c.gone:
+			return 0, net.ErrClosed
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// serverListener wraps the connections that it accepts in serverConn.
+type serverListener struct {
 	net.Listener
 	p *Replica
 }
 
-func (l droppableListener) Accept() (net.Conn, error) {
+func (l serverListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &droppableConn{c, l.p}, nil
+	return &serverConn{Conn: c, p: l.p, gone: make(chan struct{})}, nil
 }
 
 // resetConn closes a connection with a TCP reset instead of a FIN.
 func resetConn(c net.Conn) {
-	if f, ok := c.(*droppableConn); ok {
-		c = f.Conn
+	inner := c
+	if f, ok := c.(*serverConn); ok {
+		inner = f.Conn
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := inner.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
@@ -485,6 +556,10 @@
 	case NoAnswer:
 		<-r.Context().Done()
 		return
+	case PauseBeforeHead:
+		if !clock.Sleep(r.Context(), p.pause()) {
+			return
+		}
 	}
 	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead && act != TruncateHead {
 		p.stream(w, r, act)
@@ -530,10 +605,27 @@
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Signature", p.ID)
 		w.Header().Set("Server-Load", "1,0,8")
-		_, _ = io.WriteString(w, body)
+		p.write(w, r, act, body)
+	}
+}
+
+// write sends a body, with a pause in its middle on PauseWithin. Sending fails only if the
+// caller has disconnected.
+func (p *Replica) write(w http.ResponseWriter, r *http.Request, act Action, body string) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if act == PauseWithin {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		if !clock.Sleep(r.Context(), p.pause()) {
+			return
+		}
+		body = body[len(body)/2:]
 	}
+	_, _ = io.WriteString(w, body)
 }
 
+func (p *Replica) pause() time.Duration { return cmp.Or(p.Pause, defaultPause) }
+
 // crashLater works on a request for ServiceTime, sends the first event if it answers with
 // a stream, and crashes.
 func (p *Replica) crashLater(w http.ResponseWriter, r *http.Request) {
@@ -688,6 +780,10 @@
 				if !clock.Sleep(r.Context(), stallDelay) {
 					return
 				}
+			case PauseWithin:
+				if !clock.Sleep(r.Context(), p.pause()) {
+					return
+				}
 			}
 		}
 		if _, err := io.WriteString(w, p.event(r.RequestURI, n)); err != nil || rc.Flush() != nil {
@@ -731,7 +827,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	switch p.action(r) {
+	act := p.action(r)
+	switch act {
 	case Reject:
 		p.reject(w, r, http.StatusServiceUnavailable)
 		return
@@ -755,7 +852,15 @@
 	p.mu.Lock()
 	p.stageCalls = append(p.stageCalls, names)
 	p.mu.Unlock()
-	writeJSON(w, map[string]any{"items": out})
+	body, err := json.Marshal(map[string]any{"items": out})
+	if err != nil {
+		panic("site: encode stage results: " + err.Error())
+	}
+	if act == PauseBeforeHead {
+		time.Sleep(p.pause())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	p.write(w, r, act, string(body))
 }
 
 // storeResult stores the result of a piece and returns its handle.
