soak: let sound replicas fall silent, and check that no answer is lost

The soak had no such fault, its check "cut" passed over streams that were broken off, and nobody sent to a router until it was gone.

hbsoak -silences plays, beside the drawn faults and from a generator of its own, series of silences of 0.8 to 2 s (one replica of a service, some or all), stops under load, reloads, changes of the configuration and bursts, which overlap. In a stop under load callers keep using open connections and open new ones until the process is gone; half of their streams last 3 s. -planned leaves out the drawn faults that are not planned, so that nothing is excused.

The check "lost": a request that a sound replica ran ends with a complete answer unless the replica broke off (its Action for this request, a crash, its end), the caller left or its deadline was reached, or the router, a connection to its replicas or, for streams, the store had a fault within 3 s before. In a stop, what was sent within 3 s of SIGTERM may be cut in the last sixth of the grace. Faults of replicas towards other requests and silences excuse nothing. The end of a run is recorded after a silence, when its answer has left. Streams of late callers don't count among the new streams of the check "lost streams".

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -67,6 +67,7 @@
 	Version              string // of the replica's software
 	Born                 int64  // start of the replica
 	Executed             bool   // whether the replica began to work on the request
+	Act                  Action // how the replica handled the request
 	RetryAfter           string // with which it was turned away, empty if it wasn't; the body is not recorded then
 	Leaving              bool   // whether the answer said that the replica leaves
 	Began, Ended         time.Time
@@ -81,6 +82,8 @@
 	ServiceTime         time.Duration                // duration of a request or a stage call, or pause before each event of a stream
 	Events              int                          // number of events of a stream; 0 for a plain service
 	Act                 func(r *http.Request) Action // nil serves all requests
+	// EventTime, if set, returns the pause before each event of a stream instead of ServiceTime.
+	EventTime func(r *http.Request) time.Duration
 	// PublicAddr, if set, maps the listen address to the address that is registered, for
 	// example that of a proxy in front of the replica.
 	PublicAddr func(addr string) string
@@ -235,15 +238,30 @@
 	return p.speaks
 }
 
+// hold waits until the replica is not silent, and returns false if done ends before.
+func (p *Replica) hold(done interface{ Done() <-chan struct{} }) bool {
+	for end := p.silence(); end != nil; end = p.silence() {
+		select {
+		case <-end:
+		case <-done.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // serverConn is a connection of a replica. It is reset when data arrives after DropConns, and
 // holds back what is written during a silence.
 type serverConn struct {
 	net.Conn
 	p    *Replica
 	once sync.Once
-	gone chan struct{} // closed once the connection can't be read any more
+	gone chan struct{}
 }
 
+// Done returns a channel that is closed once the connection can't be read any more.
+func (c *serverConn) Done() <-chan struct{} { return c.gone }
+
 // end releases writes that wait for the end of a silence.
 func (c *serverConn) end() { c.once.Do(func() { close(c.gone) }) }
 
@@ -265,12 +283,8 @@
 
 // Write implements net.Conn.
 func (c *serverConn) Write(b []byte) (int, error) {
-	for end := c.p.silence(); end != nil; end = c.p.silence() {
-		select {
-		case <-end:
-		case <-c.gone:
-			return 0, net.ErrClosed
-		}
+	if !c.p.hold(c) {
+		return 0, net.ErrClosed
 	}
 	return c.Conn.Write(b)
 }
@@ -442,7 +456,9 @@
 	}
 	if retryAfter != "" {
 		if id := r.Header.Get("Request-Id"); id != "" {
-			p.Site.end(p.Site.begin(Run{Replica: p.ID, ID: id, Born: p.born(), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), RetryAfter: retryAfter}))
+			run := p.Site.begin(Run{Replica: p.ID, ID: id, Born: p.born(), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), RetryAfter: retryAfter})
+			p.hold(r.Context())
+			p.Site.end(run)
 		}
 		w.Header().Set("Retry-After", retryAfter)
 		p.reject(w, r, http.StatusServiceUnavailable)
@@ -470,9 +486,12 @@
 	}
 	run := p.Site.begin(Run{
 		Replica: p.ID, Version: p.version(), Born: p.born(), Leaving: p.Leaving(), ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
-		Header: r.Header.Clone(), Executed: act != Reject && act != RepeatRefusal && act != RepeatBareRefusal,
+		Header: r.Header.Clone(), Executed: act != Reject && act != RepeatRefusal && act != RepeatBareRefusal, Act: act,
 	})
-	defer p.Site.end(run)
+	defer func() {
+		p.hold(r.Context()) // the rest of the answer is sent after the silence
+		p.Site.end(run)
+	}()
 	// Input-Count lists the handles of stage results, although its name suggests a number.
 	if act != Reject && !p.Site.hasResults(r.Header.Get("Input-Count")) {
 		p.Site.markNotExecuted(run)
@@ -764,8 +783,12 @@
 		return
 	}
 	rc := http.NewResponseController(w)
+	eventTime := p.ServiceTime
+	if p.EventTime != nil {
+		eventTime = p.EventTime(r)
+	}
 	for n := lastEvent + 1; n <= p.Events; n++ {
-		if !clock.Sleep(r.Context(), p.ServiceTime) {
+		if !clock.Sleep(r.Context(), eventTime) {
 			return
 		}
 		if n == lastEvent+3 {
--- a/soak/check.go
+++ b/soak/check.go
@@ -122,7 +122,8 @@
 	if rec.status == http.StatusOK {
 		c.checkAnswer(rec)
 	}
-	if rec.status == 0 && rec.err != nil && rec.abandonedAt.IsZero() && !rec.ended.IsZero() && executed > 0 && !c.r.events.hadFault(c.exposure(rec, rec.began, rec.ended)) {
+	if lost := c.checkLost(rec); !lost && rec.status == 0 && rec.err != nil && rec.abandonedAt.IsZero() && !rec.ended.IsZero() && executed > 0 &&
+		!c.r.events.hadFault(c.exposure(rec, rec.began, rec.ended)) && !c.r.events.mayBeCut(rec, c.lastRun(rec)) {
 		c.fail("cut", "%s at %s ran and got no answer, although no fault was active: %v", rec.id, rec.router, rec.err)
 	}
 	return rec.status == http.StatusOK && rec.err == nil
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,6 +24,7 @@
 	scopeRestore                       // a restore of the store, beside scopeStore
 	scopeReplicaLink                   // the connection to a replica
 	scopeReplicas                      // how replicas handle requests
+	scopeEnds                          // the end or crash of a replica, beside scopeReplicas or scopeBanned
 )
 
 // event is a fault or planned change and the time during which it may have an effect.
@@ -80,6 +81,21 @@
 	e.from, e.centre = time.Now(), centre
 }
 
+// addEnd records that a replica ends or crashes now and breaks off what it works on.
+func (es *eventLog) addEnd(rp *replica) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	now := time.Now()
+	es.all = append(es.all, &event{name: "replica ends", from: now, till: now.Add(crashDowntime), scope: scopeEnds, replicas: []string{rp.ID}})
+}
+
+// restart moves the start of an event to now.
+func (es *eventLog) restart(e *event) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	e.from = time.Now()
+}
+
 // remove deletes an event that did not take place.
 func (es *eventLog) remove(e *event) {
 	es.mu.Lock()
@@ -173,6 +189,9 @@
 	time.Sleep(time.Duration(rng.Int64N(int64(600 * time.Millisecond))))
 	f := faults[rng.IntN(len(faults))]
 	faultRNG := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+	if r.PlannedOnly && f.scope != scopePlanned && f.scope != scopeBanned {
+		return
+	}
 	r.activeFaults.Go(func() {
 		e := r.events.begin(f.name, f.scope)
 		f.run(r, faultRNG, e)
--- a/soak/load.go
+++ b/soak/load.go
@@ -25,8 +25,10 @@
 	resumes                        string // ID of the request that began the stream that it takes up, or empty
 	after                          int    // last event of that stream that the caller has
 	began, ended                   time.Time
-	abandonedAt                    time.Time // when the caller closed the connection early; zero if it did not
-	status                         int       // 0 if there was no answer
+	timeout                        time.Duration // for which its caller waits
+	late                           bool          // whether it was sent to a router because that is stopping
+	abandonedAt                    time.Time     // when the caller closed the connection early; zero if it did not
+	status                         int           // 0 if there was no answer
 	answer                         string
 	err                            error // error of the exchange, or nil if the answer is complete
 }
@@ -76,17 +78,21 @@
 			time.Sleep(meanPause / 4)
 			continue
 		}
-		c.sendOne(client, rng, r)
+		c.sendOne(client, rng, r, false)
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * meanPause))))
 	}
 }
 
-// sendOne sends one request of a random kind to a router and records its outcome.
-func (c *callers) sendOne(client *http.Client, rng *rand.Rand, r *router) {
+// sendOne sends one request of a random kind to a router and records its outcome. Of the late
+// streams, half are long.
+func (c *callers) sendOne(client *http.Client, rng *rand.Rand, r *router, late bool) {
 	k := requestKinds[rng.IntN(len(requestKinds))]
-	rec := &requestRecord{method: k.method, host: k.host, atMostOnce: k.atMostOnce, stream: k.stream, attempts: k.attempts, router: r.name, pieces: k.pieceCounts}
+	rec := &requestRecord{method: k.method, host: k.host, atMostOnce: k.atMostOnce, stream: k.stream, attempts: k.attempts, router: r.name, pieces: k.pieceCounts, late: late}
 	c.add(rec)
 	rec.target = k.prefix + rec.id[1:]
+	if late && k.stream && rng.IntN(2) == 0 {
+		rec.target = k.prefix + longPath + rec.id[1:]
+	}
 	if k.method == http.MethodPost {
 		rec.body = strings.Repeat(rec.id, 1+rng.IntN(2000))
 	}
@@ -115,6 +121,7 @@
 
 // send sends the request of a record to a router and records its outcome.
 func (c *callers) send(client *http.Client, r *router, rec *requestRecord, timeout time.Duration) {
+	rec.timeout = timeout
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, rec.method, "http://"+r.callers+rec.target, strings.NewReader(rec.body))
--- a/soak/run.go
+++ b/soak/run.go
@@ -48,6 +48,8 @@
 	Dir           string        // directory for settings files and logs
 	Program       string        // path of the router program
 	ReportPath    string        // path of the HTML report, or empty for none
+	Silences      bool          // whether series of silences, stops and changes come beside the faults
+	PlannedOnly   bool          // whether faults that are drawn and not planned are left out
 }
 
 // Run is one soak run: its processes, its faults and the records to check.
@@ -110,7 +112,12 @@
 	var denials []denial
 	callerGroup.Go(func() { denials = r.watchDenials(ctx) })
 	rng := rand.New(rand.NewPCG(o.Seed, 7))
-	for end := time.Now().Add(o.FaultDuration); time.Now().Before(end); {
+	end := time.Now().Add(o.FaultDuration)
+	if o.Silences {
+		// Series have their own generator, so that a seed draws the same faults without them.
+		r.activeFaults.Go(func() { r.runSeries(rand.New(rand.NewPCG(o.Seed, 8)), end) })
+	}
+	for time.Now().Before(end) {
 		r.inject(rng)
 	}
 	r.activeFaults.Wait()
@@ -198,7 +205,18 @@
 		}
 		return site.Serve
 	}
-	rp.SetDown = func(down bool) { rp.proxy.SetDown(down) }
+	rp.EventTime = func(req *http.Request) time.Duration {
+		if strings.Contains(req.URL.Path, longPath) {
+			return longEventTime
+		}
+		return work
+	}
+	rp.SetDown = func(down bool) {
+		if down {
+			r.events.addEnd(rp)
+		}
+		rp.proxy.SetDown(down)
+	}
 	if err := r.site.Add(rp.Replica); err != nil {
 		return err
 	}
@@ -208,8 +226,13 @@
 	return proxyErr
 }
 
-// engineEventTime is the time between the events of a stream.
-const engineEventTime = 40 * time.Millisecond
+const (
+	// engineEventTime is the time between the events of a stream.
+	engineEventTime = 40 * time.Millisecond
+	// longPath is a part of the path of streams whose events come longEventTime apart.
+	longPath      = "long/"
+	longEventTime = 120 * time.Millisecond
+)
 
 // addEngine starts an engine of a software version.
 func (r *Run) addEngine(version string) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,7 @@
 func TestChecker(t *testing.T) {
 	now := time.Unix(1000, 0)
 	newRecord := func() *requestRecord {
-		return &requestRecord{id: "q1", method: "POST", target: "/once/1", body: "b", atMostOnce: true, attempts: 2, began: now, ended: now.Add(time.Second), status: 200, answer: site.Body("/once/1")}
+		return &requestRecord{id: "q1", method: "POST", target: "/once/1", body: "b", atMostOnce: true, attempts: 2, began: now, ended: now.Add(time.Second), timeout: requestTimeout, status: 200, answer: site.Body("/once/1")}
 	}
 	newRun := func() site.Run {
 		return site.Run{ID: "q1", Method: "POST", Target: "/once/1", Body: "b", Executed: true, Header: http.Header{"Tenant-Name": {team}}}
@@ -63,10 +63,14 @@
 		{"denied", "denied", func(rec *requestRecord, _ *site.Run) []site.Run { rec.status = 401; return nil }},
 		{"another answer", "answer", func(rec *requestRecord, _ *site.Run) []site.Run { rec.answer = site.Body("/once/2"); return nil }},
 		{"a truncated answer without an error", "answer", func(rec *requestRecord, _ *site.Run) []site.Run { rec.answer = rec.answer[:4]; return nil }},
-		{"cut without a fault", "cut", func(rec *requestRecord, _ *site.Run) []site.Run {
+		{"cut without a fault", "lost", func(rec *requestRecord, _ *site.Run) []site.Run {
 			rec.status, rec.err = 0, http.ErrServerClosed
 			return nil
 		}},
+		{"no answer until the deadline", "cut", func(rec *requestRecord, _ *site.Run) []site.Run {
+			rec.status, rec.err, rec.ended = 0, http.ErrHandlerTimeout, now.Add(requestTimeout)
+			return nil
+		}},
 		{"changed in transit", "changed", func(_ *requestRecord, r *site.Run) []site.Run { r.Body = "c"; return nil }},
 		{"for another team", "key", func(_ *requestRecord, r *site.Run) []site.Run { r.Header.Set("Tenant-Name", "x"); return nil }},
 		{"with the caller's key", "key", func(_ *requestRecord, r *site.Run) []site.Run { r.Header.Set("Authorization", "x"); return nil }},
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -107,6 +107,7 @@
 	}
 	r.events.ban(e, "", old)
 	time.Sleep(drainLimit + randomDuration(rng, 0, 2*time.Second))
+	r.events.addEnd(old)
 	r.site.Remove(old.Replica)
 	r.removeReplica(old)
 }
@@ -137,7 +138,7 @@
 func (c *checker) checkTakeUps(recordsByID map[string]*requestRecord) {
 	began, all, wentOn, taken := 0, 0, 0, 0
 	for _, rec := range c.r.callers.records {
-		if !rec.stream || rec.atMostOnce || !rec.abandonedAt.IsZero() || rec.badPart != "" {
+		if !rec.stream || rec.atMostOnce || rec.late || !rec.abandonedAt.IsZero() || rec.badPart != "" {
 			continue
 		}
 		hasEvents := rec.lastEvent() > rec.after || rec.status == http.StatusOK && rec.err == nil
