fakes/site: refuse new connections before a crash resets open ones

entry's TestCrashingPartRepeat failed once on a busy machine, with "2 (got int) != 1 (want int): runs of id-/safe/bad". In its log the second crash comes 11 ms after the first, although the test waits until all upstreams accept connections again: a crashing replica reset its connections before it closed its listener, so it seemed to be up, and two crashes at one moment count once.

The listener is now closed first.

go test -race -count=3 ./fakes/site

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -183,9 +183,11 @@
 	return nil
 }
 
-// stop closes the listener and resets all connections.
+// stop closes the listener and then resets all connections, so that a caller that sees the
+// reset can't connect again.
 func (p *Replica) stop() {
 	p.mu.Lock()
+	_ = p.ln.Close()
 	for c := range p.conns {
 		resetConn(c)
 	}
