soak, fakes/site: keep the ports of replicas that are down

A replica, and its proxy in the soak, closed their listeners while down, so the system could give the port to any socket. Site.Remove did the same while a proxy still forwarded to the replica.

Replicas and proxies now hold a bound socket on their port that doesn't listen (site.Port), until the site or the proxy is closed. Listeners share the port with it by SO_REUSEADDR; connections to it are refused while nothing listens.

TestPortOfCrashedReplica and TestPortOfProxy failed before: "error is nil, not "address already in use"".

go test -race ./fakes/site/... ./soak/... ./entry/...

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -95,6 +95,7 @@
 	SetDown func(down bool)
 	Site    *Site
 
+	port  *Port
 	ln    net.Listener
 	addr  string // registered address
 	srv   *http.Server
@@ -151,9 +152,10 @@
 
 func (p *Replica) version() string { return cmp.Or(p.Version, "v1") }
 
-// start listens on addr and serves requests. It also restarts a replica after a crash.
-func (p *Replica) start(addr string) (err error) {
-	ln, err := net.Listen("tcp", addr)
+// start listens on the replica's port and serves requests. It also restarts a replica after a
+// crash.
+func (p *Replica) start() (err error) {
+	ln, err := p.port.Listen()
 	if err != nil {
 		return err
 	}
@@ -179,7 +181,7 @@
 		}
 		p.conns[c] = true
 	}}
-	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(serverListener{ln, p}) }(p.srv, p.ln)
+	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(serverListener{ln, p}) }(p.srv, ln)
 	return nil
 }
 
@@ -331,7 +333,6 @@
 	}
 	p.stop()
 	p.mu.Lock()
-	addr := p.ln.Addr().String()
 	clear(p.results)
 	p.limit, p.reads, p.leaving, p.retryAfter = "", nil, false, ""
 	p.mu.Unlock()
@@ -340,7 +341,7 @@
 		downtime = defaultDowntime
 	}
 	time.AfterFunc(downtime, func() {
-		if p.Site.closed.Load() || p.start(addr) != nil { // the port was just released, so a conflict is unlikely
+		if p.Site.closed.Load() || p.start() != nil { // it fails if another crash has ended
 			return
 		}
 		if p.SetDown != nil {
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -23,6 +23,7 @@
 
 	mu       sync.Mutex
 	replicas []*Replica
+	ports    []*Port // of all replicas, also those removed, whose address may still be in use
 	runs     []*Run
 }
 
@@ -45,7 +46,14 @@
 func (s *Site) Add(p *Replica) error {
 	p.Site = s
 	p.Born = time.Now().UnixMilli()
-	if err := p.start("127.0.0.1:0"); err != nil {
+	var err error
+	if p.port, err = ReservePort(); err != nil {
+		return fmt.Errorf("start replica %s: %w", p.ID, err)
+	}
+	s.mu.Lock()
+	s.ports = append(s.ports, p.port)
+	s.mu.Unlock()
+	if err = p.start(); err != nil {
 		return fmt.Errorf("start replica %s: %w", p.ID, err)
 	}
 	s.mu.Lock()
@@ -79,7 +87,11 @@
 	for _, p := range s.replicas {
 		p.stop()
 	}
-	return errors.Join(s.srv.Close())
+	err := s.srv.Close()
+	for _, port := range s.ports {
+		err = errors.Join(err, port.Close())
+	}
+	return err
 }
 
 // Runs returns copies of the records of all requests that replicas received, in the order
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hornbeamcove.example/fakes/site"
 )
 
 // Fault says how a proxy treats the connections through it.
@@ -28,7 +31,7 @@
 // Proxy forwards TCP connections on loopback and injects faults. It is safe for
 // concurrent use.
 type Proxy struct {
-	addr   string
+	port   *site.Port
 	target string
 	fault  atomic.Int32
 
@@ -40,17 +43,21 @@
 
 // NewProxy starts a proxy on a free loopback port that forwards to target.
 func NewProxy(target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := site.ReservePort()
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{addr: ln.Addr().String(), target: target, conns: map[net.Conn]bool{}, ln: ln}
+	ln, err := port.Listen()
+	if err != nil {
+		return nil, errors.Join(err, port.Close())
+	}
+	p := &Proxy{port: port, target: target, conns: map[net.Conn]bool{}, ln: ln}
 	go p.accept(ln)
 	return p, nil
 }
 
 // Addr returns the address of the proxy.
-func (p *Proxy) Addr() string { return p.addr }
+func (p *Proxy) Addr() string { return p.port.Addr() }
 
 // SetDown makes the proxy refuse connections, as the address of a server that crashed
 // does, or accept them again.
@@ -77,7 +84,7 @@
 	if p.down {
 		return true
 	}
-	ln, err := net.Listen("tcp", p.addr)
+	ln, err := p.port.Listen()
 	if err != nil {
 		return false
 	}
@@ -99,6 +106,7 @@
 	p.mu.Lock()
 	p.down = true
 	_ = p.ln.Close()
+	_ = p.port.Close()
 	p.mu.Unlock()
 	p.reset()
 }
