--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,7 +21,7 @@
 
 // Action selects how a replica handles a request. Not all apply everywhere: a stream
 // serves AnswerTwice and StrayAnswer like Serve, a plain service Stall, and a stage call
-// all but Reject, LoseAnswer and Crash; CrashLater is Crash there. On LoseAnswer a stage call is aborted before any
+// all but Reject, LoseAnswer, Crash and the pauses; CrashLater is Crash there. On LoseAnswer a stage call is aborted before any
 // piece runs.
 type Action int
 
@@ -44,6 +46,8 @@
 	RepeatBareRefusal               // like RepeatRefusal, without the id of the request
 	TruncateHead                    // closes the connection in the middle of the answer's head
 	CrashLater                      // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
+	PauseBeforeHead                 // pauses for the replica's Pause before the head of the answer, then goes on
+	PauseWithin                     // pauses for the replica's Pause in the middle of the answer or, in a stream, after two events, then goes on
 )
 
 const (
@@ -51,6 +55,8 @@
 	// strayWait is the longest wait for the next request before a stray answer is sent.
 	strayWait  = time.Second
 	stallDelay = 2500 * time.Millisecond
+	// defaultPause is longer than the second after which a caller may take a server for dead.
+	defaultPause = 1500 * time.Millisecond
 )
 
 // Run records one request that a replica received, whether it executed it or not.
@@ -61,6 +67,7 @@
 	Version              string // of the replica's software
 	Born                 int64  // start of the replica
 	Executed             bool   // whether the replica began to work on the request
+	Act                  Action // how the replica handled the request
 	RetryAfter           string // with which it was turned away, empty if it wasn't; the body is not recorded then
 	Leaving              bool   // whether the answer said that the replica leaves
 	Began, Ended         time.Time
@@ -75,16 +82,20 @@
 	ServiceTime         time.Duration                // duration of a request or a stage call, or pause before each event of a stream
 	Events              int                          // number of events of a stream; 0 for a plain service
 	Act                 func(r *http.Request) Action // nil serves all requests
+	// EventTime, if set, returns the pause before each event of a stream instead of ServiceTime.
+	EventTime func(r *http.Request) time.Duration
 	// PublicAddr, if set, maps the listen address to the address that is registered, for
 	// example that of a proxy in front of the replica.
 	PublicAddr func(addr string) string
 	// TagEvents adds the version to each event of a stream, as a comment.
 	TagEvents bool
 	Downtime  time.Duration // time that the replica is down after a crash, 300 ms if 0
+	Pause     time.Duration // length of PauseBeforeHead and PauseWithin, 1.5 s if 0
 	// SetDown, if set, is told when the replica crashes and when it is back.
 	SetDown func(down bool)
 	Site    *Site
 
+	port  *Port
 	ln    net.Listener
 	addr  string // registered address
 	srv   *http.Server
@@ -92,6 +103,8 @@
 	conns map[net.Conn]bool
 	// dropped holds connections that are reset as soon as data arrives on them.
 	dropped    map[net.Conn]bool
+	silences   int             // number of silences that have not ended
+	speaks     chan struct{}   // closed when the last silence ends
 	limit      string          // value of HeaderLimit in all answers, empty for none
 	arrivals   []time.Time     // of all requests, also those that are not run
 	leaving    bool            // whether all answers say that the replica leaves
@@ -139,9 +152,10 @@
 
 func (p *Replica) version() string { return cmp.Or(p.Version, "v1") }
 
-// start listens on addr and serves requests. It also restarts a replica after a crash.
-func (p *Replica) start(addr string) (err error) {
-	ln, err := net.Listen("tcp", addr)
+// start listens on the replica's port and serves requests. It also restarts a replica after a
+// crash.
+func (p *Replica) start() (err error) {
+	ln, err := p.port.Listen()
 	if err != nil {
 		return err
 	}
@@ -167,13 +181,15 @@
 		}
 		p.conns[c] = true
 	}}
-	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(droppableListener{ln, p}) }(p.srv, p.ln)
+	go func(srv *http.Server, ln net.Listener) { _ = srv.Serve(serverListener{ln, p}) }(p.srv, ln)
 	return nil
 }
 
-// stop closes the listener and resets all connections.
+// stop closes the listener and then resets all connections, so that a caller that sees the
+// reset can't connect again.
 func (p *Replica) stop() {
 	p.mu.Lock()
+	_ = p.ln.Close()
 	for c := range p.conns {
 		resetConn(c)
 	}
@@ -193,44 +209,117 @@
 	}
 }
 
-// droppableConn is a connection that is reset when data arrives after DropConns.
-type droppableConn struct {
+// FallSilent makes the replica send nothing for d from now on, see BeginSilence.
+func (p *Replica) FallSilent(d time.Duration) { time.AfterFunc(d, p.BeginSilence()) }
+
+// BeginSilence makes the replica send nothing until end is called. It goes on reading and
+// working on requests, and keeps its connections open unless an Action closes them. At the end
+// it sends what it held back. Silences may overlap and go on after a crash.
+func (p *Replica) BeginSilence() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silences == 0 {
+		p.speaks = make(chan struct{})
+	}
+	p.silences++
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.silences--; p.silences == 0 {
+			close(p.speaks)
+		}
+	})
+}
+
+// silence returns a channel that is closed at the end of the present silence, or nil if the
+// replica is not silent.
+func (p *Replica) silence() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silences == 0 {
+		return nil
+	}
+	return p.speaks
+}
+
+// hold waits until the replica is not silent, and returns false if done ends before.
+func (p *Replica) hold(done interface{ Done() <-chan struct{} }) bool {
+	for end := p.silence(); end != nil; end = p.silence() {
+		select {
+		case <-end:
+		case <-done.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// serverConn is a connection of a replica. It is reset when data arrives after DropConns, and
+// holds back what is written during a silence.
+type serverConn struct {
 	net.Conn
-	p *Replica
+	p    *Replica
+	once sync.Once
+	gone chan struct{}
 }
 
-func (c *droppableConn) Read(b []byte) (int, error) {
+// Done returns a channel that is closed once the connection can't be read any more.
+func (c *serverConn) Done() <-chan struct{} { return c.gone }
+
+// end releases writes that wait for the end of a silence.
+func (c *serverConn) end() { c.once.Do(func() { close(c.gone) }) }
+
+// Read implements net.Conn.
+func (c *serverConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http sets a deadline to end a read that it no longer needs
+		c.end()
+	}
 	c.p.mu.Lock()
 	dropped := c.p.dropped[c]
 	c.p.mu.Unlock()
 	if dropped && n > 0 {
-		resetConn(c.Conn)
+		resetConn(c)
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// droppableListener wraps the connections that it accepts in droppableConn.
-type droppableListener struct {
+// Write implements net.Conn.
+func (c *serverConn) Write(b []byte) (int, error) {
+	if !c.p.hold(c) {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// serverListener wraps the connections that it accepts in serverConn.
+type serverListener struct {
 	net.Listener
 	p *Replica
 }
 
-func (l droppableListener) Accept() (net.Conn, error) {
+func (l serverListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &droppableConn{c, l.p}, nil
+	return &serverConn{Conn: c, p: l.p, gone: make(chan struct{})}, nil
 }
 
 // resetConn closes a connection with a TCP reset instead of a FIN.
 func resetConn(c net.Conn) {
-	if f, ok := c.(*droppableConn); ok {
-		c = f.Conn
+	inner := c
+	if f, ok := c.(*serverConn); ok {
+		inner = f.Conn
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := inner.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
@@ -244,7 +333,6 @@
 	}
 	p.stop()
 	p.mu.Lock()
-	addr := p.ln.Addr().String()
 	clear(p.results)
 	p.limit, p.reads, p.leaving, p.retryAfter = "", nil, false, ""
 	p.mu.Unlock()
@@ -253,7 +341,7 @@
 		downtime = defaultDowntime
 	}
 	time.AfterFunc(downtime, func() {
-		if p.Site.closed.Load() || p.start(addr) != nil { // the port was just released, so a conflict is unlikely
+		if p.Site.closed.Load() || p.start() != nil { // it fails if another crash has ended
 			return
 		}
 		if p.SetDown != nil {
@@ -371,7 +459,9 @@
 	}
 	if retryAfter != "" {
 		if id := r.Header.Get("Request-Id"); id != "" {
-			p.Site.end(p.Site.begin(Run{Replica: p.ID, ID: id, Born: p.born(), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), RetryAfter: retryAfter}))
+			run := p.Site.begin(Run{Replica: p.ID, ID: id, Born: p.born(), Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), RetryAfter: retryAfter})
+			p.hold(r.Context())
+			p.Site.end(run)
 		}
 		w.Header().Set("Retry-After", retryAfter)
 		p.reject(w, r, http.StatusServiceUnavailable)
@@ -399,9 +489,12 @@
 	}
 	run := p.Site.begin(Run{
 		Replica: p.ID, Version: p.version(), Born: p.born(), Leaving: p.Leaving(), ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body),
-		Header: r.Header.Clone(), Executed: act != Reject && act != RepeatRefusal && act != RepeatBareRefusal,
+		Header: r.Header.Clone(), Executed: act != Reject && act != RepeatRefusal && act != RepeatBareRefusal, Act: act,
 	})
-	defer p.Site.end(run)
+	defer func() {
+		p.hold(r.Context()) // the rest of the answer is sent after the silence
+		p.Site.end(run)
+	}()
 	// Input-Count lists the handles of stage results, although its name suggests a number.
 	if act != Reject && !p.Site.hasResults(r.Header.Get("Input-Count")) {
 		p.Site.markNotExecuted(run)
@@ -485,6 +578,10 @@
 	case NoAnswer:
 		<-r.Context().Done()
 		return
+	case PauseBeforeHead:
+		if !clock.Sleep(r.Context(), p.pause()) {
+			return
+		}
 	}
 	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead && act != TruncateHead {
 		p.stream(w, r, act)
@@ -530,10 +627,27 @@
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Signature", p.ID)
 		w.Header().Set("Server-Load", "1,0,8")
-		_, _ = io.WriteString(w, body)
+		p.write(w, r, act, body)
+	}
+}
+
+// write sends a body, with a pause in its middle on PauseWithin. Sending fails only if the
+// caller has disconnected.
+func (p *Replica) write(w http.ResponseWriter, r *http.Request, act Action, body string) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if act == PauseWithin {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		if !clock.Sleep(r.Context(), p.pause()) {
+			return
+		}
+		body = body[len(body)/2:]
 	}
+	_, _ = io.WriteString(w, body)
 }
 
+func (p *Replica) pause() time.Duration { return cmp.Or(p.Pause, defaultPause) }
+
 // crashLater works on a request for ServiceTime, sends the first event if it answers with
 // a stream, and crashes.
 func (p *Replica) crashLater(w http.ResponseWriter, r *http.Request) {
@@ -672,8 +786,12 @@
 		return
 	}
 	rc := http.NewResponseController(w)
+	eventTime := p.ServiceTime
+	if p.EventTime != nil {
+		eventTime = p.EventTime(r)
+	}
 	for n := lastEvent + 1; n <= p.Events; n++ {
-		if !clock.Sleep(r.Context(), p.ServiceTime) {
+		if !clock.Sleep(r.Context(), eventTime) {
 			return
 		}
 		if n == lastEvent+3 {
@@ -688,6 +806,10 @@
 				if !clock.Sleep(r.Context(), stallDelay) {
 					return
 				}
+			case PauseWithin:
+				if !clock.Sleep(r.Context(), p.pause()) {
+					return
+				}
 			}
 		}
 		if _, err := io.WriteString(w, p.event(r.RequestURI, n)); err != nil || rc.Flush() != nil {
@@ -731,7 +853,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	switch p.action(r) {
+	act := p.action(r)
+	switch act {
 	case Reject:
 		p.reject(w, r, http.StatusServiceUnavailable)
 		return
@@ -755,7 +878,15 @@
 	p.mu.Lock()
 	p.stageCalls = append(p.stageCalls, names)
 	p.mu.Unlock()
-	writeJSON(w, map[string]any{"items": out})
+	body, err := json.Marshal(map[string]any{"items": out})
+	if err != nil {
+		panic("site: encode stage results: " + err.Error())
+	}
+	if act == PauseBeforeHead {
+		time.Sleep(p.pause())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	p.write(w, r, act, string(body))
 }
 
 // storeResult stores the result of a piece and returns its handle.
