entry: log whose connections and requests a stop ends

"requests cut off by the stop" came at the end of most drains with requests 0 and did not say what was closed. It now counts the connections of callers by state and the requests in handlers, each with the age of the oldest. Every request that a stop refuses or gives up has a line with the time from the signal to its arrival and what it waited for.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -176,6 +176,9 @@
 		"config_age_ms", v.age(platform.AreaOperatorSettings).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
 		"upstreams_age_ms", v.age(platform.AreaUpstreamRegistry).Milliseconds())
+	if reason == reasonStopping {
+		x.logStopped(status)
+	}
 	s.incCounter("requests", "status", strconv.Itoa(status), "reason", reason)
 	if status < http.StatusBadRequest {
 		s.scope().Timer("request_time").Record(took)
@@ -190,6 +193,8 @@
 	s.lastArrival.Store(&now)
 	x := &exchange{s: s, w: w, r: r, view: s.view.Load(), start: bootNow()}
 	x.deadline = x.start.Add(defaultTimeout)
+	s.callerConns.requestStarted(x)
+	defer s.callerConns.requestEnded(x)
 	if inFlight > maxInFlight {
 		x.refuse(refusal{http.StatusServiceUnavailable, "overload", retryAfterBusy})
 		return
@@ -208,7 +213,7 @@
 // timeoutReason returns the reason for a request whose context has ended.
 func (x *exchange) timeoutReason() string {
 	if x.s.stopCtx.Err() != nil {
-		return "stopping"
+		return reasonStopping
 	}
 	return "timeout"
 }
@@ -233,7 +238,7 @@
 	}
 	x.setDeadline()
 	if drainEnd := x.s.drainEnd.Load(); drainEnd != nil && x.deadline.Sub(*drainEnd) > 0 {
-		return &refusal{http.StatusServiceUnavailable, "stopping", minRetryAfter}
+		return &refusal{http.StatusServiceUnavailable, reasonStopping, minRetryAfter}
 	}
 	if f := x.authorize(cfg); f != nil {
 		return f
--- a/entry/server.go
+++ b/entry/server.go
@@ -85,6 +85,8 @@
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
 	lost     [2]atomic.Bool                 // by platform.Area: whether the area can't be read from the store
 	draining atomic.Bool
+	// drainBegan is the time at which a drain began. It is nil before.
+	drainBegan atomic.Pointer[Instant]
 	// drainEnd is the time by which the last requests must end. It is nil until the
 	// deregistration delay of a drain has passed.
 	drainEnd atomic.Pointer[Instant]
@@ -99,6 +101,7 @@
 	mu           sync.Mutex
 	retryBudgets map[fleet.ServiceID]*serviceBudget
 
+	callerConns                            *callerConns
 	openListener                           listenFunc
 	callerServer, readyServer, adminServer *http.Server
 	stopped                                chan struct{}
@@ -126,6 +129,7 @@
 		updates: make(chan update), stateRequests: make(chan chan State),
 		targets:      &targets{byID: map[wire.UpstreamID]*target{}},
 		retryBudgets: map[fleet.ServiceID]*serviceBudget{},
+		callerConns:  newCallerConns(),
 		openListener: listenTCP,
 		stopped:      make(chan struct{}),
 	}
@@ -140,7 +144,7 @@
 	s.origins.s = s
 	s.callerServer = &http.Server{
 		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		MaxHeaderBytes: maxHeaderBytes, ConnState: s.callerConns.setState, ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	s.readyServer = &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerReadTimeout}
 	s.adminServer = &http.Server{Handler: s.adminHandler(), ReadHeaderTimeout: headerReadTimeout}
@@ -363,7 +367,8 @@
 // while too few other routers are ready; those that might not end before the process
 // is killed are refused. Connections of callers are closed after their next response.
 func (s *Server) drain(reason string) {
-	began := time.Now()
+	began, bootBegan := time.Now(), bootNow()
+	s.drainBegan.Store(&bootBegan)
 	s.draining.Store(true)
 	s.log.Info("drain started", "signal", reason, "requests", s.inFlight.Load(), "grace", s.cfg.grace().String())
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.grace()-killMargin)
@@ -377,8 +382,7 @@
 	s.waitQuiet(began.Add(s.cfg.grace() - killMargin - listenerCloseMargin))
 	// Shutdown closes the listener and idle connections, and waits for active ones.
 	if err := s.callerServer.Shutdown(ctx); err != nil {
-		s.log.Warn("requests cut off by the stop", "requests", s.inFlight.Load(), "err", err)
-		s.addCounter("requests_cut", s.inFlight.Load())
+		s.logCutOff(err)
 		_ = s.callerServer.Close()
 	}
 	s.close()
