entry: answer callers whose context net/http has ended

A caller that closed its side of the connection while it waited got an empty 200 without the upstream's signature, and one whose body did not arrive in time got nothing at all while it kept the connection open.

net/http ends the context of a request when a read from its connection ends or times out. refuse took that for a caller that has left and wrote nothing, so net/http sent its own 200, or first waited without a deadline for the rest of the body. refuse now answers unless the status says that the caller left, and then aborts the connection. The read deadline stays in force for the rest of a body that was not read.

Both tests failed before:

--- FAIL: TestUnreadBody (20.00s) caller_test.go: error is not nil: read tcp ...: i/o timeout --- FAIL: TestHalfClosed (0.01s) caller_test.go: err is nil: answered &{200 OK ... Content-Length:[0]

go test -race ./entry/... ./core/admit/...

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -30,6 +30,7 @@
 	team        *fleet.Team // nil for an anonymous request
 	rank        int         // priority; 0 is the most urgent
 	body        []byte
+	bodyRead    bool // whether the whole body was read
 	fingerprint wire.Fingerprint
 	parts       []crash.Part // prompt parts that other requests may share
 	retryBudget *budget.Retry
@@ -113,15 +114,20 @@
 }
 
 // refuse sends the error response of a request that is not served. If the response has
-// already begun, refuse aborts the connection instead, so that it does not look complete.
+// already begun or the caller has left, refuse aborts the connection instead. It doesn't ask
+// the context of net/http for that, which also ends when a read from the caller times out.
 func (x *exchange) refuse(f refusal) {
 	f = x.adjustStatus(f)
 	x.recordEnd(f.status, f.reason)
 	if x.headerSent {
 		panic(http.ErrAbortHandler)
 	}
-	if x.r.Context().Err() != nil {
-		return
+	if f.status == statusClientClosed {
+		panic(http.ErrAbortHandler) // on return, net/http would answer with an empty 200
+	}
+	if !x.bodyRead {
+		// Before it answers, net/http reads what is left of the body.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.remaining()))
 	}
 	h := x.w.Header()
 	platform.SetRequestID(h, x.spec.ID)
@@ -360,7 +366,6 @@
 	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(time.Now().Add(x.remaining()))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
-	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -368,7 +373,8 @@
 	case err != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not read"}
 	}
-	x.body = body
+	_ = rc.SetReadDeadline(time.Time{})
+	x.body, x.bodyRead = body, true
 	return nil
 }
 
