entry: derive the end of a drain from the grace period

Requests were cut off 1.1 s before the end of every grace period. The rule excuses a cut in its last sixth only, so at 6 s and below requests that had time left were lost, and at 3 s the listener closed with the deregistration delay even if requests still arrived.

The margins are now at most a fixed part of the grace period, 1/11 and 1/20, and the listener closes 1/13 before the cut. At 8 s they are as before. The connections are closed a fixed time after the cut itself: on a busy machine the process was paused for 253 ms over both times, and a request whose cut and close came together ended without its 504 (a run of TestDrainCutsLate under the race detector, before the close followed the cut).

--- a/entry/server.go
+++ b/entry/server.go
@@ -344,42 +344,71 @@
 
 const (
 	// deregistrationDelay is how long the balancer may still send new connections after
-	// the readiness check fails: two checks one second apart, plus a margin.
+	// the readiness check fails: two checks one second apart, plus a margin. It is at most
+	// half of the grace period.
 	deregistrationDelay = 3 * time.Second
-	// killMargin is the time between the end of the drain and the kill of the process.
-	killMargin = 700 * time.Millisecond
+	// killMargin is the time between the end of the drain and the kill of the process, at
+	// most 1/killMarginDivisor of the grace period.
+	killMargin        = 700 * time.Millisecond
+	killMarginDivisor = 11
+	// refuseMargin is the time before the end of the drain at which requests without a
+	// response are refused, at most 1/refuseMarginDivisor of the grace period. It is twice as
+	// long as a host that has used up its CPU quota is paused. killMargin and refuseMargin
+	// together stay below a sixth of the grace period: requests that are cut off earlier
+	// count as lost.
+	refuseMargin        = 400 * time.Millisecond
+	refuseMarginDivisor = 20
+	// listenerCloseMargin is the time before those refusals at which the listener is closed
+	// even if requests still arrive, at most 1/listenerCloseDivisor of the grace period.
+	listenerCloseMargin  = 600 * time.Millisecond
+	listenerCloseDivisor = 13
 	// quietPeriod is how long no request must have arrived before the listener is
 	// closed, because closing it resets connections that wait to be accepted. It is
 	// longer than a host that has used up its CPU quota is paused.
-	quietPeriod = 300 * time.Millisecond
-	// refuseMargin is the time before the end of the drain at which requests without a
-	// response are refused. It is twice as long as a host that has used up its CPU quota
-	// is paused.
-	refuseMargin = 400 * time.Millisecond
-	// listenerCloseMargin is the time before the end of the drain at which the listener
-	// is closed even if requests still arrive.
-	listenerCloseMargin = time.Second
-	drainPollInterval   = 50 * time.Millisecond
+	quietPeriod       = 300 * time.Millisecond
+	drainPollInterval = 50 * time.Millisecond
 )
 
+// stopTimes are the steps of a drain, as times from the signal.
+type stopTimes struct {
+	deregistered  time.Duration // the balancer has noticed
+	closeListener time.Duration // at the latest
+	cut           time.Duration // requests without a response are refused
+	closeConns    time.Duration // all connections are closed
+}
+
+// newStopTimes returns the steps of a drain for the time from SIGTERM to SIGKILL.
+func newStopTimes(grace time.Duration) (st stopTimes) {
+	st.deregistered = min(deregistrationDelay, grace/2)
+	st.closeConns = grace - min(killMargin, grace/killMarginDivisor)
+	st.cut = st.closeConns - min(refuseMargin, grace/refuseMarginDivisor)
+	st.closeListener = st.cut - min(listenerCloseMargin, grace/listenerCloseDivisor)
+	return st
+}
+
 // drain waits for the requests in flight. The readiness check fails at once, and new
 // requests are served until the balancer has noticed. Requests still arrive after that
 // while too few other routers are ready; those that might not end before the process
 // is killed are refused. Connections of callers are closed after their next response.
 func (s *Server) drain(reason string) {
 	began, bootBegan := time.Now(), bootNow()
+	st := newStopTimes(s.cfg.grace())
 	s.drainBegan.Store(&bootBegan)
 	s.draining.Store(true)
 	s.log.Info("drain started", "signal", reason, "requests", s.inFlight.Load(), "grace", s.cfg.grace().String())
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.grace()-killMargin)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	refuseTimer := time.AfterFunc(s.cfg.grace()-killMargin-refuseMargin, s.cancelStopCtx)
+	refuseTimer := time.AfterFunc(time.Until(began.Add(st.cut)), func() {
+		s.cancelStopCtx()
+		// Counted from here, so that the answers are written even if the host was paused.
+		time.AfterFunc(st.closeConns-st.cut, cancel)
+	})
 	defer refuseTimer.Stop()
-	clock.Sleep(ctx, min(deregistrationDelay, s.cfg.grace()/2))
-	end := bootNow().Add(time.Until(began.Add(s.cfg.grace() - killMargin - refuseMargin)))
+	clock.Sleep(ctx, time.Until(began.Add(st.deregistered)))
+	end := bootBegan.Add(st.cut)
 	s.drainEnd.Store(&end)
 	s.background.Go(s.origins.handOver)
-	s.waitQuiet(began.Add(s.cfg.grace() - killMargin - listenerCloseMargin))
+	s.waitQuiet(began.Add(st.closeListener))
 	// Shutdown closes the listener and idle connections, and waits for active ones.
 	if err := s.callerServer.Shutdown(ctx); err != nil {
 		s.logCutOff(err)
