entry, core/admit: judge requests that arrive in a drain by their length

A stopping router took every request for up to 3 s after SIGTERM, however long it might last, and cut those off that had not ended with the grace period: streams without an end, others with 504. Requests that may not be repeated were among them.

From the signal on, a request is now taken if its deadline lies before the cut, or if the mean of its route's whole response time plus four mean deviations does. One that may not be repeated is judged by its deadline if another router is alive and does not drain. All others get 503 at once and have not run. The expected length counts until 2.75 s after the signal at the latest, as a cut is excused only for requests sent within 3 s of it. A safe request of a route without samples is still taken: it gets an answer even if it is ended. The request is judged again when its body was read.

Both tests failed before:

--- FAIL: TestDrainRefusesLongStream (1.92s) drain_test.go:56: assertion failed: error is not nil: unexpected EOF --- FAIL: TestDrainLeavesUnrepeatable (2.70s) drain_test.go:94: assertion failed: 504 != 503: body "stopping\n"

TestDrainTakesShortStream passed before as well; it bounds the refusals.

go test -race ./entry/... ./core/admit/...

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -167,6 +167,7 @@
 	if x.team != nil {
 		team = string(x.team.ID)
 	}
+	x.recordDuration(status, reason, took)
 	logger := s.log
 	if x.spec.Resumed {
 		logger = logger.With("resumes", x.spec.Resumes, "after_event", x.spec.LastEventID)
@@ -243,8 +244,8 @@
 		return x.deny(http.StatusNotFound, "no route")
 	}
 	x.setDeadline()
-	if drainEnd := x.s.drainEnd.Load(); drainEnd != nil && x.deadline.Sub(*drainEnd) > 0 {
-		return &refusal{http.StatusServiceUnavailable, reasonStopping, minRetryAfter}
+	if f := x.stopRefusal(); f != nil {
+		return f
 	}
 	if f := x.authorize(cfg); f != nil {
 		return f
@@ -252,6 +253,9 @@
 	if f := x.readRequestBody(cfg); f != nil {
 		return f
 	}
+	if f := x.stopRefusal(); f != nil { // the drain may have begun, or its end come near
+		return f
+	}
 	svc := x.route.ChooseService(randomFraction())
 	if x.spec.Resumed && x.route.Kind == fleet.Stream {
 		var f *refusal
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -376,6 +376,18 @@
 	return false
 }
 
+// othersReady reports whether another router is alive and does not drain.
+func (p *peers) othersReady(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if m.isAlive(now) && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // routerCount returns the number of routers among which limits are divided: those heard
 // of within memberTimeout, this one included, and at least as many as there are seeds.
 func (p *peers) routerCount(now time.Time) int {
--- a/entry/server.go
+++ b/entry/server.go
@@ -78,6 +78,7 @@
 	notices        limit.Notices
 	origins        origins
 	latencies      routeLatencies
+	durations      admit.Durations
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
 	lag            lagMonitor
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"hornbeamcove.example/core/admit"
+	"hornbeamcove.example/core/fleet"
+)
+
+// expectedWindow is the time from the start of a drain in which requests are taken that are
+// expected to end before it does. One that is cut off all the same counts as lost if it was
+// sent later than 3 s after the signal, and the signal may reach a host that has used up its
+// CPU quota late.
+const expectedWindow = deregistrationDelay - 250*time.Millisecond
+
+// stopRefusal returns the refusal of a request that may outlast the drain, or nil if it is
+// taken.
+func (x *exchange) stopRefusal() *refusal {
+	began := x.s.drainBegan.Load()
+	if began == nil {
+		return nil
+	}
+	now := bootNow()
+	st := admit.Stop{
+		Left:         began.Add(newStopTimes(x.s.cfg.grace()).cut).Sub(now),
+		DeadlineOnly: now.Sub(*began) > expectedWindow || x.s.drainEnd.Load() != nil,
+		OthersReady:  x.s.peers.othersReady(time.Now()),
+	}
+	l := admit.Length{Deadline: x.deadline.Sub(now), Expected: x.expectedDuration(), Repeatable: x.route.Repeatable()}
+	if st.Takes(l) {
+		return nil
+	}
+	return &refusal{http.StatusServiceUnavailable, reasonStopping, minRetryAfter}
+}
+
+// expectedDuration returns the time within which most requests of the route end, 0 if it is
+// unknown. A safe request gets an answer even if it is ended, so a default will do for it.
+func (x *exchange) expectedDuration() time.Duration {
+	if d := x.s.durations.Expected(x.route.ID); d > 0 || x.route.Kind != fleet.Safe {
+		return d
+	}
+	return defaultResponseTime
+}
+
+// recordDuration records how long a request took that ends with the given status.
+func (x *exchange) recordDuration(status int, reason string, took time.Duration) {
+	switch {
+	case x.route == nil || x.spec.Resumed: // a stream that was taken up has only a part of its events
+	case reason == reasonServed:
+		x.s.durations.Record(x.route.ID, took)
+	case status != http.StatusServiceUnavailable && x.runs > 0:
+		x.s.durations.RecordAtLeast(x.route.ID, took)
+	}
+}
+
+// reasonServed is the reason for the end of a request that was served.
+const reasonServed = "served"
