entry: answer requests that arrive while a drain closes connections

A request on a connection that had been opened just before, or whose body was still being read at the end of a drain, got a closed connection in place of an answer.

http.Server.Shutdown makes net/http close every connection whose request header it has just read, without a handler. It closed idle connections while a request might be read on them, and the read of a body knew nothing of the drain. The drain now closes the listener itself and ends connections without a request by a read deadline, so that a request that was read reaches its handler and is answered with Connection: close. New connections have 500 ms after the listener was closed for their first request. At the cut the read of a body ends too, and the request gets 503, as it has not run. Connections are looked at every 10 ms, where Shutdown waits for up to half a second; that had logged "requests cut off by the stop" with no connection left.

Failed before, three times in three runs each:

--- FAIL: TestDrainAnswersUnreadBody (1.83s) drain_test.go:111: assertion failed: error is not nil: unexpected EOF --- FAIL: TestDrainAnswersNewConnection (2.38s) drain_test.go:135: assertion failed: error is not nil: unexpected EOF

TestDrainAnswersKeptConnections passed before as well: the moment between the read of a request and the close of its idle connection was not hit.

go test -race ./entry/... ./core/admit/...

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"hornbeamcove.example/core/clock"
 )
 
 // callerConns tracks the connections of callers and the requests in their handlers. It is
@@ -13,6 +16,7 @@
 	mu       sync.Mutex
 	states   map[net.Conn]connState
 	handlers map[*exchange]struct{}
+	expiring bool // whether expire was called
 }
 
 // connState is the state of a connection and the time at which it began.
@@ -34,6 +38,24 @@
 		return
 	}
 	cc.states[c] = connState{st, time.Now()}
+	if cc.expiring && st == http.StateActive {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// expire ends the idle connections, and if all is set also those on which no request has been
+// read yet, and returns how many connections are left. It ends them by a read deadline, so
+// that a request that is being read meanwhile is served rather than cut off.
+func (cc *callerConns) expire(all bool) int {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.expiring = true
+	for c, st := range cc.states {
+		if st.ConnState == http.StateIdle || all && st.ConnState == http.StateNew {
+			_ = c.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	return len(cc.states)
 }
 
 // requestStarted and requestEnded enclose the handler of a request.
@@ -84,10 +106,51 @@
 	return c
 }
 
+// callerListener is the listener for callers.
+type callerListener struct {
+	net.Listener
+	served chan struct{} // closed when no further connection will be taken
+}
+
+// Close closes the listener and waits until the connections that it took are tracked.
+func (l *callerListener) Close() error {
+	err := l.Listener.Close()
+	<-l.served
+	return err
+}
+
+// firstRequestWait is how long after the listener was closed the first request on a
+// connection may arrive. It is longer than a host that has used up its CPU quota is paused.
+const firstRequestWait = 500 * time.Millisecond
+
+// endCallerConns waits until the connections of callers have ended. Those without a request
+// end at once, new ones after firstRequestWait or the refusal of all requests. It returns the
+// error of ctx if some are left when ctx ends.
+func (s *Server) endCallerConns(ctx context.Context) error {
+	wait := time.Now().Add(firstRequestWait)
+	for {
+		left := s.callerConns.expire(time.Now().After(wait) || s.stopCtx.Err() != nil)
+		switch {
+		case left == 0:
+			return nil
+		case !clock.Sleep(ctx, expirePollInterval):
+			return ctx.Err()
+		}
+	}
+}
+
+// expirePollInterval is the time between two searches for connections that have become idle.
+const expirePollInterval = 10 * time.Millisecond
+
 // logCutOff logs and counts the connections of callers that the end of a drain closes.
+// Without a request in a handler these only wait for callers to read their answers.
 func (s *Server) logCutOff(err error) {
 	c := s.callerConns.counts()
-	s.log.Warn("requests cut off by the stop", "requests", c.Handlers, "oldest_request_ms", c.OldestHandler.Milliseconds(),
+	logClose, msg := s.log.Info, "connections closed by the stop"
+	if c.Handlers > 0 {
+		logClose, msg = s.log.Warn, "requests cut off by the stop"
+	}
+	logClose(msg, "requests", c.Handlers, "oldest_request_ms", c.OldestHandler.Milliseconds(),
 		"new", c.New, "oldest_new_ms", c.OldestNew.Milliseconds(), "active", c.Active, "oldest_active_ms", c.OldestActive.Milliseconds(),
 		"idle", c.Idle, "err", err)
 	s.addCounter("requests_cut", int64(c.Handlers))
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +97,78 @@
 	r.assertRuns("id-/once/late", 0)
 	n.wait(t)
 }
+
+// TestDrainAnswersUnreadBody guards against a closed connection in place of an answer to a
+// request whose body is still being read at the end of a drain.
+func TestDrainAnswersUnreadBody(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	n := r.startRouterWithGrace(1, 2)
+	c := n.dialRaw(t)
+	c.write(t, post(deskHost, "/once/1", "x"), 10)
+	r.waitFor("the router reads the request", func() bool { return n.inFlight.Load() == 1 })
+	n.terminate()
+	c.assertStatus(t, http.StatusServiceUnavailable, "stopping\n")
+	n.wait(t)
+}
+
+// TestDrainAnswersNewConnection guards against a closed connection in place of an answer to a
+// request that arrives while the router closes its connections, on one that was opened before.
+func TestDrainAnswersNewConnection(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk", site.NoAnswer)
+	n := r.startRouterWithGrace(1, 3)
+	waiting := n.dialRaw(t)
+	waiting.write(t, post(deskHost, "/once/1", "x"), 1)
+	r.waitFor("the upstream runs the request", func() bool { return len(r.site.Runs()) == 1 })
+	n.terminate()
+	r.waitFor("the deregistration delay has passed", func() bool { return n.drainEnd.Load() != nil })
+	c := n.dialRaw(t)
+	r.waitFor("the listener is closed", func() bool {
+		probe, err := net.Dial("tcp", string(n.cfg.Callers))
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err != nil
+	})
+	c.write(t, get(deskHost, "/safe/late"), 0)
+	resp := c.assertStatus(t, http.StatusServiceUnavailable, "stopping\n")
+	assert.Assert(t, resp.Close)
+	waiting.assertStatus(t, http.StatusGatewayTimeout, "stopping\n")
+	n.wait(t)
+	assert.Assert(t, !strings.Contains(r.log.String(), "cut off by the stop"))
+}
+
+// TestDrainAnswersKeptConnections guards against requests that run although the router closes
+// the kept connection on which they arrived.
+func TestDrainAnswersKeptConnections(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	n := r.startRouterWithGrace(1, 2)
+	var conns []rawConn
+	for i := range 40 {
+		c := n.dialRaw(t)
+		c.write(t, get(deskHost, fmt.Sprint("/safe/", i)), 0)
+		assert.Assert(t, !c.assertStatus(t, http.StatusOK, site.Body(fmt.Sprint("/safe/", i))).Close)
+		conns = append(conns, c)
+	}
+	n.terminate()
+	r.waitFor("the router is not ready", func() bool { return n.readinessStatus(t) == http.StatusServiceUnavailable })
+	answered := 0
+	for i, c := range conns { // some of them while the router closes idle connections
+		rq := get(deskHost, fmt.Sprint("/safe/again/", i))
+		time.Sleep(quietPeriod / 8)
+		_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\n\r\n", rq.target, rq.host, rq.id, rq.key)
+		if err != nil {
+			continue
+		}
+		if resp, _, err := c.read(); err == nil {
+			assert.Assert(t, resp.Close, "the connection stays open")
+			answered++
+			continue
+		}
+		r.assertRuns(rq.id, 0)
+	}
+	assert.Assert(t, answered > 0)
+	n.wait(t)
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -127,7 +127,11 @@
 	}
 	if !x.bodyRead {
 		// Before it answers, net/http reads what is left of the body.
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.remaining()))
+		left := x.remaining()
+		if x.s.drainBegan.Load() != nil {
+			left = min(left, x.s.untilCut(bootNow()))
+		}
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(left))
 	}
 	h := x.w.Header()
 	platform.SetRequestID(h, x.spec.ID)
@@ -206,14 +210,16 @@
 		x.refuse(refusal{http.StatusServiceUnavailable, "overload", retryAfterBusy})
 		return
 	}
-	if f := x.admit(); f != nil {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.stopCtx, cancel)()
+	if f := x.admit(ctx); f != nil {
 		x.refuse(*f)
 		return
 	}
 	defer x.releaseUnqueued()
-	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
+	ctx, cancel = context.WithTimeout(ctx, x.remaining())
 	defer cancel()
-	defer context.AfterFunc(s.stopCtx, cancel)()
 	x.serve(ctx)
 }
 
@@ -227,7 +233,7 @@
 
 // admit matches a request to a route, authorizes it, reads its body and checks that its
 // stages can run in time. It returns the refusal, or nil if the request is admitted.
-func (x *exchange) admit() *refusal {
+func (x *exchange) admit(ctx context.Context) *refusal {
 	var err error
 	if x.spec, err = platform.ParseRequest(x.r.Header); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
@@ -250,7 +256,7 @@
 	if f := x.authorize(cfg); f != nil {
 		return f
 	}
-	if f := x.readRequestBody(cfg); f != nil {
+	if f := x.readRequestBody(ctx, cfg); f != nil {
 		return f
 	}
 	if f := x.stopRefusal(); f != nil { // the drain may have begun, or its end come near
@@ -259,7 +265,7 @@
 	svc := x.route.ChooseService(randomFraction())
 	if x.spec.Resumed && x.route.Kind == fleet.Stream {
 		var f *refusal
-		if svc, f = x.pinOrigin(x.r.Context()); f != nil {
+		if svc, f = x.pinOrigin(ctx); f != nil {
 			return f
 		}
 	}
@@ -360,20 +366,24 @@
 	return nil
 }
 
-// readRequestBody reads the caller's body until the deadline and up to the configured
-// size, or maxHeaderBytes if none is configured.
-func (x *exchange) readRequestBody(cfg *fleet.Config) *refusal {
+// readRequestBody reads the caller's body until the deadline or the end of ctx, and up to
+// the configured size, or maxHeaderBytes if none is configured.
+func (x *exchange) readRequestBody(ctx context.Context, cfg *fleet.Config) *refusal {
 	maxBytes := int64(cfg.Limits.BodyBytes)
 	if maxBytes <= 0 {
 		maxBytes = maxHeaderBytes
 	}
 	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(time.Now().Add(x.remaining()))
+	stop := context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
+	stopped := !stop() && x.s.stopCtx.Err() != nil
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return x.deny(http.StatusRequestEntityTooLarge, "body too large")
+	case stopped:
+		return &refusal{http.StatusServiceUnavailable, reasonStopping, minRetryAfter}
 	case err != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not read"}
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -103,6 +103,7 @@
 	retryBudgets map[fleet.ServiceID]*serviceBudget
 
 	callerConns                            *callerConns
+	callerListener                         *callerListener
 	openListener                           listenFunc
 	callerServer, readyServer, adminServer *http.Server
 	stopped                                chan struct{}
@@ -258,7 +259,11 @@
 	s.spawn("peer listener", func() error { return s.servePeers(l.peers) })
 	s.spawn("readiness", func() error { return s.readyServer.Serve(l.ready) })
 	s.spawn("administration", func() error { return s.adminServer.Serve(l.admin) })
-	s.spawn("callers", func() error { return s.callerServer.Serve(l.callers) })
+	s.callerListener = &callerListener{Listener: l.callers, served: make(chan struct{})}
+	s.spawn("callers", func() error {
+		defer close(s.callerListener.served)
+		return s.callerServer.Serve(s.callerListener.Listener)
+	})
 	go func() {
 		<-ctx.Done()
 		_ = l.peers.Close()
@@ -410,10 +415,10 @@
 	s.drainEnd.Store(&end)
 	s.background.Go(s.origins.handOver)
 	s.waitQuiet(began.Add(st.closeListener))
-	// Shutdown closes the listener and idle connections, and waits for active ones.
-	if err := s.callerServer.Shutdown(ctx); err != nil {
+	_ = s.callerListener.Close()
+	// http.Server.Shutdown closes connections whose request it has just read.
+	if err := s.endCallerConns(ctx); err != nil {
 		s.logCutOff(err)
-		_ = s.callerServer.Close()
 	}
 	s.close()
 	s.log.Info("drain ended", "took", time.Since(began).String())
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -14,6 +14,12 @@
 // CPU quota late.
 const expectedWindow = deregistrationDelay - 250*time.Millisecond
 
+// untilCut returns the time from now until requests without a response are refused in the
+// drain that has begun.
+func (s *Server) untilCut(now Instant) time.Duration {
+	return s.drainBegan.Load().Add(newStopTimes(s.cfg.grace()).cut).Sub(now)
+}
+
 // stopRefusal returns the refusal of a request that may outlast the drain, or nil if it is
 // taken.
 func (x *exchange) stopRefusal() *refusal {
@@ -23,7 +29,7 @@
 	}
 	now := bootNow()
 	st := admit.Stop{
-		Left:         began.Add(newStopTimes(x.s.cfg.grace()).cut).Sub(now),
+		Left:         x.s.untilCut(now),
 		DeadlineOnly: now.Sub(*began) > expectedWindow || x.s.drainEnd.Load() != nil,
 		OthersReady:  x.s.peers.othersReady(time.Now()),
 	}
