--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -32,6 +32,7 @@
 	team        *fleet.Team // nil for an anonymous request
 	rank        int         // priority; 0 is the most urgent
 	body        []byte
+	bodyRead    bool // whether the whole body was read
 	fingerprint wire.Fingerprint
 	parts       []crash.Part // prompt parts that other requests may share
 	retryBudget *budget.Retry
@@ -115,15 +116,24 @@
 }
 
 // refuse sends the error response of a request that is not served. If the response has
-// already begun, refuse aborts the connection instead, so that it does not look complete.
+// already begun or the caller has left, refuse aborts the connection instead. It doesn't ask
+// the context of net/http for that, which also ends when a read from the caller times out.
 func (x *exchange) refuse(f refusal) {
 	f = x.adjustStatus(f)
 	x.recordEnd(f.status, f.reason)
 	if x.headerSent {
 		panic(http.ErrAbortHandler)
 	}
-	if x.r.Context().Err() != nil {
-		return
+	if f.status == statusClientClosed {
+		panic(http.ErrAbortHandler) // on return, net/http would answer with an empty 200
+	}
+	if !x.bodyRead {
+		// Before it answers, net/http reads what is left of the body.
+		left := x.remaining()
+		if x.s.drainBegan.Load() != nil {
+			left = min(left, x.s.untilCut(bootNow()))
+		}
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(left))
 	}
 	h := x.w.Header()
 	platform.SetRequestID(h, x.spec.ID)
@@ -163,6 +173,7 @@
 	if x.team != nil {
 		team = string(x.team.ID)
 	}
+	x.recordDuration(status, reason, took)
 	logger := s.log
 	if x.spec.Resumed {
 		logger = logger.With("resumes", x.spec.Resumes, "after_event", x.spec.LastEventID)
@@ -178,6 +189,9 @@
 		"config_age_ms", v.age(platform.AreaOperatorSettings).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
 		"upstreams_age_ms", v.age(platform.AreaUpstreamRegistry).Milliseconds())
+	if reason == reasonStopping {
+		x.logStopped(status)
+	}
 	s.incCounter("requests", "status", strconv.Itoa(status), "reason", reason)
 	if status < http.StatusBadRequest {
 		s.scope().Timer("request_time").Record(took)
@@ -192,19 +206,23 @@
 	s.lastArrival.Store(&now)
 	x := &exchange{s: s, w: w, r: r, view: s.view.Load(), start: bootNow()}
 	x.deadline = x.start.Add(defaultTimeout)
+	s.callerConns.requestStarted(x)
+	defer s.callerConns.requestEnded(x)
 	if inFlight > maxInFlight {
 		x.refuse(refusal{http.StatusServiceUnavailable, "overload", retryAfterBusy})
 		return
 	}
-	if f := x.admit(); f != nil {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.stopCtx, cancel)()
+	if f := x.admit(ctx); f != nil {
 		x.refuse(*f)
 		return
 	}
 	defer x.releaseUnqueued()
 	defer x.recoverPanic()
-	ctx, cancel := context.WithTimeout(r.Context(), x.remaining())
+	ctx, cancel = context.WithTimeout(ctx, x.remaining())
 	defer cancel()
-	defer context.AfterFunc(s.stopCtx, cancel)()
 	x.serve(ctx)
 }
 
@@ -227,14 +245,14 @@
 // timeoutReason returns the reason for a request whose context has ended.
 func (x *exchange) timeoutReason() string {
 	if x.s.stopCtx.Err() != nil {
-		return "stopping"
+		return reasonStopping
 	}
 	return "timeout"
 }
 
 // admit matches a request to a route, authorizes it, reads its body and checks that its
 // stages can run in time. It returns the refusal, or nil if the request is admitted.
-func (x *exchange) admit() *refusal {
+func (x *exchange) admit(ctx context.Context) *refusal {
 	var err error
 	if x.spec, err = platform.ParseRequest(x.r.Header); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
@@ -251,19 +269,22 @@
 		return x.deny(http.StatusNotFound, "no route")
 	}
 	x.setDeadline()
-	if drainEnd := x.s.drainEnd.Load(); drainEnd != nil && x.deadline.Sub(*drainEnd) > 0 {
-		return &refusal{http.StatusServiceUnavailable, "stopping", minRetryAfter}
+	if f := x.stopRefusal(); f != nil {
+		return f
 	}
 	if f := x.authorize(cfg); f != nil {
 		return f
 	}
-	if f := x.readRequestBody(cfg); f != nil {
+	if f := x.readRequestBody(ctx, cfg); f != nil {
+		return f
+	}
+	if f := x.stopRefusal(); f != nil { // the drain may have begun, or its end come near
 		return f
 	}
 	svc := x.route.ChooseService(randomFraction())
 	if x.spec.Resumed && x.route.Kind == fleet.Stream {
 		var f *refusal
-		if svc, f = x.pinOrigin(x.r.Context()); f != nil {
+		if svc, f = x.pinOrigin(ctx); f != nil {
 			return f
 		}
 	}
@@ -364,25 +385,29 @@
 	return nil
 }
 
-// readRequestBody reads the caller's body until the deadline and up to the configured
-// size, or maxHeaderBytes if none is configured.
-func (x *exchange) readRequestBody(cfg *fleet.Config) *refusal {
+// readRequestBody reads the caller's body until the deadline or the end of ctx, and up to
+// the configured size, or maxHeaderBytes if none is configured.
+func (x *exchange) readRequestBody(ctx context.Context, cfg *fleet.Config) *refusal {
 	maxBytes := int64(cfg.Limits.BodyBytes)
 	if maxBytes <= 0 {
 		maxBytes = maxHeaderBytes
 	}
 	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(time.Now().Add(x.remaining()))
+	stop := context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	stopped := !stop() && x.s.stopCtx.Err() != nil
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return x.deny(http.StatusRequestEntityTooLarge, "body too large")
+	case stopped:
+		return &refusal{http.StatusServiceUnavailable, reasonStopping, minRetryAfter}
 	case err != nil:
 		return &refusal{status: http.StatusRequestTimeout, reason: "body not read"}
 	}
-	x.body = body
+	_ = rc.SetReadDeadline(time.Time{})
+	x.body, x.bodyRead = body, true
 	return nil
 }
 
