--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -208,6 +208,7 @@
 	x.deadline = x.start.Add(defaultTimeout)
 	s.callerConns.requestStarted(x)
 	defer s.callerConns.requestEnded(x)
+	defer x.recoverPanic()
 	if inFlight > maxInFlight {
 		x.refuse(refusal{http.StatusServiceUnavailable, "overload", retryAfterBusy})
 		return
@@ -220,7 +221,6 @@
 		return
 	}
 	defer x.releaseUnqueued()
-	defer x.recoverPanic()
 	ctx, cancel = context.WithTimeout(ctx, x.remaining())
 	defer cancel()
 	x.serve(ctx)
