entry: drop a hedge whose upstream may be silent too

While all upstreams are silent, the second one may work on a stream without a sign of it, beside the first: the platform allows 400 ms of that. Upstreams that have requests and were not heard from for 500 ms are no longer asked, and a hedge is dropped once nothing at all has come from its upstream for 300 ms. One from which other answers come has not begun the request, so it is kept.

--- a/entry/place.go
+++ b/entry/place.go
@@ -75,6 +75,8 @@
 		t := x.s.targets.get(u)
 		st := t.status(now, x.svc, routers)
 		switch {
+		case x.hedging && (st.silent || st.quiet > maxQuiet):
+			continue
 		case st.coldLimited:
 			coldLimited = true
 		case st.ejected:
--- a/entry/send.go
+++ b/entry/send.go
@@ -52,7 +52,11 @@
 		x.recordSendFailure(t, err, errors.Is(err, errConnLimit) || ctx.Err() != nil)
 		return nil, notSent
 	}
-	t.requestStarted()
+	t.requestStarted(time.Now())
+	if x.onSend != nil {
+		x.onSend(t)
+	}
+	x.hedging = false
 	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
 	if _, limited := x.s.limits.Rate(t.ID); limited {
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -24,6 +24,13 @@
 	// silentTime is how long an upstream that was found silent gets requests only if there is
 	// no other, unless it is heard from before.
 	silentTime = 2 * time.Second
+	// maxOverlap is how long two upstreams may have the request of one stream without a sign
+	// that the second one works on others. The platform allows 400 ms from the time at which
+	// the second one begins.
+	maxOverlap = 300 * time.Millisecond
+	// maxQuiet is the silence on all requests of an upstream from which on it is not asked in
+	// place of a silent one: it may be silent for the same reason.
+	maxQuiet = 500 * time.Millisecond
 )
 
 // errReplaced ends the wait for a silent upstream after another one has begun to answer.
@@ -116,6 +123,8 @@
 		x.tried = append(x.tried, silent.ID)
 	}
 	expected := max(x.s.expectedFirstEvent(x.route), minAttemptTime)
+	x.hedging = true
+	defer func() { x.hedging = false }()
 	other, _ := x.choose(time.Now())
 	reason := budget.Hedge{
 		Repeatable: x.route.Repeatable(), Runs: x.runs, MaxAttempts: x.route.MaxAttempts, Sends: x.sends, MaxSends: maxResends + 1,
@@ -130,21 +139,71 @@
 	return ""
 }
 
+// hedge is an attempt that is made while the upstream of another one is silent.
+type hedge struct {
+	settled atomic.Bool // whether it is decided which of the two attempts is kept
+	cancel  context.CancelFunc
+	overlap *time.Timer // runs checkOverlap
+	sent    atomic.Pointer[hedgeSend]
+}
+
+// hedgeSend is where and when the request of a hedge was sent.
+type hedgeSend struct {
+	*target
+	at time.Time
+}
+
+// drop cancels the hedge, unless its answer has taken the place of the silent one.
+func (h *hedge) drop() {
+	if h.settled.CompareAndSwap(false, true) {
+		h.cancel()
+	}
+}
+
+// recordSend starts the time in which the hedge must be answered.
+func (h *hedge) recordSend(t *target) {
+	h.sent.Store(&hedgeSend{t, time.Now()})
+	h.overlap.Reset(maxOverlap)
+}
+
+// checkOverlap drops the hedge if its upstream may work on the request without a sign of it.
+// One from which other answers come has not begun.
+func (h *hedge) checkOverlap() {
+	sent := h.sent.Load()
+	if sent == nil {
+		return
+	}
+	if left := maxOverlap - time.Since(later(sent.at, time.Unix(0, sent.heardAt.Load()))); left > 0 {
+		h.overlap.Reset(left)
+		return
+	}
+	h.drop()
+}
+
 // hedge makes another attempt while the upstream of w is silent. It returns whether that
 // attempt is answered. If the silent upstream goes on before, the other attempt is cancelled.
 func (x *exchange) hedge(w *silenceWatch) bool {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
+	h := &hedge{cancel: cancel}
+	if x.route.Kind == fleet.Stream {
+		h.overlap = time.AfterFunc(time.Hour, h.checkOverlap)
+		defer h.overlap.Stop()
+		outer := x.onSend
+		x.onSend = h.recordSend
+		defer func() { x.onSend = outer }()
+	}
 	w.expect(x.remaining())
-	var settled atomic.Bool // whether it is decided which of the two attempts is kept
 	heard := make(chan struct{})
 	go func() {
 		defer close(heard)
-		if w.conn.awaitBlock() && settled.CompareAndSwap(false, true) {
-			cancel()
+		if w.conn.awaitBlock() {
+			h.drop()
 		}
 	}()
+	x.hedging = true
 	answered := x.attemptElsewhere(ctx)
-	kept := settled.CompareAndSwap(false, true)
+	x.hedging = false
+	kept := h.settled.CompareAndSwap(false, true)
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
 	if answered && kept {
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -194,3 +195,44 @@
 		assert.Assert(t, !silent().status(now.Add(silentTime), svc, 1).silent)
 	})
 }
+
+// TestHedgeOverlap guards against two upstreams that work on one stream although nothing is heard
+// from the second one.
+func TestHedgeOverlap(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		sent    time.Duration // ago
+		heard   time.Duration // ago
+		dropped bool
+	}{
+		{"not heard from", maxOverlap, time.Hour, true},
+		{"sent a moment ago", 0, time.Hour, false},
+		{"heard from", time.Hour, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			h := &hedge{cancel: cancel, overlap: time.NewTimer(time.Hour)}
+			now := time.Now()
+			tg := &target{}
+			tg.heardAt.Store(now.Add(-tc.heard).UnixNano())
+			h.sent.Store(&hedgeSend{tg, now.Add(-tc.sent)})
+			h.checkOverlap()
+			assert.Equal(t, ctx.Err() != nil, tc.dropped)
+		})
+	}
+}
+
+// TestQuietUpstream guards against a stream that leaves its silent upstream for one that is silent
+// for the same reason.
+func TestQuietUpstream(t *testing.T) {
+	now := time.Unix(1000, 0)
+	svc := &fleet.Service{}
+	tg := &target{}
+	assert.Equal(t, tg.status(now, svc, 1).quiet, time.Duration(0))
+	tg.requestStarted(now)
+	assert.Equal(t, tg.status(now.Add(time.Second), svc, 1).quiet, time.Second)
+	tg.heardAt.Store(now.Add(time.Second).UnixNano())
+	assert.Equal(t, tg.status(now.Add(time.Second), svc, 1).quiet, time.Duration(0))
+	tg.requestEnded()
+	assert.Equal(t, tg.status(now.Add(time.Minute), svc, 1).quiet, time.Duration(0))
+}
--- a/entry/target.go
+++ b/entry/target.go
@@ -37,7 +37,8 @@
 	coldLimiter    limit.RateLimiter
 	coldUntil      time.Time
 	inFlight       int
-	openConns      int // open connections, including idle ones
+	busySince      time.Time // when inFlight became positive
+	openConns      int       // open connections, including idle ones
 	idleConns      []*upstreamConn
 }
 
@@ -256,9 +257,12 @@
 }
 
 // requestStarted counts a request as in flight. requestEnded must follow.
-func (t *target) requestStarted() {
+func (t *target) requestStarted(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.inFlight == 0 {
+		t.busySince = now
+	}
 	t.inFlight++
 }
 
@@ -304,8 +308,9 @@
 	inFlight    int
 	penalty     float64 // extra load for recent failures and slow responses, in requests
 	ejected     bool
-	silent      bool // whether nothing has come from it for a while
-	coldLimited bool // whether it is cold and this router's share of its rate limit is used up
+	silent      bool          // whether nothing has come from it for a while
+	quiet       time.Duration // since anything came from it while it had requests
+	coldLimited bool          // whether it is cold and this router's share of its rate limit is used up
 }
 
 // status returns the target's current status. routers is the number of routers among
@@ -313,7 +318,12 @@
 func (t *target) status(now time.Time, svc *fleet.Service, routers int) targetStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	quiet := time.Duration(0)
+	if t.inFlight > 0 {
+		quiet = now.Sub(later(t.busySince, time.Unix(0, t.heardAt.Load())))
+	}
 	return targetStatus{
+		quiet:       quiet,
 		inFlight:    t.inFlight,
 		penalty:     t.outlier.Penalty(now),
 		ejected:     t.outlier.Ejected(now),
