entry: keep overdue stage calls open while others make the pieces

A request whose stage calls met a silence of its upstreams failed although its deadline was far off: each timeout closed the call and counted as a failed attempt, and after maxPieceAttempts the request got 503 "stage failed". An upstream goes on with the call that it works on, so the results that it made after the silence were lost, kept room until they expired, and the same pieces were made again.

A call is now overdue after its timeout: its pieces are queued again, as before, but the call stays open until its pieces are useless. The first answer counts, results that arrive later are freed, and calls that still wait at an upstream which answers again are closed if nobody needs their pieces. A job fails only when no call is left that may make its pieces. A late answer also ends the back-off of the upstream.

Before, with a silence of 2 s and a deadline of 15 s (the only upstream, and both of two):

--- FAIL: TestSilentStageUpstreams/1_of_1 (22.79s) shards_test.go:78: assertion failed: 503 (resp.StatusCode int) != 200 (status int): body "stage failed\n" silence_test.go:77: condition not met within 20s: 0 results are kept --- FAIL: TestSilentStageUpstreams/2_of_2 (22.70s) shards_test.go:78: assertion failed: 503 (resp.StatusCode int) != 200 (status int): body "stage failed\n" silence_test.go:77: condition not met within 20s: 0 results are kept --- FAIL: TestSilentStageUpstreams/3_of_3 (22.43s) silence_test.go:77: condition not met within 20s: 0 results are kept

One of three silent passed before too, and so does TestLostStageAnswer, which guards against waiting for a lost answer. With a silence of 1.5 s no request failed before, only the results were kept.

go test -race -run 'TestSilentStage|TestLostStage' ./entry go test -race -run TestLateAnswer ./core/batch

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -220,8 +220,11 @@
 	return ps, expired, 0
 }
 
+// Slots returns the number of calls that an upstream works on at a time.
+func (q *Queue[T]) Slots() int { return max(q.calls.Slots, 1) }
+
 // isBusy reports whether all slots of an upstream are taken by calls of this queue.
-func (q *Queue[T]) isBusy(u *upstream) bool { return u.inFlight >= max(q.calls.Slots, 1) }
+func (q *Queue[T]) isBusy(u *upstream) bool { return u.inFlight >= q.Slots() }
 
 // allLate reports whether all pieces yield to others.
 func allLate[T any](ps []*Piece[T]) bool {
@@ -376,6 +379,25 @@
 	NoRoom   bool                         // some pieces were not made because the upstream can't keep more results
 }
 
+// DoneLate records the answer to a call whose timeout Done has recorded. The upstream was
+// silent for a time and takes calls again; how fast it is now, only its next call shows.
+func (q *Queue[T]) DoneLate(now time.Time, id wire.UpstreamID, results map[fleet.Handle]fleet.Bytes) {
+	u := q.upstreams[id]
+	if u == nil {
+		return
+	}
+	q.store(now, u, results)
+	u.backoff, u.backoffUntil = 0, time.Time{}
+}
+
+// store records the results that an upstream keeps from now on.
+func (q *Queue[T]) store(now time.Time, u *upstream, results map[fleet.Handle]fleet.Bytes) {
+	for h, size := range results {
+		u.results[h] = storedResult{size, now.Add(q.calls.ResultTTL)}
+		u.used += size
+	}
+}
+
 // Done records the end of a call at an upstream.
 func (q *Queue[T]) Done(now time.Time, id wire.UpstreamID, outcome CallOutcome) {
 	u := q.upstreams[id]
@@ -389,10 +411,7 @@
 	}
 	u.inFlight--
 	u.reserved -= outcome.Reserved
-	for h, size := range outcome.Results {
-		u.results[h] = storedResult{size, now.Add(q.calls.ResultTTL)}
-		u.used += size
-	}
+	q.store(now, u, outcome.Results)
 	if outcome.NoRoom {
 		u.noRoomLimit = u.used
 		u.noRoomUntil = now.Add(noRoomInterval)
@@ -515,8 +534,8 @@
 	return time.Duration(float64(q.calls.ExpectedTime(n)) * max(u.slowdown, 1))
 }
 
-// CallTimeout returns the time after which a call with n pieces to an upstream is given
-// up.
+// CallTimeout returns the time after which a call with n pieces to an upstream is overdue:
+// its pieces are then queued again.
 func (q *Queue[T]) CallTimeout(id wire.UpstreamID, n int) time.Duration {
 	u := q.upstreams[id]
 	if u == nil {
@@ -526,8 +545,7 @@
 }
 
 // callTimeoutMargin is added to the expected time of a call and of one full call of
-// another router ahead of it. After that, the answer is lost or the upstream hangs, and
-// the pieces are made elsewhere.
+// another router ahead of it. After that, the answer may be lost.
 const callTimeoutMargin = 100 * time.Millisecond
 
 // slowThreshold returns the slowdown above which an upstream gets only the pieces that
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -378,3 +378,30 @@
 		})
 	}
 }
+
+// TestLateAnswer guards against an upstream that stays in back-off and slow after it was
+// silent for a while, and against results of late answers that count against no room.
+func TestLateAnswer(t *testing.T) {
+	q := newQueue("a")
+	q.Push(start, pieces(8, piece("p", time.Minute, time.Minute))...)
+	assertNext(t, q, start, "u0", 8)
+	now := start.Add(calls.ExpectedTime(8))
+	q.Done(now, "u0", CallOutcome{Reserved: 24_000_000})
+	for range 4 { // the calls of a silence of seconds
+		q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+		assertNext(t, q, now, "u0", 8)
+		now = now.Add(q.CallTimeout("u0", 8))
+		q.Done(now, "u0", CallOutcome{Reserved: 24_000_000, Failed: true, Timeout: true})
+		now = now.Add(q.upstreams["u0"].backoff)
+	}
+	q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+	q.upstreams["u0"].backoffUntil = now.Add(backoffMax)
+	assertNext(t, q, now, "u0", 0)
+	q.DoneLate(now, "u0", map[fleet.Handle]fleet.Bytes{"h": 3_000_000})
+	assert.Equal(t, q.View().Upstreams["u0"].Used, fleet.Bytes(3_000_000))
+	assertNext(t, q, now, "u0", 8)
+	now = now.Add(calls.ExpectedTime(8))
+	q.Done(now, "u0", CallOutcome{Reserved: 24_000_000})
+	assert.Equal(t, q.View().Upstreams["u0"].Slowdown, 1.0)
+	q.DoneLate(now, "gone", nil)
+}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// maxPieceAttempts bounds the failed attempts to make a piece.
+	// maxPieceAttempts bounds the calls for a piece that fail or are overdue.
 	maxPieceAttempts = 4
 	// freeBatchDelay is the time for which results to free are collected, so that one
 	// call to an upstream frees many.
@@ -115,6 +115,7 @@
 	q         *batch.Queue[*pieceWork]
 	jobs      map[*job]struct{} // orders in progress
 	upstreams map[wire.UpstreamID]fleet.Upstream
+	calls     map[wire.UpstreamID][]*stageCall // calls that may still be answered, in the order of their start
 	// pendingFrees holds the results that the next flushFrees releases, by upstream.
 	pendingFrees map[wire.UpstreamID][]fleet.Handle
 	freeTimer    *time.Timer // runs flushFrees
@@ -135,10 +136,15 @@
 // pieceWork is one piece of a job in the queue.
 type pieceWork struct {
 	*job
-	piece    int // index of the piece in the job
-	attempts int // failed attempts to make the piece
+	piece    int  // index of the piece in the job
+	attempts int  // calls for the piece that failed or are overdue
+	calls    int  // calls for the piece that may still be answered
+	queued   bool // whether the piece waits in the queue
 }
 
+// needed reports whether the piece is still to be made. The caller holds the queue's mu.
+func (w *pieceWork) needed() bool { return w.reason == "" && w.handles[w.piece] == "" }
+
 // update applies the services and upstreams of a new snapshot.
 func (qs *stageQueues) update(v *View) {
 	if v.Config == nil {
@@ -175,7 +181,7 @@
 	if sq == nil {
 		sq = &stageQueue{
 			qs: qs, id: id, q: batch.New[*pieceWork](*calls), jobs: map[*job]struct{}{},
-			upstreams: map[wire.UpstreamID]fleet.Upstream{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
+			upstreams: map[wire.UpstreamID]fleet.Upstream{}, calls: map[wire.UpstreamID][]*stageCall{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
 		sq.freeTimer = time.AfterFunc(time.Hour, sq.flushFrees)
@@ -259,7 +265,7 @@
 	ps := make([]batch.Piece[*pieceWork], o.Pieces)
 	for i := range ps {
 		ps[i] = batch.Piece[*pieceWork]{
-			Value: &pieceWork{job: j, piece: i}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
+			Value: &pieceWork{job: j, piece: i, queued: true}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
 			Aim: aim, Deadline: j.deadline, Late: o.Late,
 		}
 	}
@@ -442,7 +448,9 @@
 			}
 			ps, late, wait := sq.q.Next(now, id)
 			for _, p := range late {
-				sq.failJobLocked(p.Value.job, reasonLate)
+				if p.Value.queued = false; p.Value.calls == 0 {
+					sq.failJobLocked(p.Value.job, reasonLate)
+				}
 			}
 			if len(ps) == 0 {
 				if wait > 0 && (nextPoll < 0 || wait < nextPoll) {
@@ -451,8 +459,15 @@
 				break
 			}
 			sq.qs.s.limits.Take(now, id, limit.Whole)
-			u, timeout := sq.upstreams[id], sq.q.CallTimeout(id, len(ps))
-			sq.qs.s.background.Go(func() { sq.call(u, ps, timeout) })
+			c := &stageCall{upstream: sq.upstreams[id], pieces: ps, timeout: max(sq.q.CallTimeout(id, len(ps)), minStageTimeout)}
+			sq.calls[id] = append(sq.calls[id], c)
+			for _, p := range ps {
+				p.Value.queued = false
+				p.Value.calls++
+			}
+			ctx, cancel := context.WithDeadline(context.Background(), c.deadline(now))
+			c.cancel = cancel
+			sq.qs.s.background.Go(func() { sq.call(ctx, c) })
 		}
 	}
 	if sq.q.Len() > 0 && nextPoll >= 0 {
