core/batch: don't take an upstream for slow whose first calls time out

An upstream that was silent before it had answered any call counted as slow afterwards. The slowdown before the timeouts was 0 then, which the second timeout took for unset and replaced by the inflated value, and the first good answer restored that. Beside a faster upstream it got only the pieces that the others could not take.

An upstream without an answered call counts as fast as expected, which is how callTime treats it.

go test -race -run TestFirstCallsTimeOut ./core/batch

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -88,7 +88,7 @@
 	noRoomUntil time.Time
 	slowdown    float64 // moving average of actual over expected call time; 0 before the first call
 	// slowdownBeforeTimeout is the slowdown before the calls that timed out since the
-	// last success; 0 if there are none.
+	// last success, 1 if no call had been answered; 0 if there are none.
 	slowdownBeforeTimeout float64
 	backoff               time.Duration
 	backoffUntil          time.Time
@@ -426,7 +426,7 @@
 	if outcome.Timeout {
 		// The upstream may have become slower, so its next call gets more time.
 		if u.slowdownBeforeTimeout == 0 {
-			u.slowdownBeforeTimeout = u.slowdown
+			u.slowdownBeforeTimeout = cmp.Or(u.slowdown, 1)
 		}
 		u.slowdown = max(u.slowdown, sample)
 	}
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -405,3 +405,21 @@
 	assert.Equal(t, q.View().Upstreams["u0"].Slowdown, 1.0)
 	q.DoneLate(now, "gone", nil)
 }
+
+// TestFirstCallsTimeOut guards against an upstream that counts as slow after a silence because
+// it had answered no call before.
+func TestFirstCallsTimeOut(t *testing.T) {
+	q := newQueue("a", "a")
+	now := start
+	for range 3 {
+		q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+		assertNext(t, q, now, "u0", 8)
+		now = now.Add(q.CallTimeout("u0", 8))
+		q.Done(now, "u0", CallOutcome{Reserved: 24_000_000, Failed: true, Timeout: true})
+		now = now.Add(q.upstreams["u0"].backoff)
+	}
+	q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+	assertNext(t, q, now, "u0", 8)
+	q.Done(now.Add(calls.ExpectedTime(8)), "u0", CallOutcome{Reserved: 24_000_000})
+	assert.Equal(t, q.View().Upstreams["u0"].Slowdown, 1.0)
+}
