core/batch, core/admit, entry: serve streams taken up again first

Under overload, callers that took up a stream again went on less often than new requests began: most got 503 "stages: would be late". Their stage pieces aimed at the deadline, so the queues put them behind new requests, whose aims are sooner, and the forecast counted all of those ahead of them. Many of them at once, with much time left, took the services from new requests.

Pieces of streams taken up again now go before all others, in up to ResumedShare of the places of the calls, and admission and the queues forecast them behind each other only, at that share of the rate. The other half of the places stays with new requests. Loads in heartbeats carry the number of these pieces.

Simulated before, a burst of twice the capacity:

--- FAIL: TestResumed/few_with_little_time_left (0.29s) load_test.go:306: 0 of 25 went on, of 973 new requests 535 on time, 0 late, 438 refused, 0 dropped load_test.go:307: assertion failed: sim.wentOn * arrived is less than sim.onTime * sim.resumed: streams go on less often than new requests are on time --- FAIL: TestResumed/as_many_as_the_services_can_take (0.35s) load_test.go:306: 381 of 475 went on, of 973 new requests 156 on time, 0 late, 817 refused, 0 dropped

After: 18 of 25 beside 510 of 973, and 264 of 475 beside 248 of 973.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"hornbeamcove.example/core/batch"
 	"hornbeamcove.example/core/fleet"
 )
 
@@ -47,6 +48,7 @@
 	Waiting  int     // pieces in its queue
 	Unqueued int     // pieces of admitted requests that aren't in its queue yet
 	Late     int     // pieces, in its queue or not, that yield to the others; not in Waiting and Unqueued
+	Resumed  int     // pieces in Waiting and Unqueued that streams need which callers take up again
 	Rate     float64 // pieces per second that its upstreams make in full calls; 0 if unknown
 }
 
@@ -55,6 +57,12 @@
 	return Backlog{Waiting: b.Waiting + b.Late, Unqueued: b.Unqueued, Rate: lateRateFraction * b.Rate}
 }
 
+// BehindResumed returns the backlog as a stream sees it that its caller takes up again: its
+// pieces go before those of new requests within batch.ResumedShare.
+func (b Backlog) BehindResumed() Backlog {
+	return Backlog{Waiting: b.Resumed, Rate: batch.ResumedShare * b.Rate}
+}
+
 // WaitAfter returns the expected queueing time of a piece that arrives when the given
 // time has passed, 0 if the rate is unknown.
 func (b Backlog) WaitAfter(after time.Duration) time.Duration {
@@ -173,8 +181,9 @@
 
 // DecideResumed reports whether a stream that its caller takes up is admitted. Its first event
 // has been delivered, so the target latency says nothing about it any more: it runs if it can
-// go on before its caller leaves, and yields to nobody, since work was done for it before. f
-// is its forecast, timeLeft the time until its deadline, and forecastError as in Decide.
+// go on before its caller leaves, and goes before new requests, since its caller holds a part
+// of the answer already. f is the forecast with the backlogs that BehindResumed returns,
+// timeLeft the time until its deadline, and forecastError as in Decide.
 func DecideResumed(f Forecast, timeLeft, forecastError time.Duration) bool {
 	return DecideLate(f, timeLeft, forecastError)
 }
--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -22,6 +22,7 @@
 	coming     []bool
 	failed     bool
 	yields     bool // whether it is admitted although it will be late
+	deadline   time.Time
 }
 
 // admission says which requests a simulation admits.
@@ -40,11 +41,13 @@
 	cfg       *fleet.Config
 	now       time.Time
 	queues    map[fleet.ServiceID]*batch.Queue[*request]
-	unqueued  map[fleet.ServiceID]Backlog // Unqueued and Late only
+	unqueued  map[fleet.ServiceID]Backlog // without Waiting and Rate
 	running   []runningCall
 	admission admission
 
 	onTime, late, refused, dropped int
+	// Streams that callers take up again count only here.
+	resumed, wentOn int
 }
 
 // runningCall is a call in progress.
@@ -79,7 +82,7 @@
 func (sim *simulation) backlog(id fleet.ServiceID) Backlog {
 	b, q := sim.unqueued[id], sim.queues[id]
 	late := q.CountLate()
-	return Backlog{Waiting: q.Len() - late, Unqueued: b.Unqueued, Late: b.Late + late, Rate: q.Rate(sim.now)}
+	return Backlog{Waiting: q.Len() - late, Unqueued: b.Unqueued, Late: b.Late + late, Resumed: b.Resumed + q.CountResumed(), Rate: q.Rate(sim.now)}
 }
 
 // addUnqueued adds n pieces of a request that are not in the queue of their service yet.
@@ -90,11 +93,14 @@
 	} else {
 		b.Unqueued += n
 	}
+	if req.spec.Resumed {
+		b.Resumed += n
+	}
 	sim.unqueued[id] = b
 }
 
 func (sim *simulation) arrive(r *fleet.Route, pieces ...int) {
-	req := &request{route: r, spec: fleet.RequestSpec{PieceCounts: pieces}, arrived: sim.now, coming: make([]bool, len(pieces))}
+	req := &request{route: r, spec: fleet.RequestSpec{PieceCounts: pieces}, arrived: sim.now, coming: make([]bool, len(pieces)), deadline: sim.now.Add(5 * time.Second)}
 	if sim.admission != admitAll {
 		f := Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), sim.backlog)
 		if !Decide(sim.cfg, r, f, 5*time.Second, 0, fixedFirstEventTime).OK {
@@ -106,7 +112,23 @@
 			}
 		}
 	}
-	for i, s := range r.Stages {
+	sim.admit(req)
+}
+
+// resume is the arrival of a stream that its caller takes up again.
+func (sim *simulation) resume(r *fleet.Route, timeLeft time.Duration, pieces ...int) {
+	req := &request{route: r, spec: fleet.RequestSpec{PieceCounts: pieces, Resumed: true}, arrived: sim.now, coming: make([]bool, len(pieces)), deadline: sim.now.Add(timeLeft)}
+	sim.resumed++
+	f := Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), sim.backlog)
+	first := Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), func(id fleet.ServiceID) Backlog { return sim.backlog(id).BehindResumed() })
+	if Decide(sim.cfg, r, f, timeLeft, 0, fixedFirstEventTime).OK || DecideResumed(first, timeLeft, 0) {
+		sim.admit(req)
+	}
+}
+
+// admit counts the pieces of an admitted request and queues those of its first stage.
+func (sim *simulation) admit(req *request) {
+	for i, s := range req.route.Stages {
 		sim.addUnqueued(req, s.Service, req.spec.PieceCount(i))
 	}
 	sim.push(req)
@@ -118,8 +140,12 @@
 	n := req.spec.PieceCount(req.stage)
 	sim.addUnqueued(req, s.Service, -n)
 	req.unfinished = n
+	aim := req.arrived.Add(req.route.TargetLatency - 250*ms)
+	if req.spec.Resumed {
+		aim = req.deadline.Add(-250 * ms)
+	}
 	for range n {
-		sim.queues[s.Service].Push(sim.now, batch.Piece[*request]{Value: req, Centre: "a", Aim: req.arrived.Add(req.route.TargetLatency - 250*ms), Deadline: req.arrived.Add(5 * time.Second), Late: req.yields})
+		sim.queues[s.Service].Push(sim.now, batch.Piece[*request]{Value: req, Centre: "a", Aim: aim, Deadline: req.deadline, Late: req.yields, Resumed: req.spec.Resumed})
 	}
 }
 
@@ -159,8 +185,11 @@
 
 // drop counts a request that lost a piece because it couldn't be made before its deadline.
 func (sim *simulation) drop(req *request) {
-	if !req.failed {
-		req.failed = true
+	if req.failed {
+		return
+	}
+	req.failed = true
+	if !req.spec.Resumed {
 		sim.dropped++
 	}
 }
@@ -175,6 +204,12 @@
 		sim.push(req)
 		return
 	}
+	if req.spec.Resumed {
+		if !sim.now.Add(250 * ms).After(req.deadline) {
+			sim.wentOn++
+		}
+		return
+	}
 	if sim.now.Add(250 * ms).After(req.arrived.Add(req.route.TargetLatency)) {
 		sim.late++
 		return
@@ -241,3 +276,39 @@
 		})
 	}
 }
+
+// TestResumed guards against streams taken up again that go on less often in a burst than new
+// requests begin, and against so many of them that new requests do not begin.
+func TestResumed(t *testing.T) {
+	for _, tc := range []struct {
+		name              string
+		rate, resumedRate float64
+		timeLeft          time.Duration
+		onTime            int // minimum percentage of the capacity that new requests get
+	}{
+		{"few with little time left", 138, 4, 1200 * ms, 0},
+		{"few with half of the time left", 138, 4, 2500 * ms, 0},
+		{"few with much time left", 138, 4, 10 * time.Second, 0},
+		{"as many as the services can take", 138, 69, 2500 * ms, 45}, // a tenth of their half is lost while the queues fill up
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			cfg := deployment(t)
+			sim := newSimulation(cfg, admitOnTime)
+			rng := rand.New(rand.NewPCG(1, 2))
+			arrived := 0
+			for i := range 19000 {
+				if i < 7000 && rng.Float64() < tc.rate/1000 {
+					arrived++
+					sim.arrive(&cfg.Routes[1], 1, 8, 16)
+				}
+				if i < 7000 && rng.Float64() < tc.resumedRate/1000 {
+					sim.resume(&cfg.Routes[1], tc.timeLeft, 1, 8, 16)
+				}
+				sim.step(ms)
+			}
+			t.Logf("%d of %d went on, of %d new requests %d on time, %d late, %d refused, %d dropped", sim.wentOn, sim.resumed, arrived, sim.onTime, sim.late, sim.refused, sim.dropped)
+			assert.Assert(t, sim.wentOn*arrived >= sim.onTime*sim.resumed, "streams go on less often than new requests are on time")
+			assert.Assert(t, sim.onTime*100 >= 69*7*tc.onTime, "new requests don't get their share of the services")
+		})
+	}
+}
--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -41,6 +42,10 @@
 	// its answers still makes most results.
 	backoffMin = 50 * time.Millisecond
 	backoffMax = 3 * time.Second
+	// ResumedShare is the share of the places in calls up to which pieces of streams that
+	// callers take up again go before all others. It leaves the other half to new requests,
+	// however many streams are taken up.
+	ResumedShare = 0.5
 	// maxPollInterval limits the time until Next should be called again.
 	maxPollInterval = 50 * time.Millisecond
 )
@@ -55,11 +60,16 @@
 	Aim      time.Time         // target time: the latest at which the result still earns full credit
 	Deadline time.Time         // time after which the result is useless
 	Late     bool              // whether the piece yields to all that can be made before their aim
+	Resumed  bool              // whether the piece is for a stream that its caller takes up again
 
 	queuedAt time.Time
 	seq      uint64
+	first    bool // whether the piece goes before all others in the next call
 }
 
+// hasPriority reports whether the piece may go before all others, within ResumedShare.
+func (p *Piece[T]) hasPriority() bool { return p.Resumed && !p.Late }
+
 // Queue holds the pieces that wait for one service and the state of its upstreams.
 // It is not safe for concurrent use.
 type Queue[T any] struct {
@@ -70,6 +80,9 @@
 	departed map[wire.UpstreamID]*upstream
 	lastSeq  uint64
 	late     int // waiting pieces that yield to the others
+	resumed  int // waiting pieces that have priority
+	// resumedDebt is the number of places that pieces with priority took beyond ResumedShare.
+	resumedDebt float64
 }
 
 // upstream is what the queue knows about one upstream.
@@ -148,6 +161,9 @@
 		if p.Late {
 			q.late++
 		}
+		if p.hasPriority() {
+			q.resumed++
+		}
 	}
 	return true
 }
@@ -157,6 +173,9 @@
 	if p.Late {
 		q.late--
 	}
+	if p.hasPriority() {
+		q.resumed--
+	}
 }
 
 // Remove removes the waiting pieces that match and returns their number.
@@ -178,6 +197,10 @@
 // CountLate returns the number of waiting pieces that yield to the others.
 func (q *Queue[T]) CountLate() int { return q.late }
 
+// CountResumed returns the number of waiting pieces of streams that callers take up again,
+// without those that yield to the others.
+func (q *Queue[T]) CountResumed() int { return q.resumed }
+
 // Next removes and returns the pieces of the next call to an upstream, most urgent
 // first. If there are none, wait is the time after which to call Next again unless
 // pieces are pushed before. expired holds the pieces that can't be made before their
@@ -203,7 +226,11 @@
 		return nil, expired, maxPollInterval
 	}
 	taken := make(map[*Piece[T]]bool, len(selected))
+	q.resumedDebt = max(q.resumedDebt-ResumedShare*float64(q.calls.MaxBatch), 0)
 	for _, p := range selected {
+		if p.first {
+			q.resumedDebt++
+		}
 		taken[p] = true
 		u.reserved += p.Size
 		ps = append(ps, *p)
@@ -333,22 +360,42 @@
 	return n
 }
 
-// sortWaiting orders the waiting pieces for u: first those that it can make before their
-// aim and that don't yield, by aim, then the others, by rank, aim and age.
+// markFirst marks the pieces that go before all others in the next call: as many of those
+// with priority as ResumedShare allows, by aim.
+func (q *Queue[T]) markFirst() {
+	var ps []*Piece[T]
+	for _, p := range q.waiting {
+		if p.first = false; p.hasPriority() {
+			ps = append(ps, p)
+		}
+	}
+	slices.SortFunc(ps, func(a, b *Piece[T]) int { return cmp.Or(a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq)) })
+	for _, p := range ps[:min(len(ps), max(q.calls.MaxBatch-int(math.Ceil(q.resumedDebt)), 0))] {
+		p.first = true
+	}
+}
+
+// sortWaiting orders the waiting pieces for u: first those that markFirst marks, then those
+// that it can make before their aim and that don't yield, by aim, then the others, by rank,
+// aim and age.
 func (q *Queue[T]) sortWaiting(now time.Time, u *upstream) {
+	q.markFirst()
 	end := now.Add(q.callTime(u, min(len(q.waiting), q.calls.MaxBatch)))
-	missesAim := func(p *Piece[T]) int {
+	class := func(p *Piece[T]) int {
+		if p.first {
+			return 0
+		}
 		if p.Late || end.After(p.Aim) {
-			return 1
+			return 2
 		}
-		return 0
+		return 1
 	}
 	slices.SortFunc(q.waiting, func(a, b *Piece[T]) int {
-		aMisses, bMisses := missesAim(a), missesAim(b)
-		if aMisses != bMisses {
-			return aMisses - bMisses
+		aClass, bClass := class(a), class(b)
+		if aClass != bClass {
+			return aClass - bClass
 		}
-		if aMisses == 1 {
+		if aClass == 2 {
 			return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
 		}
 		return cmp.Or(a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
@@ -479,6 +526,27 @@
 // made, not counting those that yield to them. If all upstreams are backing off or slow,
 // d is 0; ok is false only if the queue has no upstreams.
 func (q *Queue[T]) Estimate(now time.Time, n int, aim time.Time) (d time.Duration, ok bool) {
+	ahead := 0
+	for _, p := range q.waiting {
+		if !p.Late && p.Aim.After(now) && (p.Resumed || !p.Aim.After(aim)) {
+			ahead++
+		}
+	}
+	return q.estimate(now, float64(ahead+n))
+}
+
+// EstimateResumed is Estimate for pieces of a stream that its caller takes up again.
+func (q *Queue[T]) EstimateResumed(now time.Time, n int, aim time.Time) (d time.Duration, ok bool) {
+	d, ok = q.Estimate(now, n, aim)
+	if first, _ := q.estimate(now, float64(q.resumed+n)/ResumedShare); first < d {
+		d = first
+	}
+	return d, ok
+}
+
+// estimate returns the expected time until the given number of pieces would be made, with
+// results as for Estimate.
+func (q *Queue[T]) estimate(now time.Time, pieces float64) (d time.Duration, ok bool) {
 	available := 0
 	earliest := time.Duration(-1)
 	slowdown := 0.0
@@ -496,15 +564,9 @@
 	if available == 0 {
 		return 0, len(q.upstreams) > 0
 	}
-	ahead := 0
-	for _, p := range q.waiting {
-		if !p.Late && !p.Aim.After(aim) && p.Aim.After(now) {
-			ahead++
-		}
-	}
 	slowdown /= float64(available)
 	fullCall := time.Duration(float64(q.calls.ExpectedTime(q.calls.MaxBatch)) * slowdown)
-	rounds := float64(ahead+n) / float64(max(q.calls.MaxBatch, 1)*available)
+	rounds := pieces / float64(max(q.calls.MaxBatch, 1)*available)
 	return earliest + time.Duration(rounds*float64(fullCall)) + q.calls.CallOverhead, true
 }
 
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -423,3 +423,65 @@
 	q.Done(now.Add(calls.ExpectedTime(8)), "u0", CallOutcome{Reserved: 24_000_000})
 	assert.Equal(t, q.View().Upstreams["u0"].Slowdown, 1.0)
 }
+
+// TestResumedFirst guards against streams taken up again that wait behind new requests, and
+// against new requests that get no places in calls because of them.
+func TestResumedFirst(t *testing.T) {
+	resumed := piece("resumed", 5*time.Second, 10*time.Second)
+	resumed.Resumed = true
+	fresh := piece("new", time.Second, 10*time.Second)
+	count := func(ps []Piece[string]) (n int) {
+		for _, p := range ps {
+			if p.Resumed {
+				n++
+			}
+		}
+		return n
+	}
+	t.Run("first", func(t *testing.T) {
+		q := newQueue("a")
+		q.Push(start, pieces(20, fresh)...)
+		q.Push(start, pieces(2, resumed)...)
+		assert.Equal(t, q.CountResumed(), 2)
+		assert.DeepEqual(t, values(assertNext(t, q, start, "u0", 8))[:3], []string{"resumed0", "resumed1", "new0"})
+		assert.Equal(t, q.CountResumed(), 0)
+	})
+	t.Run("estimated first", func(t *testing.T) {
+		q := newQueue("a")
+		before, _ := q.EstimateResumed(start, 1, resumed.Aim)
+		q.Push(start, pieces(80, fresh)...)
+		after, _ := q.EstimateResumed(start, 1, resumed.Aim)
+		assert.Assert(t, after <= before+time.Duration(float64(calls.ExpectedTime(8))/ResumedShare), "%v, %v before", after, before)
+		behind, _ := q.Estimate(start, 1, fresh.Aim)
+		assert.Assert(t, behind > after)
+	})
+	t.Run("yielding", func(t *testing.T) {
+		q := newQueue("a")
+		late := resumed
+		late.Late = true
+		q.Push(start, late, fresh)
+		assert.Equal(t, q.CountResumed(), 0)
+		assert.Equal(t, assertNext(t, q, start, "u0", 2)[0].Value, "new")
+	})
+	for _, batch := range []int{1, 2, 3, 8} {
+		t.Run(fmt.Sprint("share of calls of ", batch), func(t *testing.T) {
+			c := calls
+			c.MaxBatch = batch
+			q := New[string](c)
+			q.SetUpstreams(upstreams("a"))
+			fresh, resumed := fresh, resumed
+			fresh.Size, resumed.Size = 0, 0
+			q.Push(start, pieces(200, fresh)...)
+			q.Push(start, pieces(200, resumed)...)
+			first, taken := 0, 0
+			for taken < 120 {
+				ps := assertNext(t, q, start, "u0", batch)
+				first += count(ps)
+				taken += batch
+				q.Done(start, "u0", CallOutcome{})
+			}
+			assert.Assert(t, first*10 >= taken*3, "%d of %d", first, taken)
+			assert.Assert(t, float64(first) <= ResumedShare*float64(taken)+float64(batch), "%d of %d", first, taken)
+		})
+	}
+}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -15,12 +15,12 @@
 // reached the service's queue. It is safe for concurrent use.
 type unqueuedPieces struct {
 	mu        sync.Mutex
-	byService map[fleet.ServiceID]Load // Coming and Late only
+	byService map[fleet.ServiceID]Load // Coming, Late and Resumed only
 }
 
 // add adds n pieces, or removes them if n is negative. late says whether they yield to
-// others.
-func (c *unqueuedPieces) add(id fleet.ServiceID, n int, late bool) {
+// others, resumed whether they are for a stream that its caller takes up again.
+func (c *unqueuedPieces) add(id fleet.ServiceID, n int, late, resumed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.byService[id]
@@ -28,6 +28,9 @@
 		l.Late += n
 	} else {
 		l.Coming += n
+		if resumed {
+			l.Resumed += n
+		}
 	}
 	if c.byService[id] = l; l == (Load{}) {
 		delete(c.byService, id)
@@ -53,6 +56,7 @@
 			l = sq.load(time.Time{})
 		}
 		l.Coming = loads[id.Service].Coming
+		l.Resumed += loads[id.Service].Resumed
 		if l.Late += loads[id.Service].Late; l != (Load{}) {
 			loads[id.Service] = l
 		}
@@ -80,8 +84,10 @@
 	forecast := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id] })
 	forecastError := x.s.forecastErrors.Expected(x.route.ID)
 	decision := admit.Decide(cfg, x.route, forecast, x.remaining(), forecastError, x.s.expectedFirstEvent)
-	if x.spec.Resumed {
-		decision.OK = decision.OK || admit.DecideResumed(forecast, x.remaining(), forecastError)
+	if x.spec.Resumed && !decision.OK {
+		first := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id].BehindResumed() })
+		// forecastError comes from new requests, behind whose backlog the stream does not wait.
+		decision.OK = admit.DecideResumed(first, x.remaining(), 0) || admit.DecideResumed(forecast, x.remaining(), forecastError)
 	}
 	if !decision.OK && x.admitLate(forecastError, backlogs) {
 		x.late = true
@@ -96,7 +102,7 @@
 	x.unqueuedByStage = make([]int, len(x.route.Stages))
 	for i, st := range x.route.Stages {
 		x.unqueuedByStage[i] = x.spec.PieceCount(i)
-		x.s.unqueued.add(st.Service, x.unqueuedByStage[i], x.late)
+		x.s.unqueued.add(st.Service, x.unqueuedByStage[i], x.late, x.spec.Resumed)
 	}
 	return nil
 }
@@ -129,7 +135,7 @@
 	n := x.unqueuedByStage[stage]
 	x.unqueuedByStage[stage] = 0
 	x.unqueuedMu.Unlock()
-	x.s.unqueued.add(x.route.Stages[stage].Service, -n, x.late)
+	x.s.unqueued.add(x.route.Stages[stage].Service, -n, x.late, x.spec.Resumed)
 }
 
 // releaseUnqueued stops counting the pieces of all stages as unqueued.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -62,6 +62,7 @@
 	Coming  int     // pieces of the router's requests that have not reached a queue; only by service
 	Waiting int     // pieces in the queue, if the router owns it, without those that yield
 	Late    int     // pieces that yield to others, in the queue or coming
+	Resumed int     // pieces of streams that callers take up again, in the queue or coming
 	Rate    float64 // throughput of the queue in pieces per second, if the router owns it
 }
 
@@ -417,10 +418,11 @@
 		total.Coming += l.Coming
 		total.Waiting += l.Waiting
 		total.Late += l.Late
+		total.Resumed += l.Resumed
 		total.Rate = max(total.Rate, l.Rate)
 		for id, l := range m.Shards {
 			sum := loads[id]
-			loads[id] = Load{Waiting: sum.Waiting + l.Waiting, Late: sum.Late + l.Late, Rate: max(sum.Rate, l.Rate)}
+			loads[id] = Load{Waiting: sum.Waiting + l.Waiting, Late: sum.Late + l.Late, Resumed: sum.Resumed + l.Resumed, Rate: max(sum.Rate, l.Rate)}
 		}
 	}
 	p.mu.Unlock()
@@ -429,6 +431,7 @@
 	b.Unqueued = total.Coming
 	if !slices.ContainsFunc(shards, func(sh shard.Shard) bool { return sh.ID == undivided }) {
 		b.Late += total.Late // not yet in a queue
+		b.Resumed += total.Resumed
 	}
 	return b
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -49,6 +49,7 @@
 	Aim     time.Duration     // time until the results miss the latency target
 	Left    time.Duration     // time until the results are useless
 	Late    bool              // whether the pieces yield to all that can be made before their aim
+	Resumed bool              // whether the pieces are for a stream that its caller takes up again
 }
 
 // Made answers an Order with a handle for each piece, or with the reason of a failure.
@@ -259,14 +260,18 @@
 	if len(sq.upstreams) == 0 {
 		return Made{Reason: reasonNoUpstream}, false
 	}
-	if d, _ := sq.q.Estimate(now, o.Pieces, aim); d > o.Left && !o.Late {
+	estimate := sq.q.Estimate
+	if o.Resumed {
+		estimate = sq.q.EstimateResumed
+	}
+	if d, _ := estimate(now, o.Pieces, aim); d > o.Left && !o.Late {
 		return Made{Reason: reasonBusy, Retry: d - o.Left}, false
 	}
 	ps := make([]batch.Piece[*pieceWork], o.Pieces)
 	for i := range ps {
 		ps[i] = batch.Piece[*pieceWork]{
 			Value: &pieceWork{job: j, piece: i, queued: true}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
-			Aim: aim, Deadline: j.deadline, Late: o.Late,
+			Aim: aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed,
 		}
 	}
 	if !sq.q.Push(now, ps...) {
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -140,6 +140,7 @@
 	defer sq.mu.Unlock()
 	l.Late = sq.q.CountLate()
 	l.Waiting = sq.q.Len() - l.Late
+	l.Resumed = sq.q.CountResumed()
 	if !now.IsZero() {
 		l.Rate = sq.q.Rate(now)
 	}
@@ -160,6 +161,7 @@
 		l, ok := loads[sh.ID]
 		b.Waiting += l.Waiting
 		b.Late += l.Late
+		b.Resumed += l.Resumed
 		if ok && l.Rate > 0 {
 			b.Rate += l.Rate
 			known++
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -77,7 +77,7 @@
 		})
 	}
 	start := time.Now()
-	if err = p.Wait(); err == nil && !x.late {
+	if err = p.Wait(); err == nil && !x.late && !x.spec.Resumed {
 		s.forecastErrors.Record(x.route.ID, time.Since(start)-x.stageForecast)
 	}
 	return rs, err
@@ -93,7 +93,7 @@
 	timeAfter := rs.s.timeAfterStage(x, i)
 	o := Order{
 		Request: x.spec.ID, Service: st.Service, Stage: i, Pieces: n, Size: st.ResultSize, Moved: fleet.TransferBytes(rs.route.Stages, &x.spec, i), Centre: centre, Rank: x.rank,
-		Aim: x.remainingToTarget() - timeAfter, Left: x.remaining() - timeAfter, Late: x.late,
+		Aim: x.remainingToTarget() - timeAfter, Left: x.remaining() - timeAfter, Late: x.late, Resumed: x.spec.Resumed,
 	}
 	if x.late {
 		o.Left = x.patience() - timeAfter
