--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -378,3 +378,110 @@
 		})
 	}
 }
+
+// TestLateAnswer guards against an upstream that stays in back-off and slow after it was
+// silent for a while, and against results of late answers that count against no room.
+func TestLateAnswer(t *testing.T) {
+	q := newQueue("a")
+	q.Push(start, pieces(8, piece("p", time.Minute, time.Minute))...)
+	assertNext(t, q, start, "u0", 8)
+	now := start.Add(calls.ExpectedTime(8))
+	q.Done(now, "u0", CallOutcome{Reserved: 24_000_000})
+	for range 4 { // the calls of a silence of seconds
+		q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+		assertNext(t, q, now, "u0", 8)
+		now = now.Add(q.CallTimeout("u0", 8))
+		q.Done(now, "u0", CallOutcome{Reserved: 24_000_000, Failed: true, Timeout: true})
+		now = now.Add(q.upstreams["u0"].backoff)
+	}
+	q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+	q.upstreams["u0"].backoffUntil = now.Add(backoffMax)
+	assertNext(t, q, now, "u0", 0)
+	q.DoneLate(now, "u0", map[fleet.Handle]fleet.Bytes{"h": 3_000_000})
+	assert.Equal(t, q.View().Upstreams["u0"].Used, fleet.Bytes(3_000_000))
+	assertNext(t, q, now, "u0", 8)
+	now = now.Add(calls.ExpectedTime(8))
+	q.Done(now, "u0", CallOutcome{Reserved: 24_000_000})
+	assert.Equal(t, q.View().Upstreams["u0"].Slowdown, 1.0)
+	q.DoneLate(now, "gone", nil)
+}
+
+// TestFirstCallsTimeOut guards against an upstream that counts as slow after a silence because
+// it had answered no call before.
+func TestFirstCallsTimeOut(t *testing.T) {
+	q := newQueue("a", "a")
+	now := start
+	for range 3 {
+		q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+		assertNext(t, q, now, "u0", 8)
+		now = now.Add(q.CallTimeout("u0", 8))
+		q.Done(now, "u0", CallOutcome{Reserved: 24_000_000, Failed: true, Timeout: true})
+		now = now.Add(q.upstreams["u0"].backoff)
+	}
+	q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...)
+	assertNext(t, q, now, "u0", 8)
+	q.Done(now.Add(calls.ExpectedTime(8)), "u0", CallOutcome{Reserved: 24_000_000})
+	assert.Equal(t, q.View().Upstreams["u0"].Slowdown, 1.0)
+}
+
+// TestResumedFirst guards against streams taken up again that wait behind new requests, and
+// against new requests that get no places in calls because of them.
+func TestResumedFirst(t *testing.T) {
+	resumed := piece("resumed", 5*time.Second, 10*time.Second)
+	resumed.Resumed = true
+	fresh := piece("new", time.Second, 10*time.Second)
+	count := func(ps []Piece[string]) (n int) {
+		for _, p := range ps {
+			if p.Resumed {
+				n++
+			}
+		}
+		return n
+	}
+	t.Run("first", func(t *testing.T) {
+		q := newQueue("a")
+		q.Push(start, pieces(20, fresh)...)
+		q.Push(start, pieces(2, resumed)...)
+		assert.Equal(t, q.CountResumed(), 2)
+		assert.DeepEqual(t, values(assertNext(t, q, start, "u0", 8))[:3], []string{"resumed0", "resumed1", "new0"})
+		assert.Equal(t, q.CountResumed(), 0)
+	})
+	t.Run("estimated first", func(t *testing.T) {
+		q := newQueue("a")
+		before, _ := q.EstimateResumed(start, 1, resumed.Aim)
+		q.Push(start, pieces(80, fresh)...)
+		after, _ := q.EstimateResumed(start, 1, resumed.Aim)
+		assert.Assert(t, after <= before+time.Duration(float64(calls.ExpectedTime(8))/ResumedShare), "%v, %v before", after, before)
+		behind, _ := q.Estimate(start, 1, fresh.Aim)
+		assert.Assert(t, behind > after)
+	})
+	t.Run("yielding", func(t *testing.T) {
+		q := newQueue("a")
+		late := resumed
+		late.Late = true
+		q.Push(start, late, fresh)
+		assert.Equal(t, q.CountResumed(), 0)
+		assert.Equal(t, assertNext(t, q, start, "u0", 2)[0].Value, "new")
+	})
+	for _, batch := range []int{1, 2, 3, 8} {
+		t.Run(fmt.Sprint("share of calls of ", batch), func(t *testing.T) {
+			c := calls
+			c.MaxBatch = batch
+			q := New[string](c)
+			q.SetUpstreams(upstreams("a"))
+			fresh, resumed := fresh, resumed
+			fresh.Size, resumed.Size = 0, 0
+			q.Push(start, pieces(200, fresh)...)
+			q.Push(start, pieces(200, resumed)...)
+			first, taken := 0, 0
+			for taken < 120 {
+				ps := assertNext(t, q, start, "u0", batch)
+				first += count(ps)
+				taken += batch
+				q.Done(start, "u0", CallOutcome{})
+			}
+			assert.Assert(t, first*10 >= taken*3, "%d of %d", first, taken)
+			assert.Assert(t, float64(first) <= ResumedShare*float64(taken)+float64(batch), "%d of %d", first, taken)
+		})
+	}
+}
