entry: leave a silent upstream 300 ms after a stream was sent elsewhere

The platform allows 400 ms of work at two upstreams.

A stream now goes on where it was sent; the silent upstream is kept for 300 ms for the case that the other one rejects the request or can't be reached. Until the request is sent, the silent upstream still wins. Plain requests have both upstreams until one answers.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -67,7 +67,7 @@
 	// answered. The answer is then in place of that of the silent attempt.
 	attemptElsewhere func(ctx context.Context) bool
 	dropReplacement  func()            // releases the answer of attemptElsewhere
-	onSend           func(*target)     // called when an attempt is sent; may be nil
+	onSend           func()            // called when an attempt is sent; may be nil
 	hedging          bool              // whether upstreams that may be silent are left out
 	replacement      *bufferedResponse // answer of attemptElsewhere, unless it is a stream
 }
--- a/entry/send.go
+++ b/entry/send.go
@@ -54,7 +54,7 @@
 	}
 	t.requestStarted(time.Now())
 	if x.onSend != nil {
-		x.onSend(t)
+		x.onSend()
 	}
 	x.hedging = false
 	x.survived, x.progressed, x.trial = false, false, false
@@ -77,7 +77,7 @@
 		}
 		// If a reused connection ended, the request may be sent to the upstream once more.
 		// A connection dropped while idle is no failure of the upstream unless it crashed.
-		mayBeStale := c.reused && ctx.Err() == nil && !isTimeout(err)
+		mayBeStale := c.reused && ctx.Err() == nil && !isTimeout(err) && !errors.Is(err, errLeft)
 		droppedIdle := mayBeStale && time.Since(began) < staleConnWindow
 		x.recordSendFailure(t, err, droppedIdle || ctx.Err() != nil)
 		if droppedIdle {
@@ -128,6 +128,10 @@
 	if notUpstreamFault {
 		return
 	}
+	if errors.Is(err, errLeft) {
+		t.recordReplaced(time.Now(), time.Now().Add(-silent))
+		return
+	}
 	timeout := isTimeout(err)
 	if timeout && x.remaining() <= deadlineMargin {
 		// The request's own deadline passed, which says little about the upstream
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -24,17 +24,21 @@
 	// silentTime is how long an upstream that was found silent gets requests only if there is
 	// no other, unless it is heard from before.
 	silentTime = 2 * time.Second
-	// maxOverlap is how long two upstreams may have the request of one stream without a sign
-	// that the second one works on others. The platform allows 400 ms from the time at which
-	// the second one begins.
+	// maxOverlap is how long two upstreams may have the request of one stream. The platform
+	// allows 400 ms from the time at which the second one begins, which may be at once.
 	maxOverlap = 300 * time.Millisecond
 	// maxQuiet is the silence on all requests of an upstream from which on it is not asked in
 	// place of a silent one: it may be silent for the same reason.
 	maxQuiet = 500 * time.Millisecond
 )
 
-// errReplaced ends the wait for a silent upstream after another one has begun to answer.
-var errReplaced = errors.New("another upstream answers in place of the silent one")
+var (
+	// errReplaced ends the wait for a silent upstream after another one has begun to answer.
+	errReplaced = errors.New("another upstream answers in place of the silent one")
+	// errLeft ends the wait for a silent upstream that was left for another one, which then
+	// gave no answer.
+	errLeft = errors.New("the upstream was silent, and the one asked in its place gave no answer")
+)
 
 // silenceWatch is the wait of one attempt for its upstream. A sound upstream may be silent for
 // a while, so the attempt is given up only once another upstream has begun to answer.
@@ -67,8 +71,8 @@
 // interrupt ends reads and writes that are in progress.
 func (w *silenceWatch) interrupt() { _ = w.conn.SetDeadline(time.Unix(1, 0)) }
 
-// expired handles a wait that has passed without a byte. It returns errReplaced if another
-// upstream has begun to answer, nil to go on waiting, or the timeout of the request.
+// expired handles a wait that has passed without a byte. It returns nil to go on waiting,
+// errReplaced or errLeft, or the timeout of the request.
 func (w *silenceWatch) expired(timeout error) error {
 	x := w.x
 	if w.ctx.Err() != nil || x.remaining() <= 0 {
@@ -78,12 +82,17 @@
 	saved := x.attemptState
 	reason := x.hedgeBlocked(w.target)
 	w.log(reason)
-	if reason == "" && x.hedge(w) {
-		x.s.incCounter("hedges", "outcome", "replaced")
-		return errReplaced
-	}
 	if reason == "" {
-		x.s.incCounter("hedges", "outcome", "dropped")
+		switch err := x.hedge(w); err {
+		case nil:
+			x.s.incCounter("hedges", "outcome", "dropped")
+		case errReplaced:
+			x.s.incCounter("hedges", "outcome", "replaced")
+			return err
+		default:
+			x.s.incCounter("hedges", "outcome", "failed")
+			return err
+		}
 	}
 	x.attemptState = saved
 	w.expect(silenceCheckInterval)
@@ -141,56 +150,48 @@
 
 // hedge is an attempt that is made while the upstream of another one is silent.
 type hedge struct {
-	settled atomic.Bool // whether it is decided which of the two attempts is kept
+	silent  *upstreamConn
+	settled atomic.Bool // whether the hedge can no longer be dropped
+	left    atomic.Bool // whether the connection to the silent upstream was closed
 	cancel  context.CancelFunc
-	overlap *time.Timer // runs checkOverlap
-	sent    atomic.Pointer[hedgeSend]
+	overlap *time.Timer // runs leave
 }
 
-// hedgeSend is where and when the request of a hedge was sent.
-type hedgeSend struct {
-	*target
-	at time.Time
-}
-
-// drop cancels the hedge, unless its answer has taken the place of the silent one.
+// drop cancels the hedge because the silent upstream goes on.
 func (h *hedge) drop() {
 	if h.settled.CompareAndSwap(false, true) {
 		h.cancel()
 	}
 }
 
-// recordSend starts the time in which the hedge must be answered.
-func (h *hedge) recordSend(t *target) {
-	h.sent.Store(&hedgeSend{t, time.Now()})
-	h.overlap.Reset(maxOverlap)
+// recordSend records that a stream is sent to another upstream, which may begin it at once.
+// From now on it goes on there unless it is rejected.
+func (h *hedge) recordSend() {
+	if h.settled.CompareAndSwap(false, true) {
+		h.overlap.Reset(maxOverlap)
+	}
 }
 
-// checkOverlap drops the hedge if its upstream may work on the request without a sign of it.
-// One from which other answers come has not begun.
-func (h *hedge) checkOverlap() {
-	sent := h.sent.Load()
-	if sent == nil {
-		return
-	}
-	if left := maxOverlap - time.Since(later(sent.at, time.Unix(0, sent.heardAt.Load()))); left > 0 {
-		h.overlap.Reset(left)
-		return
-	}
-	h.drop()
+// leave closes the connection to the silent upstream, since two must not work on one stream.
+func (h *hedge) leave() {
+	h.left.Store(true)
+	_ = h.silent.Close()
 }
 
-// hedge makes another attempt while the upstream of w is silent. It returns whether that
-// attempt is answered. If the silent upstream goes on before, the other attempt is cancelled.
-func (x *exchange) hedge(w *silenceWatch) bool {
+// hedge makes another attempt while the upstream of w is silent. It returns errReplaced if
+// that attempt is answered, errLeft if it is not and the silent upstream was left meanwhile,
+// and nil if the silent upstream is still waited for. If it goes on before the other attempt
+// is sent, or before it is answered if it is no stream, the other attempt is cancelled.
+func (x *exchange) hedge(w *silenceWatch) error {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
-	h := &hedge{cancel: cancel}
+	h := &hedge{silent: w.conn, cancel: cancel}
+	outer := x.onSend
+	defer func() { x.onSend = outer }()
+	x.onSend = nil
 	if x.route.Kind == fleet.Stream {
-		h.overlap = time.AfterFunc(time.Hour, h.checkOverlap)
+		h.overlap = time.AfterFunc(time.Hour, h.leave)
 		defer h.overlap.Stop()
-		outer := x.onSend
 		x.onSend = h.recordSend
-		defer func() { x.onSend = outer }()
 	}
 	w.expect(x.remaining())
 	heard := make(chan struct{})
@@ -203,17 +204,20 @@
 	x.hedging = true
 	answered := x.attemptElsewhere(ctx)
 	x.hedging = false
-	kept := h.settled.CompareAndSwap(false, true)
+	kept := h.settled.CompareAndSwap(false, true) || x.route.Kind == fleet.Stream
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
-	if answered && kept {
-		return true
+	switch {
+	case answered && kept:
+		return errReplaced
+	case answered:
+		x.dropReplacement()
 	}
 	cancel()
-	if answered {
-		x.dropReplacement()
+	if h.left.Load() {
+		return errLeft
 	}
-	return false
+	return nil
 }
 
 // maxPeekedBytes limits the bytes that awaitBlock looks at. More of them count as a block.
