core/batch: don't take a silence for slowness in rates and estimates

After a silence of all upstreams of a stage, requests were refused as "stages: would be late", although the upstreams worked as fast as before: each call that times out raises the slowdown, so that the next call gets more time, and the rate counted that as well until another call had been answered. Late answers end the back-off since, during which the rate was unknown and nothing was refused.

Rates and estimates now use the slowdown of the calls that were answered in time. An upstream that has really become slow answers within its timeout after a few calls, and counts as slow from then on.

go test -race -run TestRateAfterSilence ./core/batch

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -556,7 +556,7 @@
 			continue
 		}
 		available++
-		slowdown += max(u.slowdown, 1)
+		slowdown += max(u.answeredSlowdown(), 1)
 		if left := u.remaining(now, &q.calls); earliest < 0 || left < earliest {
 			earliest = left
 		}
@@ -577,11 +577,15 @@
 		if now.Before(u.backoffUntil) {
 			continue
 		}
-		rate += float64(q.calls.MaxBatch) / q.callTime(u, q.calls.MaxBatch).Seconds()
+		rate += float64(q.calls.MaxBatch) / (q.calls.ExpectedTime(q.calls.MaxBatch).Seconds() * max(u.answeredSlowdown(), 1))
 	}
 	return rate
 }
 
+// answeredSlowdown returns the slowdown of the calls that were answered in time. Calls that time
+// out make the next timeout longer, but a silence does not show that the upstream is slow.
+func (u *upstream) answeredSlowdown() float64 { return cmp.Or(u.slowdownBeforeTimeout, u.slowdown) }
+
 // remaining returns the expected time until the last call to u ends, 0 if u is idle.
 func (u *upstream) remaining(now time.Time, c *fleet.StageCalls) time.Duration {
 	if u.inFlight == 0 {
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -485,3 +485,27 @@
 		})
 	}
 }
+
+// TestRateAfterSilence guards against requests that are refused because upstreams count as slow
+// after a silence until they have answered another call.
+func TestRateAfterSilence(t *testing.T) {
+	q := newQueue("a")
+	push := func(now time.Time) { q.Push(now, pieces(8, piece("p", time.Minute, time.Minute))...) }
+	push(start)
+	assertNext(t, q, start, "u0", 8)
+	now := start.Add(calls.ExpectedTime(8))
+	q.Done(now, "u0", CallOutcome{Reserved: 24_000_000})
+	rate := q.Rate(now)
+	estimate, _ := q.Estimate(now, 8, now.Add(time.Minute))
+	for range 3 {
+		push(now)
+		assertNext(t, q, now, "u0", 8)
+		now = now.Add(q.CallTimeout("u0", 8))
+		q.Done(now, "u0", CallOutcome{Reserved: 24_000_000, Failed: true, Timeout: true})
+		now = now.Add(q.upstreams["u0"].backoff)
+	}
+	q.DoneLate(now, "u0", nil)
+	assert.Equal(t, q.Rate(now), rate)
+	after, _ := q.Estimate(now, 8, now.Add(time.Minute))
+	assert.Equal(t, after, estimate)
+}
