entry: take an empty stream of another upstream as its end

A stream whose upstream falls silent after its last event stayed open until its deadline and was then broken off: the other upstream answered that nothing follows, which counted as a failed send and as a failure of that upstream.

Before: TestSilentStreamThatIsComplete: "unexpected EOF" at the deadline. go test -race -run TestSilentStreamThatIsComplete ./entry

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -194,3 +194,21 @@
 		assert.Assert(t, !silent().status(now.Add(silentTime), svc, 1).silent)
 	})
 }
+
+// TestSilentStreamThatIsComplete guards against a stream that waits for its silent upstream although
+// another one has said that it is complete.
+func TestSilentStreamThatIsComplete(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine", site.PauseWithin).Pause = time.Minute
+	n := r.startRouter(1)
+	c := post(streamHost, "/resume/1", "prompt")
+	c.header = http.Header{site.HeaderDeadline: {"8000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 2))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 2}))
+	<-done
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -123,7 +123,7 @@
 }
 
 // attemptElsewhere makes one attempt while another one is silent, and reports whether its first
-// event has begun to arrive.
+// event has begun to arrive or the stream has ended.
 func (st *streamExchange) attemptElsewhere(ctx context.Context) bool {
 	if st.ensureStageResults(ctx) != nil {
 		return false
@@ -145,7 +145,7 @@
 		return false
 	}
 	a := newAnswer(t, rp, began)
-	if _, err := a.events.r.Peek(1); err != nil {
+	if _, err := a.events.r.Peek(1); err != nil && !errors.Is(err, io.EOF) { // without events it is complete
 		return st.end(ctx, a, err)
 	}
 	st.replacement = a
