entry: count each further silence of an upstream that hangs

An upstream that hangs was recorded as failing once for the last bytes heard from it, and never if nothing had been heard from it. It was therefore never ejected: every 2 s it got requests again, which waited for it in vain. Requests that are sent after a silence was recorded now record another one.

Before: TestLastingSilenceCounts: "expression is false: ... ejected" for both. go test -race -run 'TestLastingSilenceCounts|TestSilenceCounts' ./entry

--- a/entry/silence.go
+++ b/entry/silence.go
@@ -230,16 +230,16 @@
 
 // recordReplaced records that a request of the upstream, last heard of at the given time, was
 // answered by another one. A silence of the whole upstream is one failure, however many
-// requests waited for it; one of a single request is a failure of its own.
+// requests waited for it, and another one for requests that are sent after that. One of a
+// single request is a failure of its own.
 func (t *target) recordReplaced(now, requestHeardAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	heardAt := t.heardAt.Load()
-	if heardAt <= requestHeardAt.UnixNano() {
-		if t.silenceCounted == heardAt {
+	if t.heardAt.Load() <= requestHeardAt.UnixNano() {
+		if !requestHeardAt.After(t.silenceCountedAt) {
 			return
 		}
-		t.silenceCounted = heardAt
+		t.silenceCountedAt = now
 	}
 	t.outlier.RecordFailure(now)
 }
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -212,3 +212,27 @@
 	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 2}))
 	<-done
 }
+
+// TestLastingSilenceCounts guards against an upstream that hangs and is never ejected.
+func TestLastingSilenceCounts(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		heardAt time.Time
+	}{{"never heard from", time.Time{}}, {"heard from once", time.Unix(990, 0)}} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tg := &target{}
+			if !tc.heardAt.IsZero() {
+				tg.heardAt.Store(tc.heardAt.UnixNano())
+			}
+			for range 2 {
+				sentAt := now
+				now = now.Add(minGapWait)
+				tg.markSilent(now)
+				tg.recordReplaced(now, sentAt)
+				now = now.Add(time.Millisecond)
+			}
+			assert.Assert(t, tg.status(now, &fleet.Service{}, 1).ejected)
+		})
+	}
+}
--- a/entry/target.go
+++ b/entry/target.go
@@ -30,15 +30,15 @@
 
 	heardAt atomic.Int64 // when bytes of any answer arrived last, in Unix nanoseconds
 
-	mu             sync.Mutex
-	silentAt       time.Time // when the upstream was last found silent
-	silenceCounted int64     // value of heardAt in the last silence that was recorded as a failure
-	outlier        route.OutlierDetector
-	coldLimiter    limit.RateLimiter
-	coldUntil      time.Time
-	inFlight       int
-	openConns      int // open connections, including idle ones
-	idleConns      []*upstreamConn
+	mu               sync.Mutex
+	silentAt         time.Time // when the upstream was last found silent
+	silenceCountedAt time.Time // when a silence of the whole upstream was last recorded as a failure
+	outlier          route.OutlierDetector
+	coldLimiter      limit.RateLimiter
+	coldUntil        time.Time
+	inFlight         int
+	openConns        int // open connections, including idle ones
+	idleConns        []*upstreamConn
 }
 
 // recordLimit records the limit that an answer of an upstream named, if any. began is when
