entry: notice that the rest of a silent answer has arrived

While another upstream is asked, only an empty line shows that the silent one goes on. The rest of a plain answer has none, so it stayed unread if the other upstream was silent as well, and callers got 504.

Before: TestSilenceInBody: "504 (resp.StatusCode int) != 200". go test -race -run 'TestSilenceInBody|TestAwaitBlock' ./entry

--- a/entry/silence.go
+++ b/entry/silence.go
@@ -160,8 +160,8 @@
 // maxPeekedBytes limits the bytes that awaitBlock looks at. More of them count as a block.
 const maxPeekedBytes = 16 << 10
 
-// awaitBlock waits until an empty line has arrived, as after a head or an event, without
-// reading anything, and reports whether one has. An upstream in trouble may send single bytes
+// awaitBlock waits until an empty line has arrived, as after a head or an event, or the rest of
+// an answer of known length, without reading anything, and reports whether one has. An upstream in trouble may send single bytes
 // that never make up an event. It returns false at its read deadline, and at the end of the
 // connection if nothing has arrived before.
 func (c *upstreamConn) awaitBlock() bool {
@@ -180,7 +180,7 @@
 		if errors.Is(e, unix.EAGAIN) {
 			return false
 		}
-		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n])
+		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n]) || c.due > 0 && int64(n) >= c.due
 		return found || n <= 0
 	})
 	return err == nil && found
@@ -196,6 +196,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
+			c.due = max(c.due-int64(n), 0)
 			c.heardAt = time.Now()
 			if c.target != nil {
 				c.target.heardAt.Store(c.heardAt.UnixNano())
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -236,3 +236,21 @@
 		})
 	}
 }
+
+// TestSilenceInBody guards against an answer that is not read, although it has arrived as a whole,
+// while another upstream that was asked is silent too.
+func TestSilenceInBody(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("d-1", "desk", site.PauseWithin).Pause = 2500 * time.Millisecond
+	n := r.startRouter(1)
+	c := get(deskHost, "/safe/1")
+	c.header = http.Header{site.HeaderDeadline: {"4000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	}()
+	r.waitFor("the request has begun", func() bool { return len(r.site.Runs()) == 1 })
+	r.addReplica("d-2", "desk", site.NoAnswer)
+	<-done
+}
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -104,7 +104,9 @@
 	default:
 		return nil, out
 	}
+	rp.conn.due = max(rp.resp.ContentLength-int64(rp.conn.r.Buffered()), 0)
 	body, err := readResponseBody(rp.resp)
+	rp.conn.due = 0
 	if errors.Is(err, errReplaced) {
 		rp.release(false)
 		x.recordReplaced(t, rp.conn)
