entry: ask an upstream again whose attempt was cancelled

When a silent upstream went on, the attempt at the other one was cancelled, and that upstream counted as tried. If the first one failed later, the request found no upstream and its stream was broken off. The silent one stayed in the list as well, so it was not asked again after a rejection for lost stage results.

Before: TestCancelledHedgeUpstreamIsAskedAgain: "unexpected EOF", in the log "stream broken off" with 12 s and one attempt left. go test -race -run TestCancelledHedgeUpstreamIsAskedAgain ./entry

--- a/entry/silence.go
+++ b/entry/silence.go
@@ -68,21 +68,38 @@
 		return timeout
 	}
 	w.target.markSilent(time.Now())
-	saved := x.attemptState
-	reason := x.hedgeBlocked(w.target)
+	saved, tried := x.attemptState, slices.Clone(x.tried)
+	x.tried = append(x.tried, w.target.ID)
+	reason := x.hedgeBlocked()
 	w.log(reason)
-	if reason == "" && x.hedge(w) {
-		x.s.incCounter("hedges", "outcome", "replaced")
-		return errReplaced
-	}
+	outcome := hedgeFailed
 	if reason == "" {
-		x.s.incCounter("hedges", "outcome", "dropped")
+		outcome = x.hedge(w)
+		x.s.incCounter("hedges", "outcome", string(outcome))
+	}
+	switch outcome {
+	case hedgeReplaced:
+		return errReplaced
+	case hedgeDropped:
+		x.tried = tried // nothing is known against the other upstream
+	case hedgeFailed:
+		i := slices.Index(x.tried, w.target.ID)
+		x.tried = slices.Delete(x.tried, i, i+1)
 	}
 	x.attemptState = saved
 	w.expect(silenceCheckInterval)
 	return nil
 }
 
+// hedgeOutcome is how an attempt ended that was made while another one was silent.
+type hedgeOutcome string
+
+const (
+	hedgeReplaced hedgeOutcome = "replaced" // its answer takes the place of that of the silent upstream
+	hedgeDropped  hedgeOutcome = "dropped"  // it was cancelled because the silent upstream goes on
+	hedgeFailed   hedgeOutcome = "failed"   // it had no answer
+)
+
 // log logs and counts what is done about a silence, once for each reason.
 func (w *silenceWatch) log(reason string) {
 	if reason == "" {
@@ -111,10 +128,7 @@
 
 // hedgeBlocked returns why the request must wait for its silent upstream, or "" if it may be
 // sent to another one, for which a retry was taken from the budget.
-func (x *exchange) hedgeBlocked(silent *target) string {
-	if !slices.Contains(x.tried, silent.ID) {
-		x.tried = append(x.tried, silent.ID)
-	}
+func (x *exchange) hedgeBlocked() string {
 	expected := max(x.s.expectedFirstEvent(x.route), minAttemptTime)
 	other, _ := x.choose(time.Now())
 	reason := budget.Hedge{
@@ -130,9 +144,9 @@
 	return ""
 }
 
-// hedge makes another attempt while the upstream of w is silent. It returns whether that
-// attempt is answered. If the silent upstream goes on before, the other attempt is cancelled.
-func (x *exchange) hedge(w *silenceWatch) bool {
+// hedge makes another attempt while the upstream of w is silent. If the silent upstream goes on
+// before that attempt is answered, the attempt is cancelled.
+func (x *exchange) hedge(w *silenceWatch) hedgeOutcome {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
 	w.expect(x.remaining())
 	var settled atomic.Bool // whether it is decided which of the two attempts is kept
@@ -148,13 +162,16 @@
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
 	if answered && kept {
-		return true
+		return hedgeReplaced
 	}
 	cancel()
 	if answered {
 		x.dropReplacement()
 	}
-	return false
+	if kept {
+		return hedgeFailed
+	}
+	return hedgeDropped
 }
 
 // maxPeekedBytes limits the bytes that awaitBlock looks at. More of them count as a block.
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -254,3 +256,55 @@
 	r.addReplica("d-2", "desk", site.NoAnswer)
 	<-done
 }
+
+// routesWith returns the rig's routes, each with the given number of attempts.
+func routesWith(attempts int) []site.Route {
+	rs := slices.Clone(routes)
+	for i := range rs {
+		rs[i].Attempts = attempts
+	}
+	return rs
+}
+
+// TestCancelledHedgeUpstreamIsAskedAgain guards against a stream that is broken off because the
+// only other upstream was left after the silent one had gone on.
+func TestCancelledHedgeUpstreamIsAskedAgain(t *testing.T) {
+	r := newRig(t)
+	r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
+	gone := make(chan struct{})
+	p := &site.Replica{ID: "e-1", Service: "engine", Centre: "a", Events: 6, Act: func(q *http.Request) site.Action {
+		if q.URL.Path == "/resume/crash" {
+			return site.Crash
+		}
+		return site.Serve
+	}}
+	p.Downtime = time.Minute
+	p.EventTime = func(*http.Request) time.Duration { return 1500 * time.Millisecond }
+	assert.NilError(t, r.site.Add(p))
+	n := r.startRouter(1)
+	c := post(streamHost, "/resume/1", "prompt")
+	go func() {
+		defer close(gone)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	slow := &site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 6}
+	var asked atomic.Int64
+	slow.EventTime = func(*http.Request) time.Duration {
+		if asked.Add(1) == 1 {
+			return time.Minute
+		}
+		return time.Millisecond
+	}
+	assert.NilError(t, r.site.Add(slow))
+	r.waitFor("the other upstream was left", func() bool {
+		runs := r.site.Runs()
+		return len(runs) == 2 && !runs[1].Ended.IsZero()
+	})
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.Addr()+"/resume/crash", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Request-Id", "crash")
+	_, err = http.DefaultClient.Do(req)
+	assert.Assert(t, err != nil)
+	<-gone
+}
