entry: don't ask an upstream again that has answered with an error

An attempt in place of a silent upstream that ended with 5xx left its upstream among the candidates, so the next attempt ran there again rather than elsewhere.

Before: TestFailedHedgeUpstreamIsNotAskedAgain: "3 (got int) != 2 (want int)". go test -race -run TestFailedHedgeUpstreamIsNotAskedAgain ./entry

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -308,3 +308,31 @@
 	assert.Assert(t, err != nil)
 	<-gone
 }
+
+// TestFailedHedgeUpstreamIsNotAskedAgain guards against a request that is sent again to the upstream
+// that answered it with an error, instead of to a further one.
+func TestFailedHedgeUpstreamIsNotAskedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		c       call
+		service string
+		events  int
+	}{{get(deskHost, "/safe/1"), "desk", 0}, {post(streamHost, "/resume/1", "prompt"), "engine", 6}} {
+		t.Run(tc.service, func(t *testing.T) {
+			r := newRig(t)
+			r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
+			r.addReplica("i-1", tc.service, site.NoAnswer)
+			n := r.startRouter(1)
+			c := tc.c
+			c.header = http.Header{site.HeaderDeadline: {"6000"}}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_, _, _ = n.do(t, c)
+			}()
+			r.waitFor("the request has begun", func() bool { return len(r.site.Runs()) == 1 })
+			assert.NilError(t, r.site.Add(&site.Replica{ID: "i-2", Service: tc.service, Centre: "a", Events: tc.events, Act: func(*http.Request) site.Action { return site.InternalError }}))
+			<-done
+			r.assertRuns(c.id, 2)
+		})
+	}
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -141,7 +141,9 @@
 		return false
 	}
 	if !st.succeeds(rp) {
-		st.dropFailure(ctx, t, rp)
+		if _, ok := st.dropFailure(ctx, t, rp); ok {
+			st.tried = append(st.tried, t.ID)
+		}
 		return false
 	}
 	a := newAnswer(t, rp, began)
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -56,7 +56,11 @@
 			return false
 		}
 		br, out := x.attemptUnary(ctx, t, platform.Outgoing{Inputs: inputs})
-		if out != answered || br.serverError() {
+		if out != answered {
+			return false
+		}
+		if br.serverError() {
+			x.tried = append(x.tried, t.ID)
 			return false
 		}
 		x.replacement = br
