entry: ask no other upstream within a rejection

If the body of a rejection or of a response to another request stalled, another upstream was asked and answered, but its answer was dropped with the error: the request was sent once more, and the connection was never released.

Before: TestSilenceInRejection: "3 (got int) != 1 (want int): runs". go test -race -run TestSilenceInRejection ./entry

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -233,7 +233,7 @@
 			c.limit.left = math.MaxInt64
 		}
 		if err != nil || rp.ID == "" {
-			return nil, &sendError{sent: true, err: errors.New("response does not match any request on the connection")}
+			return nil, &sendError{sent: true, err: errors.Join(errors.New("response does not match any request on the connection"), err)}
 		}
 	}
 	return nil, &sendError{sent: true, err: errors.New("too many responses to other requests on the connection")}
--- a/entry/send.go
+++ b/entry/send.go
@@ -102,6 +102,7 @@
 	}
 	if rp.NotExecuted {
 		x.runs--
+		c.onSilence = nil // another upstream is asked anyway
 		x.recordRejection(t, rp)
 		return nil, rejected
 	}
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -336,3 +337,45 @@
 		})
 	}
 }
+
+// TestSilenceInRejection guards against a request that runs twice, and whose second answer is never
+// read, because its upstream is silent in the middle of a rejection.
+func TestSilenceInRejection(t *testing.T) {
+	r := newRig(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	began := make(chan struct{}, 8)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				rd := bufio.NewReader(c)
+				q, err := http.ReadRequest(rd)
+				if err != nil || q.Header.Get("Request-Id") == "" {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 10\r\n\r\n")
+				began <- struct{}{}
+				_, _ = rd.ReadByte() // until the router closes the connection
+			}()
+		}
+	}()
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "d-1", Service: "desk", Centre: "a", PublicAddr: func(string) string { return ln.Addr().String() }}))
+	n := r.startRouter(1)
+	c := get(deskHost, "/safe/1")
+	c.header = http.Header{site.HeaderDeadline: {"3000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	}()
+	<-began
+	r.addReplica("d-2", "desk")
+	<-done
+	r.assertRuns(c.id, 1)
+}
