--- a/entry/conn.go
+++ b/entry/conn.go
@@ -88,6 +88,7 @@
 	idleSince time.Time // end of its last use
 	heardAt   time.Time // when the request was written or the last bytes of its answer arrived
 	target    *target   // of the upstream; nil in tests and in probes
+	due       int64     // bytes that complete the answer, 0 if unknown
 	// onSilence is called with the timeout when the read deadline has passed. If it returns nil,
 	// it has set a later deadline and the read goes on. It may be nil.
 	onSilence func(timeout error) error
@@ -232,7 +233,7 @@
 			c.limit.left = math.MaxInt64
 		}
 		if err != nil || rp.ID == "" {
-			return nil, &sendError{sent: true, err: errors.New("response does not match any request on the connection")}
+			return nil, &sendError{sent: true, err: errors.Join(errors.New("response does not match any request on the connection"), err)}
 		}
 	}
 	return nil, &sendError{sent: true, err: errors.New("too many responses to other requests on the connection")}
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -79,26 +79,41 @@
 		return timeout
 	}
 	w.target.markSilent(time.Now())
-	saved := x.attemptState
-	reason := x.hedgeBlocked(w.target)
+	saved, tried := x.attemptState, slices.Clone(x.tried)
+	x.tried = append(x.tried, w.target.ID)
+	reason := x.hedgeBlocked()
 	w.log(reason)
+	outcome := hedgeFailed
 	if reason == "" {
-		switch err := x.hedge(w); err {
-		case nil:
-			x.s.incCounter("hedges", "outcome", "dropped")
-		case errReplaced:
-			x.s.incCounter("hedges", "outcome", "replaced")
-			return err
-		default:
-			x.s.incCounter("hedges", "outcome", "failed")
-			return err
-		}
+		outcome = x.hedge(w)
+		x.s.incCounter("hedges", "outcome", string(outcome))
+	}
+	switch outcome {
+	case hedgeReplaced:
+		return errReplaced
+	case hedgeLeft:
+		return errLeft
+	case hedgeDropped:
+		x.tried = tried // nothing is known against the other upstream
+	case hedgeFailed:
+		i := slices.Index(x.tried, w.target.ID)
+		x.tried = slices.Delete(x.tried, i, i+1)
 	}
 	x.attemptState = saved
 	w.expect(silenceCheckInterval)
 	return nil
 }
 
+// hedgeOutcome is how an attempt ended that was made while another one was silent.
+type hedgeOutcome string
+
+const (
+	hedgeReplaced hedgeOutcome = "replaced" // its answer takes the place of that of the silent upstream
+	hedgeDropped  hedgeOutcome = "dropped"  // it was cancelled because the silent upstream goes on
+	hedgeFailed   hedgeOutcome = "failed"   // it had no answer, and the silent upstream is still waited for
+	hedgeLeft     hedgeOutcome = "left"     // it had no answer after the silent upstream had been left
+)
+
 // log logs and counts what is done about a silence, once for each reason.
 func (w *silenceWatch) log(reason string) {
 	if reason == "" {
@@ -127,10 +142,7 @@
 
 // hedgeBlocked returns why the request must wait for its silent upstream, or "" if it may be
 // sent to another one, for which a retry was taken from the budget.
-func (x *exchange) hedgeBlocked(silent *target) string {
-	if !slices.Contains(x.tried, silent.ID) {
-		x.tried = append(x.tried, silent.ID)
-	}
+func (x *exchange) hedgeBlocked() string {
 	expected := max(x.s.expectedFirstEvent(x.route), minAttemptTime)
 	x.hedging = true
 	defer func() { x.hedging = false }()
@@ -151,7 +163,8 @@
 // hedge is an attempt that is made while the upstream of another one is silent.
 type hedge struct {
 	silent  *upstreamConn
-	settled atomic.Bool // whether the hedge can no longer be dropped
+	settled atomic.Bool // whether it can no longer be dropped
+	dropped atomic.Bool // whether it was cancelled because the silent upstream goes on
 	left    atomic.Bool // whether the connection to the silent upstream was closed
 	cancel  context.CancelFunc
 	overlap *time.Timer // runs leave
@@ -160,6 +173,7 @@
 // drop cancels the hedge because the silent upstream goes on.
 func (h *hedge) drop() {
 	if h.settled.CompareAndSwap(false, true) {
+		h.dropped.Store(true)
 		h.cancel()
 	}
 }
@@ -178,11 +192,10 @@
 	_ = h.silent.Close()
 }
 
-// hedge makes another attempt while the upstream of w is silent. It returns errReplaced if
-// that attempt is answered, errLeft if it is not and the silent upstream was left meanwhile,
-// and nil if the silent upstream is still waited for. If it goes on before the other attempt
-// is sent, or before it is answered if it is no stream, the other attempt is cancelled.
-func (x *exchange) hedge(w *silenceWatch) error {
+// hedge makes another attempt while the upstream of w is silent. If that goes on before the
+// other attempt is sent, or before it is answered if it is no stream, the other attempt is
+// cancelled.
+func (x *exchange) hedge(w *silenceWatch) hedgeOutcome {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
 	h := &hedge{silent: w.conn, cancel: cancel}
 	outer := x.onSend
@@ -204,28 +217,31 @@
 	x.hedging = true
 	answered := x.attemptElsewhere(ctx)
 	x.hedging = false
-	kept := h.settled.CompareAndSwap(false, true) || x.route.Kind == fleet.Stream
+	h.settled.Store(true)
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
 	switch {
-	case answered && kept:
-		return errReplaced
+	case answered && !h.dropped.Load():
+		return hedgeReplaced
 	case answered:
 		x.dropReplacement()
 	}
 	cancel()
-	if h.left.Load() {
-		return errLeft
+	switch {
+	case h.left.Load():
+		return hedgeLeft
+	case h.dropped.Load():
+		return hedgeDropped
 	}
-	return nil
+	return hedgeFailed
 }
 
 // maxPeekedBytes limits the bytes that awaitBlock looks at. More of them count as a block.
 const maxPeekedBytes = 16 << 10
 
-// awaitBlock waits until an empty line has arrived, as after a head or an event, without
-// reading anything, and reports whether one has. An upstream in trouble may send single bytes
-// that never make up an event. It returns false at its read deadline, and at the end of the
+// awaitBlock waits until an empty line has arrived, as after a head or an event, or the rest of
+// an answer of known length, without reading anything, and reports whether it has. An upstream
+// in trouble may send single bytes that never make up an event. It returns false at its read deadline, and at the end of the
 // connection if nothing has arrived before.
 func (c *upstreamConn) awaitBlock() bool {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -243,7 +259,7 @@
 		if errors.Is(e, unix.EAGAIN) {
 			return false
 		}
-		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n])
+		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n]) || c.due > 0 && int64(n) >= c.due
 		return found || n <= 0
 	})
 	return err == nil && found
@@ -259,6 +275,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
+			c.due = max(c.due-int64(n), 0)
 			c.heardAt = time.Now()
 			if c.target != nil {
 				c.target.heardAt.Store(c.heardAt.UnixNano())
@@ -293,16 +310,16 @@
 
 // recordReplaced records that a request of the upstream, last heard of at the given time, was
 // answered by another one. A silence of the whole upstream is one failure, however many
-// requests waited for it; one of a single request is a failure of its own.
+// requests waited for it, and another one for requests that are sent after that. One of a
+// single request is a failure of its own.
 func (t *target) recordReplaced(now, requestHeardAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	heardAt := t.heardAt.Load()
-	if heardAt <= requestHeardAt.UnixNano() {
-		if t.silenceCounted == heardAt {
+	if t.heardAt.Load() <= requestHeardAt.UnixNano() {
+		if !requestHeardAt.After(t.silenceCountedAt) {
 			return
 		}
-		t.silenceCounted = heardAt
+		t.silenceCountedAt = now
 	}
 	t.outlier.RecordFailure(now)
 }
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -234,3 +236,182 @@
 	tg.requestEnded()
 	assert.Equal(t, tg.status(now.Add(time.Minute), svc, 1).quiet, time.Duration(0))
 }
+
+// TestSilentStreamThatIsComplete guards against a stream that waits for its silent upstream although
+// another one has said that it is complete.
+func TestSilentStreamThatIsComplete(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine", site.PauseWithin).Pause = time.Minute
+	n := r.startRouter(1)
+	c := post(streamHost, "/resume/1", "prompt")
+	c.header = http.Header{site.HeaderDeadline: {"8000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 2))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 2}))
+	<-done
+}
+
+// TestLastingSilenceCounts guards against an upstream that hangs and is never ejected.
+func TestLastingSilenceCounts(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		heardAt time.Time
+	}{{"never heard from", time.Time{}}, {"heard from once", time.Unix(990, 0)}} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tg := &target{}
+			if !tc.heardAt.IsZero() {
+				tg.heardAt.Store(tc.heardAt.UnixNano())
+			}
+			for range 2 {
+				sentAt := now
+				now = now.Add(minGapWait)
+				tg.markSilent(now)
+				tg.recordReplaced(now, sentAt)
+				now = now.Add(time.Millisecond)
+			}
+			assert.Assert(t, tg.status(now, &fleet.Service{}, 1).ejected)
+		})
+	}
+}
+
+// TestSilenceInBody guards against an answer that is not read, although it has arrived as a whole,
+// while another upstream that was asked is silent too.
+func TestSilenceInBody(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("d-1", "desk", site.PauseWithin).Pause = 2500 * time.Millisecond
+	n := r.startRouter(1)
+	c := get(deskHost, "/safe/1")
+	c.header = http.Header{site.HeaderDeadline: {"4000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	}()
+	r.waitFor("the request has begun", func() bool { return len(r.site.Runs()) == 1 })
+	r.addReplica("d-2", "desk", site.NoAnswer)
+	<-done
+}
+
+// addRawReplica adds a replica whose answer to each request with an ID is what answer writes. The
+// connection ends with answer.
+func (r *rig) addRawReplica(id, service string, answer func(c net.Conn, id string)) {
+	r.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil && q.Header.Get("Request-Id") != "" {
+					answer(c, q.Header.Get("Request-Id"))
+				}
+			}()
+		}
+	}()
+	p := &site.Replica{ID: id, Service: service, Centre: "a", PublicAddr: func(string) string { return ln.Addr().String() }}
+	assert.NilError(r.t, r.site.Add(p))
+}
+
+// routesWith returns the rig's routes, each with the given number of attempts.
+func routesWith(attempts int) []site.Route {
+	rs := slices.Clone(routes)
+	for i := range rs {
+		rs[i].Attempts = attempts
+	}
+	return rs
+}
+
+// TestCancelledHedgeUpstreamIsAskedAgain guards against a request that fails because the only other
+// upstream counts as tried after the silent one had gone on and failed.
+func TestCancelledHedgeUpstreamIsAskedAgain(t *testing.T) {
+	r := newRig(t)
+	r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
+	began, goOn, fail := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	r.addRawReplica("d-1", "desk", func(c net.Conn, id string) {
+		close(began)
+		<-goOn
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: d-1\r\nRequest-Id: "+id+"\r\nContent-Length: 10\r\n\r\n")
+		<-fail
+	})
+	n := r.startRouter(1)
+	c := get(deskHost, "/safe/1")
+	c.header = http.Header{site.HeaderDeadline: {"4000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	}()
+	<-began
+	r.addReplica("d-2", "desk", site.NoAnswer)
+	r.waitFor("the other upstream is asked", func() bool { return len(r.site.Runs()) == 1 })
+	close(goOn)
+	r.waitFor("the other attempt is cancelled", func() bool { return !r.site.Runs()[0].Ended.IsZero() })
+	close(fail)
+	<-done
+	r.assertRuns(c.id, 2)
+}
+
+// TestFailedHedgeUpstreamIsNotAskedAgain guards against a request that is sent again to the upstream
+// that answered it with an error, instead of to a further one.
+func TestFailedHedgeUpstreamIsNotAskedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		c       call
+		service string
+		events  int
+	}{{get(deskHost, "/safe/1"), "desk", 0}, {post(streamHost, "/resume/1", "prompt"), "engine", 6}} {
+		t.Run(tc.service, func(t *testing.T) {
+			r := newRig(t)
+			r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
+			r.addReplica("i-1", tc.service, site.NoAnswer)
+			n := r.startRouter(1)
+			c := tc.c
+			c.header = http.Header{site.HeaderDeadline: {"6000"}}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_, _, _ = n.do(t, c)
+			}()
+			r.waitFor("the request has begun", func() bool { return len(r.site.Runs()) == 1 })
+			assert.NilError(t, r.site.Add(&site.Replica{ID: "i-2", Service: tc.service, Centre: "a", Events: tc.events, Act: func(*http.Request) site.Action { return site.InternalError }}))
+			<-done
+			r.assertRuns(c.id, 2)
+		})
+	}
+}
+
+// TestSilenceInRejection guards against a request that runs twice, and whose second answer is never
+// read, because its upstream is silent in the middle of a rejection.
+func TestSilenceInRejection(t *testing.T) {
+	r := newRig(t)
+	began := make(chan struct{}, 8)
+	stopped := make(chan struct{})
+	defer close(stopped)
+	r.addRawReplica("d-1", "desk", func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "+id+"\r\nContent-Length: 10\r\n\r\n")
+		began <- struct{}{}
+		<-stopped
+	})
+	n := r.startRouter(1)
+	c := get(deskHost, "/safe/1")
+	c.header = http.Header{site.HeaderDeadline: {"3000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	}()
+	<-began
+	r.addReplica("d-2", "desk")
+	<-done
+	r.assertRuns(c.id, 1)
+}
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -56,7 +56,11 @@
 			return false
 		}
 		br, out := x.attemptUnary(ctx, t, platform.Outgoing{Inputs: inputs})
-		if out != answered || br.serverError() {
+		if out != answered {
+			return false
+		}
+		if br.serverError() {
+			x.tried = append(x.tried, t.ID)
 			return false
 		}
 		x.replacement = br
@@ -104,7 +108,9 @@
 	default:
 		return nil, out
 	}
+	rp.conn.due = max(rp.resp.ContentLength-int64(rp.conn.r.Buffered()), 0)
 	body, err := readResponseBody(rp.resp)
+	rp.conn.due = 0
 	if errors.Is(err, errReplaced) {
 		rp.release(false)
 		x.recordReplaced(t, rp.conn)
