entry: keep a large request to a silent upstream

A request with a body over the upstream's receive window was answered with 502 if the upstream read nothing for 1.5 s, also where it may not be repeated: the kernel counts the time with a closed window for TCP_USER_TIMEOUT. Requests with a body over maxInlineBody get a longer one, as on the agents' path. Those that may be repeated don't depend on it, since another upstream is asked.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -25,8 +25,11 @@
 	// away, so one that does not answer by then is down or unreachable.
 	dialTimeout = 300 * time.Millisecond
 	// tcpUserTimeout closes a connection whose peer stopped acknowledging data, for
-	// instance because a middlebox dropped its state.
-	tcpUserTimeout = 1500 * time.Millisecond
+	// instance because a middlebox dropped its state. The kernel counts the time during
+	// which the peer's window is closed, too. A large request closes it while the upstream
+	// is silent, so largeUserTimeout applies to one with a body over maxInlineBody.
+	tcpUserTimeout   = 1500 * time.Millisecond
+	largeUserTimeout = 5 * time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveProbes configure the TCP keep-alive,
 	// which detects a peer that vanishes while it processes a request.
 	keepAliveIdle     = time.Second
@@ -55,12 +58,14 @@
 var dialer = net.Dialer{
 	Timeout:         dialTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
-	Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		e := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout/time.Millisecond))
-		})
-		return errors.Join(e, err)
-	},
+	Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, tcpUserTimeout) },
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) (err error) {
+	e := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
+	})
+	return errors.Join(e, err)
 }
 
 // sendError is an error of sending a request to an upstream or of reading its response.
@@ -93,6 +98,22 @@
 	// it has set a later deadline and the read goes on. It may be nil.
 	onSilence func(timeout error) error
 	reused    bool
+	large     bool // whether largeUserTimeout is set
+}
+
+// setLarge sets the user timeout for a request with or without a large body.
+func (c *upstreamConn) setLarge(large bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || large == c.large {
+		return
+	}
+	timeout := tcpUserTimeout
+	if large {
+		timeout = largeUserTimeout
+	}
+	if raw, err := sc.SyscallConn(); err == nil && setUserTimeout(raw, timeout) == nil {
+		c.large = large
+	}
 }
 
 // dialUpstream opens a connection to an upstream. The error is a *sendError.
@@ -242,6 +263,7 @@
 // write sends req. A body over maxInlineBody is written in the background while the
 // response is awaited. The result of writing the body is sent to writeErr.
 func (c *upstreamConn) write(req *upstreamRequest, writeErr chan<- error) error {
+	c.setLarge(len(req.body) > maxInlineBody)
 	if err := req.writeHead(c.w); err != nil {
 		return err
 	}
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -379,3 +380,38 @@
 	<-done
 	r.assertRuns(c.id, 1)
 }
+
+// TestSilentUpstreamKeepsLargeRequest guards against 502 for a large request whose upstream reads
+// nothing for a while.
+func TestSilentUpstreamKeepsLargeRequest(t *testing.T) {
+	r := newRig(t)
+	lc := net.ListenConfig{}
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
+			go func() {
+				defer c.Close()
+				rd := bufio.NewReader(c)
+				q, err := http.ReadRequest(rd)
+				if err != nil || q.Header.Get("Request-Id") == "" {
+					return
+				}
+				time.Sleep(2 * time.Second) // the silence that the test is about
+				if _, err = io.Copy(io.Discard, q.Body); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+			}()
+		}
+	}()
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "d-1", Service: "desk", Centre: "a", PublicAddr: func(string) string { return ln.Addr().String() }}))
+	n := r.startRouter(1)
+	n.assertStatus(t, post(deskHost, "/once/1", strings.Repeat("x", 900<<10)), http.StatusOK, "ok")
+}
