entry: don't count stage runs for attempts that are cancelled

Stages run at most twice for a request. An attempt in place of a silent engine used up the second run even if it was cancelled because the engine went on, and a stream whose engine failed later was broken off with attempts left.

Before: TestHedgeLeavesStageRun: "unexpected EOF", in the log "stages failed", status 502, with 10 s left. go test -race -run TestHedgeLeavesStageRun ./entry

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -415,3 +415,32 @@
 	n := r.startRouter(1)
 	n.assertStatus(t, post(deskHost, "/once/1", strings.Repeat("x", 900<<10)), http.StatusOK, "ok")
 }
+
+// TestHedgeLeavesStageRun guards against a stream that is broken off because the stages were run for
+// an attempt that was cancelled.
+func TestHedgeLeavesStageRun(t *testing.T) {
+	r := newRig(t)
+	r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
+	r.addReplica("a-1", "archive")
+	r.addReplica("s-1", "school")
+	r.addReplica("e-1", "engine", site.LoseAnswer).EventTime = func(*http.Request) time.Duration { return 1600 * time.Millisecond }
+	n := r.startRouter(3)
+	c := post(planHost, "/fold", "prompt")
+	c.header = http.Header{"Piece-Count": {"1,1,1"}, "Piece-Key": {"k"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	}()
+	r.waitFor("the stream has begun", func() bool {
+		return slices.ContainsFunc(r.site.Runs(), func(run site.Run) bool { return run.Replica == "e-1" })
+	})
+	var asked atomic.Int64
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 6, EventTime: func(*http.Request) time.Duration {
+		if asked.Add(1) == 1 {
+			return time.Minute
+		}
+		return time.Millisecond
+	}}))
+	<-done
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -125,6 +125,12 @@
 // attemptElsewhere makes one attempt while another one is silent, and reports whether its first
 // event has begun to arrive or the stream has ended.
 func (st *streamExchange) attemptElsewhere(ctx context.Context) bool {
+	stageRuns := st.stageRuns
+	defer func() {
+		if ctx.Err() != nil {
+			st.stageRuns = stageRuns // a later attempt may need this run
+		}
+	}()
 	if st.ensureStageResults(ctx) != nil {
 		return false
 	}
