entry: test that both attempts end when the caller leaves

Also set the fields of a stand-in before it is started in TestSilentUpstreamGoesOn: the router may already send to it (data race).

go test -race -run 'TestHedgeEndsWithCaller|TestSilentUpstreamGoesOn' ./entry

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -114,7 +115,7 @@
 		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
 	}()
 	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
-	r.addReplica("e-2", "engine").ServiceTime = time.Minute
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 6, ServiceTime: time.Minute}))
 	r.waitFor("the other upstream is asked", func() bool { return len(r.site.Runs()) == 2 })
 	<-done
 	r.waitFor("the other upstream stops", func() bool { return !r.site.Runs()[1].Ended.IsZero() })
@@ -444,3 +445,43 @@
 	}}))
 	<-done
 }
+
+// TestHedgeEndsWithCaller guards against upstreams that work on a request whose caller has left
+// while two of them had it.
+func TestHedgeEndsWithCaller(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine", site.NoAnswer)
+	n := r.startRouter(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = n.doContext(t, ctx, post(streamHost, "/resume/1", "prompt"))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	r.addReplica("e-2", "engine", site.NoAnswer)
+	r.waitFor("the other upstream is asked", func() bool { return len(r.site.Runs()) == 2 })
+	cancel()
+	left := time.Now()
+	<-done
+	r.waitFor("both runs end", func() bool {
+		runs := r.site.Runs()
+		return !runs[0].Ended.IsZero() && !runs[1].Ended.IsZero()
+	})
+	for _, run := range r.site.Runs() {
+		t.Log(run.Replica, run.Ended.Sub(left))
+	}
+	for _, id := range []string{"e-1", "e-2"} {
+		for _, u := range n.view.Load().Upstreams["engine"] {
+			if string(u.ID) == id {
+				tg := n.targets.get(u)
+				r.waitFor("connections released", func() bool {
+					tg.mu.Lock()
+					defer tg.mu.Unlock()
+					return tg.inFlight == 0 && tg.openConns == 0
+				})
+			}
+		}
+	}
+}
