entry: keep a silent upstream until a whole event of another one

A stream left its silent upstream at the first byte of another one. If that one sent single bytes without end, the stream was broken off at its deadline, although the silent upstream had gone on.

Before: TestSilentUpstreamKeptWhileOtherTrickles: "unexpected EOF". go test -race -run TestSilentUpstreamKeptWhileOtherTrickles ./entry

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -485,3 +486,52 @@
 		}
 	}
 }
+
+// addRaw adds an upstream whose answers write sends.
+func (r *rig) addRaw(id, service string, write func(c net.Conn, q *http.Request)) {
+	r.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil && q.Header.Get("Request-Id") != "" {
+					write(c, q)
+				}
+			}()
+		}
+	}()
+	assert.NilError(r.t, r.site.Add(&site.Replica{ID: id, Service: service, Centre: "a", PublicAddr: func(string) string { return ln.Addr().String() }}))
+}
+
+const unframedHead = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\n\r\n"
+
+// TestSilentUpstreamKeptWhileOtherTrickles guards against a silent upstream that is left for one
+// that sends single bytes without end.
+func TestSilentUpstreamKeptWhileOtherTrickles(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine", site.PauseWithin).Pause = 1700 * time.Millisecond
+	n := r.startRouter(1)
+	c := post(streamHost, "/resume/1", "prompt")
+	c.header = http.Header{site.HeaderDeadline: {"6000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	r.addRaw("e-2", "engine", func(c net.Conn, q *http.Request) {
+		_, err := fmt.Fprintf(c, unframedHead, q.Header.Get("Request-Id"))
+		for ; err == nil; time.Sleep(100 * time.Millisecond) {
+			_, err = io.WriteString(c, "x")
+		}
+	})
+	<-done
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -123,7 +123,7 @@
 }
 
 // attemptElsewhere makes one attempt while another one is silent, and reports whether its first
-// event has begun to arrive or the stream has ended.
+// event has arrived or the stream has ended.
 func (st *streamExchange) attemptElsewhere(ctx context.Context) bool {
 	stageRuns := st.stageRuns
 	defer func() {
@@ -153,7 +153,7 @@
 		return false
 	}
 	a := newAnswer(t, rp, began)
-	if _, err := a.events.r.Peek(1); err != nil && !errors.Is(err, io.EOF) { // without events it is complete
+	if err := a.events.await(); err != nil && !errors.Is(err, io.EOF) { // without events it is complete
 		return st.end(ctx, a, err)
 	}
 	st.replacement = a
@@ -402,7 +402,19 @@
 }
 
 // eventReader splits a stream into events.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r       *bufio.Reader
+	awaited *event // read by await
+}
+
+// await waits until the next event has arrived. Its errors are those of next.
+func (er *eventReader) await() error {
+	ev, err := er.next()
+	if err == nil {
+		er.awaited = &ev
+	}
+	return err
+}
 
 var errUnnumberedEvent = errors.New("event without an id in a resumed stream")
 
@@ -412,6 +424,10 @@
 // io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends within an
 // event, and errEventTooLarge for one over maxEventBytes.
 func (er *eventReader) next() (ev event, err error) {
+	if er.awaited != nil {
+		ev, er.awaited = *er.awaited, nil
+		return ev, nil
+	}
 	hasContent := false // whether a line that is not empty was read
 	for {
 		line, err := er.r.ReadSlice('\n')
