entry: notice the end of a silent answer without a length

An answer without a length ends with its connection, which sends no more bytes. While another upstream was asked and gave no answer, the end was not noticed, and a stream that was complete was broken off at its deadline.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -94,6 +94,7 @@
 	heardAt   time.Time // when the request was written or the last bytes of its answer arrived
 	target    *target   // of the upstream; nil in tests and in probes
 	due       int64     // bytes that complete the answer, 0 if unknown
+	unframed  bool      // whether the answer ends with the connection
 	// onSilence is called with the timeout when the read deadline has passed. If it returns nil,
 	// it has set a later deadline and the read goes on. It may be nil.
 	onSilence func(timeout error) error
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -177,10 +177,10 @@
 // maxPeekedBytes limits the bytes that awaitBlock looks at. More of them count as a block.
 const maxPeekedBytes = 16 << 10
 
-// awaitBlock waits until an empty line has arrived, as after a head or an event, or the rest of
-// an answer of known length, without reading anything, and reports whether one has. An upstream in trouble may send single bytes
-// that never make up an event. It returns false at its read deadline, and at the end of the
-// connection if nothing has arrived before.
+// awaitBlock waits until an empty line has arrived, as after a head or an event, or the end of an
+// answer that has none, without reading anything, and reports whether one has. An upstream in
+// trouble may send single bytes that never make up an event. It returns false at its read
+// deadline, and at the end of the connection if that ends no answer.
 func (c *upstreamConn) awaitBlock() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -197,12 +197,19 @@
 		if errors.Is(e, unix.EAGAIN) {
 			return false
 		}
-		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n]) || c.due > 0 && int64(n) >= c.due
+		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n]) || c.due > 0 && int64(n) >= c.due || c.unframed && peerClosed(fd)
 		return found || n <= 0
 	})
 	return err == nil && found
 }
 
+// peerClosed reports whether the peer has closed its side of a connection without a reset.
+func peerClosed(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n == 1 && fds[0].Revents&unix.POLLRDHUP != 0 && fds[0].Revents&unix.POLLERR == 0
+}
+
 func hasEmptyLine(b []byte) bool {
 	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\r\n\r\n"))
 }
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -535,3 +535,26 @@
 	})
 	<-done
 }
+
+// TestSilentUnframedStreamEnds guards against a stream that has ended and waits for another
+// upstream.
+func TestSilentUnframedStreamEnds(t *testing.T) {
+	r := newRig(t)
+	sent := make(chan struct{})
+	r.addRaw("e-1", "engine", func(c net.Conn, q *http.Request) {
+		_, _ = fmt.Fprintf(c, unframedHead+"%s", q.Header.Get("Request-Id"), streamBody(q.RequestURI, 3))
+		close(sent)
+		time.Sleep(1700 * time.Millisecond) // longer than the wait for an event
+	})
+	n := r.startRouter(1)
+	c := post(streamHost, "/resume/1", "prompt")
+	c.header = http.Header{site.HeaderDeadline: {"6000"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 3))
+	}()
+	<-sent
+	r.addReplica("e-2", "engine", site.NoAnswer)
+	<-done
+}
