--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -415,3 +416,124 @@
 	<-done
 	r.assertRuns(c.id, 1)
 }
+
+// TestHedgeEndsWithCaller guards against upstreams that work on a request whose caller has left
+// while two of them had it.
+func TestHedgeEndsWithCaller(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine", site.NoAnswer)
+	n := r.startRouter(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = n.doContext(t, ctx, post(streamHost, "/resume/1", "prompt"))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	r.addReplica("e-2", "engine", site.NoAnswer)
+	r.waitFor("the other upstream is asked", func() bool { return len(r.site.Runs()) == 2 })
+	cancel()
+	<-done
+	r.waitFor("both runs end", func() bool {
+		runs := r.site.Runs()
+		return !runs[0].Ended.IsZero() && !runs[1].Ended.IsZero()
+	})
+	for _, id := range []string{"e-1", "e-2"} {
+		for _, u := range n.view.Load().Upstreams["engine"] {
+			if string(u.ID) == id {
+				tg := n.targets.get(u)
+				r.waitFor("connections released", func() bool {
+					tg.mu.Lock()
+					defer tg.mu.Unlock()
+					return tg.inFlight == 0 && tg.openConns == 0
+				})
+			}
+		}
+	}
+}
+
+// TestHedgeLeavesStageRun guards against a stream that is broken off because an attempt in place of
+// its silent engine, cancelled during the stages, has used up a run of them.
+func TestHedgeLeavesStageRun(t *testing.T) {
+	r := newRig(t)
+	r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
+	stages := []*site.Replica{r.addReplica("a-1", "archive"), r.addReplica("s-1", "school")}
+	engine := &site.Replica{ID: "e-1", Service: "engine", Centre: "a", Events: 6, Act: func(*http.Request) site.Action { return site.LoseAnswer }}
+	engine.EventTime = func(*http.Request) time.Duration { return 1600 * time.Millisecond } // longer than the wait for an event
+	assert.NilError(t, r.site.Add(engine))
+	n := r.startRouter(3)
+	c := post(planHost, "/fold", "prompt")
+	c.header = http.Header{"Piece-Count": {"1,1,1"}, "Piece-Key": {"k"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	}()
+	r.waitFor("the stream has begun", func() bool {
+		return slices.ContainsFunc(r.site.Runs(), func(run site.Run) bool { return run.Replica == "e-1" })
+	})
+	for _, p := range stages {
+		p.FallSilent(3600 * time.Millisecond) // until the engine goes on
+	}
+	r.addReplica("e-2", "engine")
+	<-done
+}
+
+// TestSilentUnframedAnswerEnds guards against 504 for an answer without a length whose end is not
+// noticed while another upstream, which gives no answer, is asked.
+func TestSilentUnframedAnswerEnds(t *testing.T) {
+	r := newRig(t)
+	c := get(deskHost, "/safe/1")
+	c.header = http.Header{site.HeaderDeadline: {"2900"}}
+	sent := make(chan struct{})
+	r.addRawReplica("d-1", "desk", func(conn net.Conn, id string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nServer-Signature: d-1\r\nRequest-Id: "+id+"\r\n\r\n"+site.Body(c.target))
+		close(sent)
+		time.Sleep(1700 * time.Millisecond) // longer than half of the deadline
+	})
+	n := r.startRouter(1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+	}()
+	<-sent
+	r.addReplica("d-2", "desk", site.NoAnswer)
+	<-done
+}
+
+// TestSilentUpstreamKeepsLargeRequest guards against 502 for a large request whose upstream reads
+// nothing for a while.
+func TestSilentUpstreamKeepsLargeRequest(t *testing.T) {
+	r := newRig(t)
+	lc := net.ListenConfig{}
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
+			go func() {
+				defer c.Close()
+				rd := bufio.NewReader(c)
+				q, err := http.ReadRequest(rd)
+				if err != nil || q.Header.Get("Request-Id") == "" {
+					return
+				}
+				time.Sleep(2 * time.Second) // the silence that the test is about
+				if _, err = io.Copy(io.Discard, q.Body); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+			}()
+		}
+	}()
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "d-1", Service: "desk", Centre: "a", PublicAddr: func(string) string { return ln.Addr().String() }}))
+	n := r.startRouter(1)
+	n.assertStatus(t, post(deskHost, "/once/1", strings.Repeat("x", 900<<10)), http.StatusOK, "ok")
+}
