router: don't close a stream that cancels an abandoned run

The query stream was closed right after its reset.

go test -race ./router/... ./agent/... ./core/link/... and go test ./matrix

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -112,7 +112,8 @@
 	if err != nil {
 		return nil, errSessionLost
 	}
-	defer func() { _ = st.Close() }()
+	end := func() { _ = st.Close() }
+	defer func() { end() }()
 	if st.Send(&wire.Frame{Query: &wire.Query{Ref: ref}}) != nil {
 		return nil, errSessionLost
 	}
@@ -132,7 +133,7 @@
 		case cancelRun:
 			// The frame shows that the agent serves the query. A reset before that may
 			// overtake the query.
-			st.Reset()
+			end = st.Reset
 			return nil, errRunCancelled
 		}
 	}
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -13,6 +13,9 @@
 	"hornbeamcove.example/core/wire"
 )
 
+// heartbeatInterval is that of agents.
+const heartbeatInterval = 250 * time.Millisecond
+
 // pauseNetwork returns an answer function that accepts the call and then loses all
 // frames to the router for d.
 func (fx *fixture) pauseNetwork(from *fakeAgent, d time.Duration) func(link.Stream, *wire.Call) {
@@ -74,15 +77,23 @@
 		agent.answer = fx.pauseNetwork(agent, time.Second)
 		var cancelled atomic.Bool
 		agent.query = func(st link.Stream, q *wire.Query) {
-			if cancelled.Load() {
-				_ = st.Send(&wire.Frame{Result: &wire.Result{
-					Ref: q.Ref, Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled, Executed: wire.ExecutedSome, Cost: wire.Cost{Busy: 70},
-				}})
-				return
-			}
 			_ = st.Send(&wire.Frame{Accept: &wire.Accept{Ref: q.Ref}})
-			_, err := st.Recv(context.Background())
-			cancelled.Store(errors.Is(err, link.ErrReset))
+			// The next query may arrive before the reset was seen; both wait for it.
+			for ctx := context.Background(); !cancelled.Load(); {
+				waitCtx, cancel := context.WithTimeout(ctx, heartbeatInterval)
+				_, err := st.Recv(waitCtx)
+				cancel()
+				switch {
+				case errors.Is(err, link.ErrReset):
+					cancelled.Store(true)
+					return
+				case !errors.Is(err, context.DeadlineExceeded):
+					return
+				}
+			}
+			_ = st.Send(&wire.Frame{Result: &wire.Result{
+				Ref: q.Ref, Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled, Executed: wire.ExecutedSome, Cost: wire.Cost{Busy: 70},
+			}})
 		}
 		for agent.callCount() == 0 {
 			fx.expect(`"one"`, plainPipeline, "")
