--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// TestSilentUpstreamKeepsItsCall guards against a call that is ended, repeated or counted
+// as a failure because its upstream is silent while its agent sends heartbeats.
+func TestSilentUpstreamKeepsItsCall(t *testing.T) {
+	const silence = 2 * time.Second
+	for pipeline, token := range map[wire.PipelineID]wire.Token{plainPipeline: "", reservedPipeline: "u0:a:1"} {
+		t.Run(string(pipeline), func(t *testing.T) {
+			runWithFixture(t, func(fx *fixture) {
+				fx.setAnswers(func(st link.Stream, c *wire.Call) {
+					for range silence / heartbeatInterval {
+						_ = st.Send(&wire.Frame{Accept: &wire.Accept{Ref: c.Ref}})
+						time.Sleep(heartbeatInterval)
+					}
+					answerCall(st, c)
+				})
+				fx.expect(`"one"`, pipeline, token)
+				assert.Equal(t, fx.callCount(), 1)
+				for _, l := range fx.r.snapshot.Load().links {
+					assert.Equal(t, l.recentFailures(time.Now()), wire.Slots(0))
+				}
+				assert.Equal(t, fx.r.snapshot.Load().pools["p"].retryBudget.View().Retried, int64(0))
+				assert.Equal(t, fx.r.Count("session_lost", ""), int64(0))
+			})
+		})
+	}
+}
+
 // TestAbandonedRunIsCancelled guards against two replicas that work on the same call: the
 // first one must stop once it is reached again.
 func TestAbandonedRunIsCancelled(t *testing.T) {
