--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -13,6 +13,9 @@
 	"hornbeamcove.example/core/wire"
 )
 
+// heartbeatInterval is that of agents.
+const heartbeatInterval = 250 * time.Millisecond
+
 // pauseNetwork returns an answer function that accepts the call and then loses all
 // frames to the router for d.
 func (fx *fixture) pauseNetwork(from *fakeAgent, d time.Duration) func(link.Stream, *wire.Call) {
@@ -66,6 +69,32 @@
 	}
 }
 
+// TestSilentUpstreamKeepsItsCall guards against a call that is ended, repeated or counted
+// as a failure because its upstream is silent while its agent sends heartbeats.
+func TestSilentUpstreamKeepsItsCall(t *testing.T) {
+	const silence = 2 * time.Second
+	for pipeline, token := range map[wire.PipelineID]wire.Token{plainPipeline: "", reservedPipeline: "u0:a:1"} {
+		t.Run(string(pipeline), func(t *testing.T) {
+			runWithFixture(t, func(fx *fixture) {
+				fx.setAnswers(func(st link.Stream, c *wire.Call) {
+					for range silence / heartbeatInterval {
+						_ = st.Send(&wire.Frame{Accept: &wire.Accept{Ref: c.Ref}})
+						time.Sleep(heartbeatInterval)
+					}
+					answerCall(st, c)
+				})
+				fx.expect(`"one"`, pipeline, token)
+				assert.Equal(t, fx.callCount(), 1)
+				for _, l := range fx.r.snapshot.Load().links {
+					assert.Equal(t, l.recentFailures(time.Now()), wire.Slots(0))
+				}
+				assert.Equal(t, fx.r.snapshot.Load().pools["p"].retryBudget.View().Retried, int64(0))
+				assert.Equal(t, fx.r.Count("session_lost", ""), int64(0))
+			})
+		})
+	}
+}
+
 // TestAbandonedRunIsCancelled guards against two replicas that work on the same call: the
 // first one must stop once it is reached again.
 func TestAbandonedRunIsCancelled(t *testing.T) {
@@ -74,15 +103,23 @@
 		agent.answer = fx.pauseNetwork(agent, time.Second)
 		var cancelled atomic.Bool
 		agent.query = func(st link.Stream, q *wire.Query) {
-			if cancelled.Load() {
-				_ = st.Send(&wire.Frame{Result: &wire.Result{
-					Ref: q.Ref, Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled, Executed: wire.ExecutedSome, Cost: wire.Cost{Busy: 70},
-				}})
-				return
-			}
 			_ = st.Send(&wire.Frame{Accept: &wire.Accept{Ref: q.Ref}})
-			_, err := st.Recv(context.Background())
-			cancelled.Store(errors.Is(err, link.ErrReset))
+			// The next query may arrive before the reset was seen; both wait for it.
+			for ctx := context.Background(); !cancelled.Load(); {
+				waitCtx, cancel := context.WithTimeout(ctx, heartbeatInterval)
+				_, err := st.Recv(waitCtx)
+				cancel()
+				switch {
+				case errors.Is(err, link.ErrReset):
+					cancelled.Store(true)
+					return
+				case !errors.Is(err, context.DeadlineExceeded):
+					return
+				}
+			}
+			_ = st.Send(&wire.Frame{Result: &wire.Result{
+				Ref: q.Ref, Outcome: wire.OutcomeFailed, Reason: wire.ReasonCancelled, Executed: wire.ExecutedSome, Cost: wire.Cost{Busy: 70},
+			}})
 		}
 		for agent.callCount() == 0 {
 			fx.expect(`"one"`, plainPipeline, "")
