entry: test that a resumed stream runs at one upstream only

A stream whose upstream is silent goes on at another one, and the silent one works on until the first event of the other arrives. Known red: ending either attempt by time alone loses streams where the other one hangs, so the rule is to be chosen.

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -558,3 +558,24 @@
 	r.addReplica("e-2", "engine", site.NoAnswer)
 	<-done
 }
+
+// TestResumedStreamAtOneUpstream guards against a stream that goes on at another upstream while the
+// silent one still works on it 400 ms later.
+func TestResumedStreamAtOneUpstream(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine", site.PauseWithin).Pause = 10 * time.Second
+	n := r.startRouter(1)
+	c := post(streamHost, "/resume/1", "prompt")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	}()
+	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 6, ServiceTime: 900 * time.Millisecond}))
+	<-done
+	runs := r.site.Runs()
+	assert.Equal(t, len(runs), 2)
+	overlap := runs[0].Ended.Sub(runs[1].Began)
+	assert.Assert(t, overlap <= 400*time.Millisecond, "overlap %v", overlap)
+}
