entry: decide once whether a silent upstream is left

The timer could close the connection right after the other attempt had been rejected, so that the silent upstream's answer was taken for a broken one.

--- a/entry/silence.go
+++ b/entry/silence.go
@@ -41,7 +41,8 @@
 )
 
 // silenceWatch is the wait of one attempt for its upstream. A sound upstream may be silent for
-// a while, so the attempt is given up only once another upstream has begun to answer.
+// a while, so the attempt is given up only once another upstream has begun to answer, or has
+// had the request of a stream for maxOverlap.
 type silenceWatch struct {
 	ctx    context.Context
 	x      *exchange
@@ -165,7 +166,7 @@
 	silent  *upstreamConn
 	settled atomic.Bool // whether it can no longer be dropped
 	dropped atomic.Bool // whether it was cancelled because the silent upstream goes on
-	left    atomic.Bool // whether the connection to the silent upstream was closed
+	ended   atomic.Bool // whether it has ended, or the silent upstream was left
 	cancel  context.CancelFunc
 	overlap *time.Timer // runs leave
 }
@@ -188,8 +189,9 @@
 
 // leave closes the connection to the silent upstream, since two must not work on one stream.
 func (h *hedge) leave() {
-	h.left.Store(true)
-	_ = h.silent.Close()
+	if h.ended.CompareAndSwap(false, true) {
+		_ = h.silent.Close()
+	}
 }
 
 // hedge makes another attempt while the upstream of w is silent. If that goes on before the
@@ -218,6 +220,7 @@
 	answered := x.attemptElsewhere(ctx)
 	x.hedging = false
 	h.settled.Store(true)
+	left := !h.ended.CompareAndSwap(false, true)
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
 	switch {
@@ -228,7 +231,7 @@
 	}
 	cancel()
 	switch {
-	case h.left.Load():
+	case left:
 		return hedgeLeft
 	case h.dropped.Load():
 		return hedgeDropped
