--- a/core/budget/hedge.go
+++ b/core/budget/hedge.go
@@ -6,8 +6,8 @@
 	"hornbeamcove.example/core/wire"
 )
 
-// Hedge is what decides whether a request is sent to another upstream while the one that
-// works on it is silent. The silent upstream is not given up before another one answers.
+// Hedge holds the inputs of the decision whether a request is sent to another upstream while
+// the one that works on it is silent.
 type Hedge struct {
 	Repeatable  bool          // whether the request may run more than once
 	Runs        int           // attempts in which an upstream may have run it
@@ -37,15 +37,15 @@
 	return ""
 }
 
-// hedgeReserve is the divisor for the part of the burst that hedges leave to retries after
+// hedgeReserveDivisor gives the part of the burst that hedges leave to retries after
 // failures: an upstream that is silent may go on, one that has failed does not.
-const hedgeReserve = 2
+const hedgeReserveDivisor = 2
 
 // AllowHedge is Allow for a request whose upstream has not failed but is silent. It leaves
 // half of the burst to retries.
 func (r *Retry) AllowHedge(remaining, estimate time.Duration) (reason wire.Reason, ok bool) {
 	r.mu.Lock()
-	spare := r.tokens-r.capacity/hedgeReserve >= tokensPerRetry
+	spare := r.tokens-r.capacity/hedgeReserveDivisor >= tokensPerRetry
 	r.mu.Unlock()
 	if !spare {
 		return wire.ReasonOverload, false
--- a/entry/place.go
+++ b/entry/place.go
@@ -89,8 +89,7 @@
 			states = append(states, st)
 		}
 	}
-	allSilent := len(usable) == 0 && len(silent) > 0
-	if allSilent {
+	if len(usable) == 0 && len(silent) > 0 {
 		usable, states = silent, silentStates
 	}
 	if len(usable) == 0 {
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -55,7 +55,7 @@
 // upstream is asked.
 func (x *exchange) watchSilence(ctx context.Context, t *target, c *upstreamConn, wait time.Duration) *silenceWatch {
 	w := &silenceWatch{ctx: ctx, x: x, target: t, conn: c}
-	c.onSilence = w.expired
+	c.onSilence = w.onTimeout
 	_ = c.SetWriteDeadline(time.Now().Add(x.remaining()))
 	w.expect(wait)
 	return w
@@ -72,9 +72,9 @@
 // interrupt ends reads and writes that are in progress.
 func (w *silenceWatch) interrupt() { _ = w.conn.SetDeadline(time.Unix(1, 0)) }
 
-// expired handles a wait that has passed without a byte. It returns nil to go on waiting,
+// onTimeout handles a wait that has passed without a byte. It returns nil to go on waiting,
 // errReplaced or errLeft, or the timeout of the request.
-func (w *silenceWatch) expired(timeout error) error {
+func (w *silenceWatch) onTimeout(timeout error) error {
 	x := w.x
 	if w.ctx.Err() != nil || x.remaining() <= 0 {
 		return timeout
@@ -212,7 +212,7 @@
 	heard := make(chan struct{})
 	go func() {
 		defer close(heard)
-		if w.conn.awaitBlock() {
+		if w.conn.awaitProgress() {
 			h.drop()
 		}
 	}()
@@ -239,14 +239,14 @@
 	return hedgeFailed
 }
 
-// maxPeekedBytes limits the bytes that awaitBlock looks at. More of them count as a block.
+// maxPeekedBytes limits the bytes that awaitProgress looks at. More of them count as progress.
 const maxPeekedBytes = 16 << 10
 
-// awaitBlock waits until an empty line has arrived, as after a head or an event, or the end of an
+// awaitProgress waits until an empty line has arrived, as after a head or an event, or the end of an
 // answer that has none, without reading anything, and reports whether one has. An upstream in
 // trouble may send single bytes that never make up an event. It returns false at its read
 // deadline, and at the end of the connection if that ends no answer.
-func (c *upstreamConn) awaitBlock() bool {
+func (c *upstreamConn) awaitProgress() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -144,8 +144,8 @@
 	})
 }
 
-// TestAwaitBlock guards against an upstream that sends single bytes and counts as one that goes on.
-func TestAwaitBlock(t *testing.T) {
+// TestAwaitProgress guards against an upstream that sends single bytes and counts as one that goes on.
+func TestAwaitProgress(t *testing.T) {
 	for _, tc := range []struct {
 		name, sent string
 		found      bool
@@ -166,7 +166,7 @@
 			assert.NilError(t, err)
 			found := make(chan bool, 1)
 			c := newUpstreamConn(near)
-			go func() { found <- c.awaitBlock() }()
+			go func() { found <- c.awaitProgress() }()
 			for _, b := range []byte(tc.sent) {
 				_, err = far.Write([]byte{b})
 				assert.NilError(t, err)
