--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -129,11 +129,7 @@
 	n := r.startRouter(1)
 	c := get(deskHost, "/safe/1")
 	c.header = http.Header{site.HeaderDeadline: {"2900"}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
-	}()
+	done := n.startAssertStatus(t, c, http.StatusOK, site.Body(c.target))
 	r.waitFor("the request runs", func() bool { return len(r.site.Runs()) == 1 })
 	r.addReplica("i-2", "desk", site.NoAnswer)
 	r.waitForUpstreams(n, 2)
@@ -246,11 +242,7 @@
 	n := r.startRouter(1)
 	c := post(streamHost, "/resume/1", "prompt")
 	c.header = http.Header{site.HeaderDeadline: {"8000"}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 2))
-	}()
+	done := n.startAssertStatus(t, c, http.StatusOK, streamBody(c.target, 2))
 	r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
 	assert.NilError(t, r.site.Add(&site.Replica{ID: "e-2", Service: "engine", Centre: "a", Events: 2}))
 	<-done
@@ -288,19 +280,26 @@
 	n := r.startRouter(1)
 	c := get(deskHost, "/safe/1")
 	c.header = http.Header{site.HeaderDeadline: {"4000"}}
+	done := n.startAssertStatus(t, c, http.StatusOK, site.Body(c.target))
+	r.waitFor("the request has begun", func() bool { return len(r.site.Runs()) == 1 })
+	r.addReplica("d-2", "desk", site.NoAnswer)
+	<-done
+}
+
+// startAssertStatus is assertStatus in the background. The channel is closed at its end.
+func (n *node) startAssertStatus(t *testing.T, c call, status int, body string) <-chan struct{} {
+	t.Helper()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+		n.assertStatus(t, c, status, body)
 	}()
-	r.waitFor("the request has begun", func() bool { return len(r.site.Runs()) == 1 })
-	r.addReplica("d-2", "desk", site.NoAnswer)
-	<-done
+	return done
 }
 
 // addRawReplica adds a replica whose answer to each request with an ID is what answer writes. The
 // connection ends with answer.
-func (r *rig) addRawReplica(id, service string, answer func(c net.Conn, id string)) {
+func (r *rig) addRawReplica(id, service string, answer func(c net.Conn, q *http.Request)) {
 	r.t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(r.t, err)
@@ -311,11 +310,12 @@
 			if err != nil {
 				return
 			}
+			_ = c.(*net.TCPConn).SetReadBuffer(64 << 10) // a large request doesn't fit
 			go func() {
 				defer c.Close()
 				q, err := http.ReadRequest(bufio.NewReader(c))
 				if err == nil && q.Header.Get("Request-Id") != "" {
-					answer(c, q.Header.Get("Request-Id"))
+					answer(c, q)
 				}
 			}()
 		}
@@ -339,20 +339,16 @@
 	r := newRig(t)
 	r.site.Store.PutJSON("op/config", site.Config(2, routesWith(3), site.Services, apiKeys))
 	began, goOn, fail := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	r.addRawReplica("d-1", "desk", func(c net.Conn, id string) {
+	r.addRawReplica("d-1", "desk", func(c net.Conn, q *http.Request) {
 		close(began)
 		<-goOn
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: d-1\r\nRequest-Id: "+id+"\r\nContent-Length: 10\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: d-1\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 10\r\n\r\n")
 		<-fail
 	})
 	n := r.startRouter(1)
 	c := get(deskHost, "/safe/1")
 	c.header = http.Header{site.HeaderDeadline: {"4000"}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
-	}()
+	done := n.startAssertStatus(t, c, http.StatusOK, site.Body(c.target))
 	<-began
 	r.addReplica("d-2", "desk", site.NoAnswer)
 	r.waitFor("the other upstream is asked", func() bool { return len(r.site.Runs()) == 1 })
@@ -398,19 +394,15 @@
 	began := make(chan struct{}, 8)
 	stopped := make(chan struct{})
 	defer close(stopped)
-	r.addRawReplica("d-1", "desk", func(c net.Conn, id string) {
-		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "+id+"\r\nContent-Length: 10\r\n\r\n")
+	r.addRawReplica("d-1", "desk", func(c net.Conn, q *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 10\r\n\r\n")
 		began <- struct{}{}
 		<-stopped
 	})
 	n := r.startRouter(1)
 	c := get(deskHost, "/safe/1")
 	c.header = http.Header{site.HeaderDeadline: {"3000"}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
-	}()
+	done := n.startAssertStatus(t, c, http.StatusOK, site.Body(c.target))
 	<-began
 	r.addReplica("d-2", "desk")
 	<-done
@@ -465,11 +457,7 @@
 	n := r.startRouter(3)
 	c := post(planHost, "/fold", "prompt")
 	c.header = http.Header{"Piece-Count": {"1,1,1"}, "Piece-Key": {"k"}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
-	}()
+	done := n.startAssertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
 	r.waitFor("the stream has begun", func() bool {
 		return slices.ContainsFunc(r.site.Runs(), func(run site.Run) bool { return run.Replica == "e-1" })
 	})
@@ -487,17 +475,13 @@
 	c := get(deskHost, "/safe/1")
 	c.header = http.Header{site.HeaderDeadline: {"2900"}}
 	sent := make(chan struct{})
-	r.addRawReplica("d-1", "desk", func(conn net.Conn, id string) {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nServer-Signature: d-1\r\nRequest-Id: "+id+"\r\n\r\n"+site.Body(c.target))
+	r.addRawReplica("d-1", "desk", func(conn net.Conn, q *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nServer-Signature: d-1\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\n\r\n"+site.Body(c.target))
 		close(sent)
 		time.Sleep(1700 * time.Millisecond) // longer than half of the deadline
 	})
 	n := r.startRouter(1)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
-	}()
+	done := n.startAssertStatus(t, c, http.StatusOK, site.Body(c.target))
 	<-sent
 	r.addReplica("d-2", "desk", site.NoAnswer)
 	<-done
@@ -507,33 +491,13 @@
 // nothing for a while.
 func TestSilentUpstreamKeepsLargeRequest(t *testing.T) {
 	r := newRig(t)
-	lc := net.ListenConfig{}
-	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.(*net.TCPConn).SetReadBuffer(64 << 10)
-			go func() {
-				defer c.Close()
-				rd := bufio.NewReader(c)
-				q, err := http.ReadRequest(rd)
-				if err != nil || q.Header.Get("Request-Id") == "" {
-					return
-				}
-				time.Sleep(2 * time.Second) // the silence that the test is about
-				if _, err = io.Copy(io.Discard, q.Body); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 2\r\n\r\nok")
-			}()
+	r.addRawReplica("d-1", "desk", func(c net.Conn, q *http.Request) {
+		time.Sleep(2 * time.Second) // the silence that the test is about
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
 		}
-	}()
-	assert.NilError(t, r.site.Add(&site.Replica{ID: "d-1", Service: "desk", Centre: "a", PublicAddr: func(string) string { return ln.Addr().String() }}))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+	})
 	n := r.startRouter(1)
 	n.assertStatus(t, post(deskHost, "/once/1", strings.Repeat("x", 900<<10)), http.StatusOK, "ok")
 }
