--- a/entry/silence.go
+++ b/entry/silence.go
@@ -305,7 +305,7 @@
 // written.
 func (c *upstreamConn) silence() time.Duration { return time.Since(c.heardAt) }
 
-// markSilent records that an attempt has waited for the upstream in vain.
+// markSilent records that an attempt has waited for the upstream without an answer.
 func (t *target) markSilent(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
