soak: reload only routers that have started

Suspected: SIGHUP reached a process that had just started. A platform starts such a process again, the soak does not. It now signals only routers that accept connections.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -160,7 +161,7 @@
 	{"stop and start a router", scopePlanned, stopAndStart(syscall.SIGTERM)},
 	{"kill a router", scopeRouters, stopAndStart(os.Kill)},
 	{"pause a router", scopeRouters, pauseRouter},
-	{"reload a router", scopePlanned, func(r *Run, rng *rand.Rand, _ *event) { r.randomRouter(rng).signal(syscall.SIGHUP) }},
+	{"reload a router", scopePlanned, reloadRouter},
 	{"kill all routers", scopeRouters, killAllRouters},
 	{"fault on the store connection", scopeStore, faultStoreLink},
 	{"store fails", scopeStore, failStore},
@@ -276,6 +277,19 @@
 	}
 }
 
+// reloadRouter sends SIGHUP to a router. One that has just started is left out: the kernel ends
+// a process that does not handle the signal yet, and nobody would start it again.
+func reloadRouter(r *Run, rng *rand.Rand, e *event) {
+	rt := r.randomRouter(rng)
+	c, err := net.DialTimeout("tcp", rt.ready, time.Second)
+	if err != nil {
+		r.events.remove(e)
+		return
+	}
+	_ = c.Close()
+	rt.signal(syscall.SIGHUP)
+}
+
 // pauseRouter suspends a router process with SIGSTOP for up to 3 s.
 func pauseRouter(r *Run, rng *rand.Rand, e *event) {
 	rt := r.claimRouter(rng, e)
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -41,7 +41,7 @@
 	{"replicas fall silent", fallSilent},
 	{"stop a router under load", stopUnderLoad},
 	{"stop a router under load", stopUnderLoad},
-	{"reload a router", func(r *Run, rng *rand.Rand, _ *event) { r.randomRouter(rng).signal(syscall.SIGHUP) }},
+	{"reload a router", reloadRouter},
 	{"configuration changes", changeConfig},
 	{"burst of callers", burst},
 }
