entry: place an order with the next owner when the first has ended

Cause: a router counts as the owner of its stage queues for 1.1 s after it was last heard of. Until then an order for such a queue was placed three times within 60 ms with the router that had been killed, whose address refused each connection, and the request was refused.

A refused connection shows that the process has ended. The router that meets it gives the queues to their next owners at once, for all its orders, until the router is heard of again; what other members heard before does not count. An order goes on without a pause and without an attempt less. A refused heartbeat tells the same. An order whose owner fails for another reason goes to the next owner of the queue, instead of the same router, where the service has no other queue.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"net/rpc"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hornbeamcove.example/core/admit"
@@ -108,10 +110,15 @@
 type peerRecord struct {
 	Member
 	seenAt time.Time
+	// endedAt is when the router's address refused a connection, zero if it did not.
+	endedAt time.Time
 }
 
-// isAlive reports whether the router was heard of recently enough to own queues.
-func (m *peerRecord) isAlive(now time.Time) bool { return now.Sub(m.seenAt) < ownerTimeout }
+// isAlive reports whether the router was heard of recently enough to own queues, and has not
+// refused a connection since.
+func (m *peerRecord) isAlive(now time.Time) bool {
+	return now.Sub(m.seenAt) < ownerTimeout && m.seenAt.After(m.endedAt)
+}
 
 func newPeers(s *Server) *peers {
 	return &peers{
@@ -195,6 +202,9 @@
 	if err := p.call(ctx, addr, "Peer.Beat", p.composeHeartbeat(time.Now()), &answer, heartbeatTimeout); err != nil {
 		p.s.log.Debug("heartbeat failed", "peer", addr, "err", err)
 		p.s.incCounter("heartbeats_failed")
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.recordEndedAt(time.Now(), addr)
+		}
 		return
 	}
 	p.mergeHeartbeat(time.Now(), answer)
@@ -329,12 +339,46 @@
 	case m.Boot == old.Boot && !at.After(old.seenAt):
 		return
 	}
-	p.members[m.Name] = &peerRecord{m, at}
+	r := &peerRecord{Member: m, seenAt: at}
+	if old != nil && m.Boot == old.Boot {
+		r.endedAt = old.endedAt // members that heard of it before report it still
+	}
+	p.members[m.Name] = r
 	if old == nil || m.Boot != old.Boot {
 		p.s.background.Go(func() { p.s.origins.peerStarted(m.Name) })
 	}
 }
 
+// recordEnded records that the address of a router has refused a connection: its process has
+// ended. The router owns no queues until it is heard of again. It returns false if that was known.
+func (p *peers) recordEnded(now time.Time, name wire.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[name]
+	if m == nil || !m.isAlive(now) {
+		return false
+	}
+	m.endedAt = now
+	p.s.log.Info("peer ended", "peer", name, "heard_ms", now.Sub(m.seenAt).Milliseconds())
+	p.s.incCounter("peers_ended")
+	return true
+}
+
+// recordEndedAt is recordEnded for the router at an address, if there is one.
+func (p *peers) recordEndedAt(now time.Time, addr wire.Address) {
+	p.mu.Lock()
+	var name wire.HostID
+	for n, m := range p.members {
+		if m.Address == addr {
+			name = n
+		}
+	}
+	p.mu.Unlock()
+	if p.recordEnded(now, name) {
+		p.s.queues.reassign(now)
+	}
+}
+
 // ownerCandidates returns the routers that may own queues, sorted by name. Routers that
 // drain are left out. If none remains, it returns this router alone.
 func (p *peers) ownerCandidates(now time.Time) []shard.Router {
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,3 +44,37 @@
 		})
 	}
 }
+
+// TestEndedPeer guards against a router that owns queues although its address refuses connections,
+// because others report that they heard of it before, and against one that stays excluded after it
+// was heard of again.
+func TestEndedPeer(t *testing.T) {
+	r := newRig(t)
+	n := r.startRouter(0)
+	now := time.Now()
+	assertAlive := func(want bool) {
+		t.Helper()
+		assert.Equal(t, slices.Contains(n.peers.candidateNames(now), "r2"), want)
+	}
+	hear := func(at time.Time, boot int64) {
+		n.peers.mu.Lock()
+		defer n.peers.mu.Unlock()
+		n.peers.mergeMember(at, Member{Name: "r2", Address: "127.0.0.1:1", Boot: boot})
+	}
+	hear(now.Add(-200*time.Millisecond), 1)
+	assertAlive(true)
+	assert.Assert(t, n.peers.recordEnded(now, "r2"))
+	assert.Assert(t, !n.peers.recordEnded(now, "r2"))
+	assertAlive(false)
+	hear(now.Add(-100*time.Millisecond), 1)
+	assertAlive(false)
+	t.Run("heard of again", func(t *testing.T) {
+		hear(now.Add(time.Millisecond), 1)
+		assertAlive(true)
+	})
+	assert.Assert(t, n.peers.recordEnded(now.Add(2*time.Millisecond), "r2"))
+	t.Run("started again", func(t *testing.T) {
+		hear(now.Add(2*time.Millisecond), 2)
+		assertAlive(true)
+	})
+}
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -72,7 +72,8 @@
 func (qs *stageQueues) owner(id shard.ID) wire.HostID { return qs.layout.Load().owners[id] }
 
 // choose returns the queue for an order and its owner. Queues of the avoided owners are
-// taken only if there is no other. It returns false if no queue of the service is known.
+// taken only if there is no other; the next owner then takes their orders. It returns false if no
+// queue of the service is known.
 func (qs *stageQueues) choose(o *Order, avoid []wire.HostID) (id shard.ID, owner wire.HostID, ok bool) {
 	l := qs.layout.Load()
 	var cs, avoided []shard.Candidate
@@ -92,14 +93,25 @@
 			cs = append(cs, c)
 		}
 	}
-	if len(cs) == 0 {
-		cs = avoided
+	owners := l.owners
+	if len(cs) == 0 && len(avoided) > 0 {
+		cs, owners = avoided, l.nextOwners(qs.s.peers.ownerCandidates(now), avoid)
 	}
 	if len(cs) == 0 {
 		return id, "", false // there may be no configuration either
 	}
 	i := shard.Choose(cs, o.Centre, detour(qs.s.view.Load().Config, o), rand.IntN)
-	return cs[i].ID, l.owners[cs[i].ID], true
+	return cs[i].ID, owners[cs[i].ID], true
+}
+
+// nextOwners returns the owners of the queues if some routers are left out, or the present ones if
+// no other router is left.
+func (l layout) nextOwners(routers []shard.Router, without []wire.HostID) map[shard.ID]wire.HostID {
+	routers = slices.DeleteFunc(routers, func(r shard.Router) bool { return slices.Contains(without, r.Name) })
+	if len(routers) == 0 {
+		return l.owners
+	}
+	return l.assign(routers).owners
 }
 
 // detour returns how much shorter the wait in another data centre must be for an order to
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -223,11 +224,11 @@
 
 // placeOrder places an order with the owner of a queue of the service, and returns the
 // queue too. If the call fails or the queue is gone, it places the order again, with another
-// owner if there is one. Pieces may be made twice.
+// owner if there is one. Pieces may be made twice, unless the owner has ended.
 func (s *Server) placeOrder(ctx context.Context, o Order) (m Made, madeBy shard.ID, err error) {
 	deadline := time.Now().Add(o.Left)
 	var failed []wire.HostID
-	for range maxOrderAttempts {
+	for attempts := 0; attempts < maxOrderAttempts; {
 		o.Left = time.Until(deadline)
 		if o.Left <= 0 {
 			return Made{Reason: reasonLate}, madeBy, nil
@@ -245,9 +246,16 @@
 		if ctx.Err() != nil || err == nil && m.Reason != reasonMoved {
 			return m, id, ctx.Err()
 		}
-		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "reason", m.Reason, "err", err)
+		now := time.Now()
+		ended := errors.Is(err, syscall.ECONNREFUSED) && s.peers.recordEnded(now, owner)
+		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "reason", m.Reason, "err", err)
 		s.incCounter("orders_failed")
 		failed = append(failed, owner)
+		if ended {
+			s.queues.reassign(now)
+			continue // at once: each router ends once until it is heard of again
+		}
+		attempts++
 		o.Aim = max(o.Aim-orderRetryDelay, 0)
 		if !clock.Sleep(ctx, orderRetryDelay) {
 			return m, madeBy, ctx.Err()
