--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -80,6 +80,7 @@
 // Service is a set of interchangeable upstreams.
 type Service struct {
 	ID         ServiceID
+	HealthPath string        // path of the health check of an upstream, empty if it has none
 	MaxConns   int           // limit on the connections of all routers to one upstream
 	ColdTime   time.Duration // time for which an upstream is cold after its start
 	ColdRate   float64       // requests per second that a cold upstream tolerates, 0 for no limit
