entry: choose upstreams by the load and pace that they tell

The setting loads, off by default and changed by a reload, lets choices go by what upstreams of a service tell once an answer bore the pace. The upstream that would be chosen is probed on its health path if its pace isn't known.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -40,6 +40,17 @@
 	Ejected   bool              `json:"barred"`  // excluded after failures (outlier ejection)
 	Limit     *float64          `json:"limit"`   // requests per second that it takes from all routers, null if it names none
 	Penalty   float64           `json:"penalty"` // extra load, in requests, for recent failures and latency
+	Told      *LoadDump         `json:"told"`    // load that it told last, null if it told none
+	Speed     float64           `json:"speed"`   // time of its work relative to the other upstreams of the service, as learnt
+}
+
+// LoadDump is the load that an upstream has told.
+type LoadDump struct {
+	Running int   `json:"running"` // requests of all routers
+	Waiting int   `json:"waiting"`
+	Slots   int   `json:"slots"`
+	Pace    int   `json:"pace"` // time of its work in percent of the usual time, 0 if not told
+	Age     int64 `json:"age"`  // milliseconds since it was told
 }
 
 // adminHandler serves the metrics and the state dump.
@@ -114,8 +125,12 @@
 func (t *target) dump(now time.Time) UpstreamDump {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return UpstreamDump{
+	d := UpstreamDump{
 		Service: t.Service, Centre: t.Centre, InFlight: t.inFlight, OpenConns: t.openConns, Cold: now.Before(t.coldUntil),
-		Ejected: t.outlier.Ejected(now), Penalty: t.outlier.Penalty(now),
+		Ejected: t.outlier.Ejected(now), Penalty: t.outlier.Penalty(now), Speed: t.load.Speed(),
 	}
+	if r, age, ok := t.load.Last(now); ok {
+		d.Told = &LoadDump{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Pace: int(r.Pace), Age: age.Milliseconds()}
+	}
+	return d
 }
--- a/entry/conn.go
+++ b/entry/conn.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"hornbeamcove.example/core/framer"
+	"hornbeamcove.example/core/pace"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -274,6 +275,8 @@
 	resp      *http.Response
 	conn      *upstreamConn
 	watch     *silenceWatch // of the attempt
+	work      pace.Work     // of the request that is left to do
+	unread    wire.Tokens   // prompt tokens that the upstream had to read
 	// writeErr receives the result of writing the request.
 	writeErr chan error
 	// release ends the use of the connection. It is kept for reuse if reuse is set and
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -37,6 +37,7 @@
 	fingerprint wire.Fingerprint
 	parts       []crash.Part // prompt parts that other requests may share
 	retryBudget *budget.Retry
+	holders     int // engines that should hold the prompt's parts; 0 before the first choice
 
 	late            bool // whether its stages yield to those of requests that can be on time
 	unqueuedMu      sync.Mutex
--- a/entry/place.go
+++ b/entry/place.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/pace"
 	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
 )
@@ -17,9 +17,6 @@
 	// them are cold. A request waits for 1/coldWaitDivisor of its remaining time.
 	coldPollInterval = 25 * time.Millisecond
 	coldWaitDivisor  = 4
-	// remoteLoadPenalty is added to the load of an upstream in another data centre, as a
-	// fraction of its slots.
-	remoteLoadPenalty = 0.35
 )
 
 // candidates returns the upstreams of the newest snapshot on which the request may run,
@@ -65,6 +62,7 @@
 	var silent, ejected []*target
 	var silentStates []targetStatus
 	x.limitWait = 0
+	svc, typical, usual := x.pace()
 	for _, u := range us {
 		if wait := x.s.limitWait(now, u); wait > 0 {
 			if x.limitWait == 0 || wait < x.limitWait {
@@ -99,22 +97,27 @@
 		x.choiceReason = choiceExcluded
 		return ejected[int(randomFraction()*float64(len(ejected)))], false
 	}
+	loads, confidence := estimateLoads(svc, states, typical, usual)
+	var i int
+	var reason route.Reason
 	if x.route.Engine {
-		return usable[x.chooseEngine(usable, states)], false
+		i, reason = x.chooseEngine(usable, states, loads, x.demand(now, svc, len(usable), confidence))
+	} else {
+		i, reason = x.leastLoaded(usable, states, loads, confidence)
 	}
-	return usable[x.leastLoaded(usable, states)], false
+	x.choiceReason = string(reason)
+	return usable[i], false
 }
 
 // chooseEngine returns the index of the engine that prompts with the same shared segments
 // prefer, because its prefix cache may hold them, unless its load is too high.
-func (x *exchange) chooseEngine(usable []*target, states []targetStatus) int {
+func (x *exchange) chooseEngine(usable []*target, states []targetStatus, loads []pace.Load, d route.Demand) (int, route.Reason) {
 	es := make([]route.Engine, len(usable))
 	for i, t := range usable {
-		es[i] = route.Engine{Upstream: t.ID, Load: float64(states[i].inFlight), Penalty: states[i].penalty}
+		es[i] = route.Engine{Upstream: t.ID, Load: loads[i].Requests, Factor: loads[i].Factor, Penalty: states[i].penalty}
 	}
 	x.setWeights(es, usable)
-	x.choiceReason = "holder"
-	return route.PickEngine(route.PromptKey(x.sharedSegmentIDs()...), es)
+	return route.PickHolder(route.PromptKey(x.sharedSegmentIDs()...), es, d)
 }
 
 // sharedSegmentIDs returns the IDs of the prompt segments that other requests may share.
@@ -177,21 +180,15 @@
 
 // leastLoaded returns the index of the upstream with the least load per slot. Upstreams
 // in the router's data centre are preferred, and ties are broken at random.
-func (x *exchange) leastLoaded(usable []*target, states []targetStatus) int {
-	score := func(i int) float64 {
-		load := (float64(states[i].inFlight) + states[i].penalty) / float64(max(usable[i].Slots, 1))
-		if usable[i].Centre != x.s.cfg.Centre {
-			load += remoteLoadPenalty
+func (x *exchange) leastLoaded(usable []*target, states []targetStatus, loads []pace.Load, confidence float64) (int, route.Reason) {
+	ps := make([]route.Plain, len(usable))
+	for i, t := range usable {
+		ps[i] = route.Plain{
+			Load: loads[i].Requests, Factor: loads[i].Factor, Penalty: states[i].penalty, Slots: t.Slots,
+			Remote: t.Centre != x.s.cfg.Centre,
 		}
-		return load
-	}
-	x.choiceReason = "least load"
-	offset := int(randomFraction() * float64(len(usable)))
-	order := make([]int, len(usable))
-	for i := range order {
-		order[i] = (i + offset) % len(usable)
 	}
-	return slices.MinFunc(order, func(a, b int) int { return cmp.Compare(score(a), score(b)) })
+	return route.PickLeast(ps, confidence, randomFraction())
 }
 
 // acquire chooses a target and counts the request against its rate limit if it is cold.
@@ -202,9 +199,10 @@
 	until := time.Now().Add(x.remaining() / coldWaitDivisor)
 	for x.trial || !x.quarantined() {
 		now := time.Now()
-		t, coldLimited := x.choose(now)
+		t, coldLimited := x.chooseProbed(ctx, now)
 		if t != nil && t.allowRequest(now, x.svc, x.s.peers.routerCount(now)) && x.s.takeLimited(now, t.Upstream) {
 			x.upstream, x.software = t.ID, t.Software
+			x.s.incCounter("choices", "service", string(x.svc.ID), "reason", x.choiceReason)
 			return t
 		}
 		if t == nil && !coldLimited || now.After(until) || !clock.Sleep(ctx, coldPollInterval) {
--- a/entry/send.go
+++ b/entry/send.go
@@ -52,7 +52,9 @@
 		x.recordSendFailure(t, err, errors.Is(err, errConnLimit) || ctx.Err() != nil)
 		return nil, notSent
 	}
+	w, unread := x.work(t)
 	t.requestStarted(time.Now())
+	t.workStarted(w)
 	if x.onSend != nil {
 		x.onSend()
 	}
@@ -71,6 +73,7 @@
 		stop()
 		t.closeConn(c)
 		t.requestEnded()
+		t.workEnded(w)
 		if errors.Is(err, errReplaced) {
 			x.recordReplaced(t, c)
 			return nil, replaced
@@ -91,6 +94,7 @@
 	}
 	c.unframed = rp.resp.ContentLength < 0 && len(rp.resp.TransferEncoding) == 0
 	rp.watch = watch
+	rp.work, rp.unread = w, unread
 	rp.release = func(reuse bool) {
 		stop()
 		c.onSilence = nil
@@ -100,6 +104,7 @@
 			t.closeConn(c)
 		}
 		t.requestEnded()
+		t.workEnded(rp.work)
 	}
 	x.s.recordNotices(t.Upstream, rp.ResponseInfo, began)
 	if rp.ColdRemaining > 0 {
--- a/entry/server.go
+++ b/entry/server.go
@@ -88,7 +88,9 @@
 	lag            lagMonitor
 
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
-	lost     [2]atomic.Bool                 // by platform.Area: whether the area can't be read from the store
+	loadsOn  atomic.Bool                    // Settings.Loads, as last reloaded
+	paces    servicePaces
+	lost     [2]atomic.Bool // by platform.Area: whether the area can't be read from the store
 	draining atomic.Bool
 	// drainBegan is the time at which a drain began. It is nil before.
 	drainBegan atomic.Pointer[Instant]
@@ -145,6 +147,8 @@
 	s.unqueued.byService = map[fleet.ServiceID]Load{}
 	s.latencies.byRoute = map[fleet.RouteID]time.Duration{}
 	s.seedList.Store(&cfg.Seeds)
+	s.loadsOn.Store(cfg.Loads)
+	s.paces.probeClient = newProbeClient()
 	s.view.Store(&View{})
 	s.lastArrival.Store(&processStart)
 	s.queues = newStageQueues(s)
@@ -335,7 +339,7 @@
 	}
 }
 
-// reload applies the settings that may change while the router runs: the seeds.
+// reload applies the settings that may change while the router runs: the seeds and loads.
 // Invalid settings are logged and change nothing.
 func (s *Server) reload(signal string) {
 	if s.path == "" {
@@ -347,12 +351,13 @@
 		s.incCounter("reload_failed")
 		return
 	}
-	changed := !slices.Equal(next.Seeds, s.seeds())
+	changed := !slices.Equal(next.Seeds, s.seeds()) || next.Loads != s.loadsOn.Load()
 	if changed {
 		s.seedList.Store(&next.Seeds)
+		s.loadsOn.Store(next.Loads)
 	}
 	if changed || signal != "" {
-		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds)
+		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "loads", next.Loads)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,6 +33,7 @@
 	Stop    float64 `toml:"stop"`    // time from SIGTERM to SIGKILL in seconds
 	Retries float64 `toml:"retries"` // retries of all routers, as a ratio of first attempts
 	Slack   float64 `toml:"slack"`   // retries of all routers in any period on top of that ratio
+	Loads   bool    `toml:"loads"`   // whether choices go by the load and pace that upstreams tell
 	Level   string  `toml:"level"`   // log level, "info" if empty
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -329,6 +329,7 @@
 		}
 		if firstEventAt.IsZero() {
 			firstEventAt = time.Now()
+			a.resp.work = a.target.promptRead(a.resp.work)
 		}
 		st.recordProgress(firstEventAt)
 		st.startResponse(a.target, a.resp, a.began)
@@ -376,6 +377,7 @@
 		st.s.scope().Timer("first_event_time").Record(st.elapsed())
 	}
 	t.recordSuccess(time.Now(), ratio(took, st.s.expectedFirstEvent(st.route)))
+	st.recordRead(t, rp.unread, took)
 	st.s.latencies.observe(st.route.ID, took)
 }
 
--- a/entry/target.go
+++ b/entry/target.go
@@ -9,6 +9,7 @@
 
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/limit"
+	"hornbeamcove.example/core/pace"
 	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
@@ -37,6 +38,8 @@
 	coldLimiter      limit.RateLimiter
 	coldUntil        time.Time
 	inFlight         int
+	load             pace.Upstream
+	probing          bool      // whether a probe is in progress
 	busySince        time.Time // when inFlight became positive
 	openConns        int       // open connections, including idle ones
 	idleConns        []*upstreamConn
@@ -67,6 +70,7 @@
 		return // the answer is another upstream's
 	}
 	s.recordLimit(u, info, began)
+	s.recordLoad(u, info, time.Now())
 	left, paused := s.notices.Heard(time.Now(), u, info.Leaving, info.Pause)
 	if left {
 		s.log.Info("upstream says that it leaves", "upstream", u.ID, "service", u.Service)
@@ -269,6 +273,27 @@
 	t.inFlight++
 }
 
+// workStarted records the work of a request that was sent. workEnded must follow.
+func (t *target) workStarted(w pace.Work) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load.Sent(w)
+}
+
+// workEnded records the end of a request with the given work left.
+func (t *target) workEnded(w pace.Work) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load.Done(w)
+}
+
+// promptRead records that the answer to a request has begun, and returns the work left.
+func (t *target) promptRead(w pace.Work) pace.Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load.Read(w)
+}
+
 func (t *target) requestEnded() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -309,6 +334,7 @@
 // targetStatus is the state of a target on which the choice of an upstream depends.
 type targetStatus struct {
 	inFlight    int
+	load        pace.Known
 	penalty     float64 // extra load for recent failures and slow responses, in requests
 	ejected     bool
 	silent      bool          // whether nothing has come from it for a while
@@ -328,6 +354,7 @@
 	return targetStatus{
 		quiet:       quiet,
 		inFlight:    t.inFlight,
+		load:        t.load.Know(now),
 		penalty:     t.outlier.Penalty(now),
 		ejected:     t.outlier.Ejected(now),
 		silent:      t.silent(now),
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -176,6 +176,9 @@
 		t.recordFailure(time.Now(), false, false)
 	} else {
 		t.recordSuccess(time.Now(), ratio(took, x.s.expectedFirstEvent(x.route)))
+		if mean, ok := x.s.latencies.mean(x.route.ID); ok {
+			x.recordPace(t, ratio(took, mean))
+		}
 		x.s.latencies.observe(x.route.ID, took)
 	}
 	if rp.resp.StatusCode < http.StatusMultipleChoices {
