core/pace, entry: count three figures, fewer probes, results near

A service whose answers tell three figures is chosen by load, too; the pace and the probes need the fourth. An engine away from the stage results counts for two requests more, a request that would be on time in five times the usual time is not preceded by a probe, and an upstream that has failed is never taken to be less loaded than the mean.

--- a/core/pace/play_test.go
+++ b/core/pace/play_test.go
@@ -31,6 +31,7 @@
 	upstreams, slots  int
 	perSecond         float64
 	keys              int     // prompts that share parts, 0 for a plain service
+	even              bool    // whether the pace of upstreams doesn't change, and isn't told
 	hot               float64 // fraction of the requests for a single prompt
 	aim               time.Duration
 	lies, stops, past bool // whether upstream 0 always tells that it is idle and fails; reports stop after 1 s; reports come 5 s late
@@ -121,6 +122,9 @@
 
 // passing returns the passing pace of an upstream, which depends on the time alone.
 func (p *play) passing(i int) Percent {
+	if p.even {
+		return Usual
+	}
 	period := (p.now.UnixMilli() + int64(i)*37) / 600
 	if rand.New(rand.NewPCG(uint64(i), uint64(period))).Float64() < 0.15 {
 		return 250
@@ -132,6 +136,9 @@
 func (p *play) report(i int) (at time.Time, r Report, ok bool) {
 	s := &p.servers[i]
 	r = Report{Running: min(s.running, 64), Waiting: max(s.running-64, 0), Slots: 64, Pace: p.passing(i)}
+	if p.even {
+		r.Pace = 0
+	}
 	switch {
 	case p.lies && i == 0:
 		r = Report{Slots: 64, Pace: Usual}
@@ -184,10 +191,11 @@
 }
 
 func (p *play) choose(r *playRouter, key uint64) int {
-	typical, usual := r.svc.Means()
+	means, _ := r.svc.Means()
 	known := make([]Known, p.upstreams)
 	for i := range known {
 		known[i] = r.ups[i].Know(p.now)
+		known[i].Failing = r.outlier[i].Penalty(p.now) > 1
 	}
 	loads := make([]Load, p.upstreams)
 	conf := 0.0
@@ -196,7 +204,7 @@
 			loads[i] = Load{Requests: float64(known[i].requests)}
 		}
 	} else {
-		conf = Estimate(known, loads, typical, usual)
+		conf = Estimate(known, loads, means)
 	}
 	var usable []int
 	var es []route.Engine
@@ -272,9 +280,9 @@
 		if p.keys > 0 {
 			left = r.ups[i].Read(work)
 		}
-		_, usual := r.svc.Means()
+		means, _ := r.svc.Means()
 		if ratio := r.svc.ReadIn(wire.Tokens(work.read), first); p.policy != ownRequests {
-			r.ups[i].Answered(p.now, ratio, usual)
+			r.ups[i].Answered(p.now, ratio, means)
 		}
 		p.after(took(decode), func() {
 			s.running--
@@ -296,19 +304,64 @@
 		p.policy, p.requests, 100*float64(p.late)/float64(p.requests), p.spread(), float64(p.probes)/float64(p.requests), p.read/float64(p.requests))
 }
 
-func TestPlayTry(t *testing.T) {
-	for name, load := range map[string]play{
-		"engines":    {upstreams: 46, slots: 1, perSecond: 260, keys: 1500, aim: 600 * time.Millisecond},
-		"engines-hi": {upstreams: 46, slots: 1, perSecond: 330, keys: 1500, aim: 600 * time.Millisecond},
-		"few-keys":   {upstreams: 46, slots: 1, perSecond: 330, keys: 150, aim: 600 * time.Millisecond},
-		"hot":        {upstreams: 46, slots: 1, perSecond: 330, keys: 1500, hot: 0.28, aim: 600 * time.Millisecond},
-		"plain":      {upstreams: 4, slots: 6, perSecond: 220, aim: 300 * time.Millisecond},
+// with returns the play under a policy.
+func (p play) with(pol policy) *play {
+	p.policy = pol
+	return p.run()
+}
+
+var plays = map[string]play{
+	"engines":        {upstreams: 46, slots: 1, perSecond: 260, keys: 1500, aim: 600 * time.Millisecond},
+	"busy engines":   {upstreams: 46, slots: 1, perSecond: 330, keys: 1500, aim: 600 * time.Millisecond},
+	"even engines":   {upstreams: 46, slots: 1, perSecond: 330, keys: 1500, aim: 600 * time.Millisecond, even: true},
+	"few prompts":    {upstreams: 46, slots: 1, perSecond: 330, keys: 150, aim: 600 * time.Millisecond},
+	"a hot prompt":   {upstreams: 46, slots: 1, perSecond: 330, keys: 1500, hot: 0.28, aim: 600 * time.Millisecond},
+	"plain upstream": {upstreams: 8, slots: 6, perSecond: 420, aim: 300 * time.Millisecond},
+}
+
+// TestPlay guards against requests that are late at upstreams that are slow or busy with the
+// requests of other routers, against work that one engine gets most of, and against probes
+// beyond their bound.
+func TestPlay(t *testing.T) {
+	for name, load := range plays {
+		t.Run(name, func(t *testing.T) {
+			before, answers, now := load.with(ownRequests), load.with(answersOnly), load.with(withProbes)
+			t.Logf("\n%v\n%v\n%v", before, answers, now)
+			if load.even { // there is nothing to probe for
+				assert.Assert(t, now.late <= before.late && now.probes == 0)
+			} else {
+				assert.Assert(t, float64(now.late) < 0.6*float64(before.late))
+				assert.Assert(t, now.late < answers.late)
+			}
+			assert.Assert(t, now.probes <= probesPerRequest*now.requests)
+			if load.keys > 0 {
+				assert.Assert(t, now.spread() < before.spread()-0.1)
+				assert.Assert(t, now.read < 1.25*before.read, "parts are read again too often")
+			}
+		})
+	}
+}
+
+// TestPlayFailures guards against reports that make choices worse than those without reports:
+// an upstream that tells that it is idle, and fails, reports that stop, and old ones.
+func TestPlayFailures(t *testing.T) {
+	for name, spoil := range map[string]func(*play){
+		"idle and failing": func(p *play) { p.lies = true },
+		"reports stop":     func(p *play) { p.stops = true },
+		"old reports":      func(p *play) { p.past = true },
 	} {
-		for _, pol := range []policy{ownRequests, answersOnly, withProbes} {
-			l := load
-			l.policy = pol
-			t.Log(name, l.run())
+		for _, load := range []string{"engines", "plain upstream"} {
+			t.Run(name+" "+load, func(t *testing.T) {
+				p := plays[load]
+				spoil(&p)
+				before, now := p.with(ownRequests), p.with(withProbes)
+				t.Logf("\n%v, %d to the first\n%v, %d to the first", before, before.toFirst, now, now.toFirst)
+				assert.Assert(t, float64(now.late) <= 1.05*float64(before.late))
+				if p.lies {
+					fair := now.requests / p.upstreams
+					assert.Assert(t, now.toFirst <= before.toFirst+fair/10, "it draws the traffic")
+				}
+			})
 		}
 	}
-	assert.Assert(t, true)
 }
--- a/core/pace/service.go
+++ b/core/pace/service.go
@@ -24,7 +24,8 @@
 // concurrent use. The zero value is ready to use.
 type Service struct {
 	mu      sync.Mutex
-	tells   bool    // whether the upstreams tell their pace
+	tells   bool    // whether the upstreams tell their load
+	paced   bool    // whether they tell their pace, too
 	usual   float64 // mean of the pace told, as a factor; 0 before the first
 	typical float64 // mean work of a request; 0 before the first
 	probes  float64 // probes that may be sent now
@@ -35,12 +36,12 @@
 
 // Heard records a report of an upstream of the service.
 func (s *Service) Heard(r Report) {
-	if r.Pace == 0 {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tells = true
+	if s.tells = true; r.Pace == 0 {
+		return
+	}
+	s.paced = true
 	f := float64(r.Pace) / float64(Usual)
 	if s.usual == 0 {
 		s.usual = 1
@@ -48,22 +49,24 @@
 	s.usual += usualSmoothing * (f - s.usual)
 }
 
-// TellsPace reports whether the upstreams of the service tell their pace. Their health checks
-// then don't wait for a slot, so they may be probed.
-func (s *Service) TellsPace() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tells
+// Means holds what is usual at the upstreams of a service.
+type Means struct {
+	Work float64 // of a request; 0 if unknown
+	Pace float64 // factor of the usual time, over what the upstreams told; 1 if unknown
+	// Paced is whether the upstreams tell their pace. Their health checks then don't wait for a
+	// slot, so they may be probed.
+	Paced bool
 }
 
-// Means returns the typical work of a request, 0 if unknown, and the mean pace as a factor.
-func (s *Service) Means() (typical, usual float64) {
+// Means returns what is usual at the upstreams of the service, and whether they tell their load.
+func (s *Service) Means() (m Means, tells bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.usual == 0 {
-		return s.typical, 1
+	m = Means{Work: s.typical, Pace: s.usual, Paced: s.paced}
+	if m.Pace == 0 {
+		m.Pace = 1
 	}
-	return s.typical, s.usual
+	return m, s.tells
 }
 
 // Sent records a request, which allows probes for later ones.
@@ -81,7 +84,7 @@
 func (s *Service) AllowProbe() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.tells || s.probes < 1 {
+	if !s.paced || s.probes < 1 {
 		return false
 	}
 	s.probes--
@@ -93,7 +96,7 @@
 func (s *Service) Untold() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tells = false
+	s.paced = false
 }
 
 // Part is a part of a prompt.
--- a/core/pace/upstream.go
+++ b/core/pace/upstream.go
@@ -124,14 +124,19 @@
 }
 
 // Answered records the time that an answer took relative to the expected time. It is divided
-// by the pace that the upstream told for about that time; usual is the mean pace of the service.
-func (u *Upstream) Answered(now time.Time, ratio, usual float64) {
+// by the pace that the upstream told for about that time. Where upstreams tell their pace, an
+// answer without it says nothing about the lasting speed.
+func (u *Upstream) Answered(now time.Time, ratio float64, m Means) {
 	if !(ratio > 0) || math.IsInf(ratio, 0) {
 		return
 	}
-	told := u.Know(now).passing(usual)
-	sample := min(ratio/(told/usual), maxSpeedSample)
-	u.speed = min(max(u.Speed()+speedSmoothing*(sample-u.Speed()), minSpeed), maxSpeed)
+	k := u.Know(now)
+	weight := speedSmoothing
+	if m.Paced {
+		weight *= k.paceTrust
+	}
+	sample := min(ratio/(k.passing(m.Pace)/m.Pace), maxSpeedSample)
+	u.speed = min(max(u.Speed()+weight*(sample-u.Speed()), minSpeed), maxSpeed)
 }
 
 // trust returns the weight of a figure by its age: 1 for a new one, 0 from life on, and 0 for
@@ -153,6 +158,9 @@
 	pace        float64 // as last told, as a factor of the usual time
 	paceTrust   float64 // weight of pace by its age
 	speed       float64
+	// Failing says that the upstream has failed lately. What it tells then doesn't place it
+	// below the mean: one that fails at once is idle.
+	Failing bool
 }
 
 // Know returns the snapshot for a choice at now.
@@ -163,6 +171,13 @@
 	}
 }
 
+// Later returns what is known for a request that reaches the upstream only after its present
+// pace has passed.
+func (k Known) Later() Known {
+	k.paceTrust = 0
+	return k
+}
+
 // passing returns the expected pace as a factor of the usual time: the last figure, which
 // loses weight against the mean of the service with its age.
 func (k Known) passing(usual float64) float64 {
@@ -178,17 +193,18 @@
 const (
 	// minOthers is the smallest part of the mean load of other routers that an upstream is
 	// taken to have, however little it tells. Many routers read the same figure of an idle
-	// upstream before any of their requests shows in it; and one that fails at once is idle.
+	// upstream before any of their requests shows in it.
 	minOthers = 0.5
 	// enoughReports is the number of reports, weighted by age, from which on their mean is
 	// trusted in full.
 	enoughReports = 2
 )
 
-// Estimate sets loads, which has the length of known. typical is the mean work of a request
-// of the service, in the same units as known. If no figure is known, the load of each upstream is
-// that of the router's own requests. confidence is between 0, no figure is known, and 1.
-func Estimate(known []Known, loads []Load, typical, usual float64) (confidence float64) {
+// Estimate sets loads, which has the length of known. If no figure is known, the load of each upstream is
+// that of the router's own requests and its factor is 1, also if its speed was learnt before:
+// the speed counts together with the pace that it was corrected by. confidence is between 0, no
+// figure is known, and 1.
+func Estimate(known []Known, loads []Load, m Means) (confidence float64) {
 	weight, sum := 0.0, 0.0
 	for i := range known {
 		weight += known[i].othersTrust
@@ -202,13 +218,17 @@
 	for i := range known {
 		k := &known[i]
 		own := float64(k.requests)
-		if typical > 0 {
-			own = k.work / typical
+		if m.Work > 0 {
+			own = k.work / m.Work
+		}
+		least := minOthers * mean
+		if k.Failing {
+			least = mean
 		}
-		others := max(k.othersTrust*k.others+(1-k.othersTrust)*mean, minOthers*mean)
+		others := max(k.othersTrust*k.others+(1-k.othersTrust)*mean, least)
 		loads[i] = Load{
 			Requests: own + confidence*others,
-			Factor:   k.speed * k.passing(usual) / usual,
+			Factor:   1 + confidence*(k.speed*k.passing(m.Pace)/m.Pace-1),
 		}
 	}
 	return confidence
--- a/core/route/holder.go
+++ b/core/route/holder.go
@@ -21,7 +21,7 @@
 	// knownSlack take their place where the load is that of all routers: loadSlack requests of
 	// each of many routers would fill an engine.
 	loadFactor, loadSlack   = 1.3, 3.0
-	knownFactor, knownSlack = 1.15, 1.0
+	knownFactor, knownSlack = 1.15, 2.0
 	// sameLoad is the difference of load in requests up to which two upstreams count as
 	// equal, because other routers may have sent so much since.
 	sameLoad = 1
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -38,6 +38,10 @@
 	parts       []crash.Part // prompt parts that other requests may share
 	retryBudget *budget.Retry
 	holders     int // engines that should hold the prompt's parts; 0 before the first choice
+	// planning is whether an engine is chosen before the stages have run, and resultsCentre
+	// the data centre for which they have.
+	planning      bool
+	resultsCentre wire.DataCentreID
 
 	late            bool // whether its stages yield to those of requests that can be on time
 	unqueuedMu      sync.Mutex
--- a/entry/load.go
+++ b/entry/load.go
@@ -25,6 +25,15 @@
 	probeTimeout = 200 * time.Millisecond
 	// probeIdleTimeout is how long a connection for probes is kept.
 	probeIdleTimeout = 20 * time.Second
+	// slowestRatio is the time that an answer may take relative to the mean of its route. A
+	// request that would be on time even then is not preceded by a probe.
+	slowestRatio = 5
+	// awayPenalty is the load, in requests, that fetching the stage results from another data
+	// centre counts for.
+	awayPenalty = 2
+	// failingPenalty is the penalty, in requests, above which what an upstream tells doesn't
+	// place it below the mean. One failure counts for more for several seconds.
+	failingPenalty = 1
 	// maxServicePaces limits the services whose pace is kept.
 	maxServicePaces = 256
 )
@@ -79,23 +88,23 @@
 	t.load.Heard(at, r)
 }
 
-// pace returns what is known about the service of the request, its typical work and its mean
-// pace. The service is nil if choices don't go by what upstreams tell: the settings say so, or
-// the upstreams don't tell their pace.
-func (x *exchange) pace() (svc *pace.Service, typical, usual float64) {
+// pace returns what is known about the service of the request. The service is nil if choices
+// don't go by what upstreams tell: the settings say so, or the upstreams don't tell their load.
+func (x *exchange) pace() (svc *pace.Service, m pace.Means) {
 	if !x.s.loadsOn.Load() {
-		return nil, 0, 1
+		return nil, m
 	}
-	if svc = x.s.paces.get(x.svc.ID); !svc.TellsPace() {
-		return nil, 0, 1
+	svc = x.s.paces.get(x.svc.ID)
+	m, tells := svc.Means()
+	if !tells {
+		return nil, m
 	}
-	typical, usual = svc.Means()
-	return svc, typical, usual
+	return svc, m
 }
 
 // estimateLoads returns the load of each upstream and how far it includes the requests of other
 // routers. Without a service it is that of the router's own requests.
-func estimateLoads(svc *pace.Service, states []targetStatus, typical, usual float64) (loads []pace.Load, confidence float64) {
+func (x *exchange) estimateLoads(svc *pace.Service, states []targetStatus, m pace.Means) (loads []pace.Load, confidence float64) {
 	loads = make([]pace.Load, len(states))
 	if svc == nil {
 		for i := range states {
@@ -106,8 +115,25 @@
 	known := make([]pace.Known, len(states))
 	for i := range states {
 		known[i] = states[i].load
+		known[i].Failing = states[i].penalty > failingPenalty
+		if x.planning {
+			known[i] = known[i].Later()
+		}
+	}
+	return loads, pace.Estimate(known, loads, m)
+}
+
+// penalizeAway makes engines outside the data centre that has the stage results less preferable:
+// they fetch the results from there.
+func (x *exchange) penalizeAway(es []route.Engine, usable []*target) {
+	if x.resultsCentre == "" || x.planning {
+		return
+	}
+	for i, t := range usable {
+		if t.Centre != x.resultsCentre {
+			es[i].Penalty += awayPenalty
+		}
 	}
-	return loads, pace.Estimate(known, loads, typical, usual)
 }
 
 // demand returns the demand for the shared parts of the prompt, for which it counts the request
@@ -155,13 +181,13 @@
 
 // recordPace records the time that an answer took relative to the expected time.
 func (x *exchange) recordPace(t *target, ratio float64) {
-	svc, _, usual := x.pace()
+	svc, m := x.pace()
 	if svc == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.load.Answered(time.Now(), ratio, usual)
+	t.load.Answered(time.Now(), ratio, m)
 }
 
 // chooseProbed is choose, but probes the chosen upstream first if its pace is not known, and
@@ -181,8 +207,11 @@
 // wantsProbe reports whether t is to be probed before the request is sent to it. If so, the probe
 // is counted.
 func (x *exchange) wantsProbe(t *target) bool {
-	svc, _, _ := x.pace()
-	if svc == nil || x.svc.HealthPath == "" || x.choiceReason == choiceExcluded {
+	svc, m := x.pace()
+	if svc == nil || !m.Paced || x.svc.HealthPath == "" || x.choiceReason == choiceExcluded {
+		return false
+	}
+	if x.remainingToTarget() > slowestRatio*x.s.expectedFirstEvent(x.route) {
 		return false
 	}
 	now := time.Now()
--- a/entry/place.go
+++ b/entry/place.go
@@ -62,7 +62,7 @@
 	var silent, ejected []*target
 	var silentStates []targetStatus
 	x.limitWait = 0
-	svc, typical, usual := x.pace()
+	svc, means := x.pace()
 	for _, u := range us {
 		if wait := x.s.limitWait(now, u); wait > 0 {
 			if x.limitWait == 0 || wait < x.limitWait {
@@ -97,7 +97,7 @@
 		x.choiceReason = choiceExcluded
 		return ejected[int(randomFraction()*float64(len(ejected)))], false
 	}
-	loads, confidence := estimateLoads(svc, states, typical, usual)
+	loads, confidence := x.estimateLoads(svc, states, means)
 	var i int
 	var reason route.Reason
 	if x.route.Engine {
@@ -116,6 +116,9 @@
 	for i, t := range usable {
 		es[i] = route.Engine{Upstream: t.ID, Load: loads[i].Requests, Factor: loads[i].Factor, Penalty: states[i].penalty}
 	}
+	if d.Confidence > 0 {
+		x.penalizeAway(es, usable)
+	}
 	x.setWeights(es, usable)
 	return route.PickHolder(route.PromptKey(x.sharedSegmentIDs()...), es, d)
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -204,9 +204,11 @@
 	}
 	st.stageRuns++
 	centre := st.s.cfg.Centre
+	st.planning = true
 	if t, _ := st.choose(time.Now()); t != nil {
 		centre = t.Centre // the engine fetches the results
 	}
+	st.planning, st.resultsCentre = false, centre
 	rs, err := st.s.runStages(ctx, st.exchange, centre)
 	if err != nil {
 		rs.release()
