fakes/site: tell load and pace, and stretch work by the pace

A replica with a Pace tells Server-Load with four figures in all answers, answers its health check at once and takes as much longer for its work. PassingPace is slow for 15 in 100 periods of 600 ms. SetLoad tells a false load.

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -99,6 +100,9 @@
 	// PublicAddr, if set, maps the listen address to the address that is registered, for
 	// example that of a proxy in front of the replica.
 	PublicAddr func(addr string) string
+	// Pace, if set, returns the percentage of the usual time that work takes now. The replica then
+	// tells its load in all answers, and its health check is answered at once.
+	Pace func(now time.Time) int
 	// TagEvents adds the version to each event of a stream, as a comment.
 	TagEvents bool
 	Downtime  time.Duration // time that the replica is down after a crash, 300 ms if 0
@@ -115,6 +119,8 @@
 	conns map[net.Conn]bool
 	// dropped holds connections that are reset as soon as data arrives on them.
 	dropped    map[net.Conn]bool
+	load       string          // value of HeaderLoad in all answers, empty for the true load
+	running    int             // requests in work
 	silences   int             // number of silences that have not ended
 	speaks     chan struct{}   // closed when the last silence ends
 	limit      string          // value of HeaderLimit in all answers, empty for none
@@ -486,10 +492,18 @@
 	case "/stage-free":
 		p.stageFree(r)
 		return
+	case HealthPath:
+		w.Header().Set("Instance-Id", p.ID)
+		if p.Leaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
 	case "/kv-events":
 		p.cacheEvents(w)
 		return
 	}
+	p.addRunning(1)
+	defer p.addRunning(-1)
 	act := p.action(r)
 	if act == RejectEarly {
 		p.reject(w, r, http.StatusServiceUnavailable)
@@ -555,9 +569,51 @@
 	if p.leaving {
 		h[HeaderLeaving] = "1"
 	}
+	switch {
+	case p.load != "":
+		h[HeaderLoad] = p.load
+	case p.Pace != nil:
+		h[HeaderLoad] = fmt.Sprintf("%d,0,8,%d", p.running, p.Pace(time.Now()))
+	}
 	return h
 }
 
+// SetLoad sets the load that the replica tells in all answers from now on, empty for the true
+// one.
+func (p *Replica) SetLoad(load string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.load = load
+}
+
+func (p *Replica) addRunning(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += n
+}
+
+// pacePeriod is the time for which a pace of PassingPace lasts.
+const pacePeriod = 600 * time.Millisecond
+
+// PassingPace returns a Pace that is 250 for 15 in 100 periods of 600 ms, in an order that depends
+// on seed, and 100 for the others.
+func PassingPace(seed uint64) func(time.Time) int {
+	return func(now time.Time) int {
+		if rand.New(rand.NewPCG(seed, uint64(now.UnixNano()/int64(pacePeriod)))).Float64() < 0.15 {
+			return 250
+		}
+		return 100
+	}
+}
+
+// stretched returns the time that work of the usual time d takes now.
+func (p *Replica) stretched(d time.Duration) time.Duration {
+	if p.Pace == nil {
+		return d
+	}
+	return d * time.Duration(p.Pace(time.Now())) / 100
+}
+
 func (p *Replica) action(r *http.Request) Action {
 	if p.Act == nil {
 		return Serve
@@ -607,7 +663,7 @@
 		p.stream(w, r, act)
 		return
 	}
-	if !clock.Sleep(r.Context(), p.ServiceTime) {
+	if !clock.Sleep(r.Context(), p.stretched(p.ServiceTime)) {
 		return
 	}
 	switch act {
@@ -646,7 +702,9 @@
 	default:
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Signature", p.ID)
-		w.Header().Set("Server-Load", "1,0,8")
+		if w.Header().Get(HeaderLoad) == "" {
+			w.Header().Set(HeaderLoad, "1,0,8")
+		}
 		p.write(w, r, act, body)
 	}
 }
@@ -871,7 +929,7 @@
 		eventTime = p.EventTime(r)
 	}
 	for n := lastEvent + 1; n <= p.Events; n++ {
-		if !clock.Sleep(r.Context(), eventTime) {
+		if !clock.Sleep(r.Context(), p.stretched(eventTime)) {
 			return
 		}
 		if n == lastEvent+3 {
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -193,7 +193,7 @@
 		})
 	}
 	for _, s := range services {
-		m := map[string]any{"name": s.Name, "health_path": "/health", "max_connections": 200, "protocol": "h1"}
+		m := map[string]any{"name": s.Name, "health_path": HealthPath, "max_connections": 200, "protocol": "h1"}
 		if s.Engine {
 			m["engine"] = map[string]any{"slots": 64, "kv_capacity_tokens": 400000}
 		}
