entry: test, log and document choices by told load

Tests over connections: a slow upstream is left alone, a probe before the choice, no probe for answers that are on time anyway, bad figures, an upstream that says it is idle and fails, the setting off and reloaded. The line request ended has the load, the factor of pace and how far they were known. The lasting speed fades without answers, so that an upstream that was slow by chance is tried again.

--- a/core/pace/upstream.go
+++ b/core/pace/upstream.go
@@ -27,6 +27,9 @@
 	// speedSmoothing is the weight of an answer in the lasting speed. An answer's time
 	// varies by half around its expected time, which ten answers level out.
 	speedSmoothing = 0.1
+	// speedHalfLife is the time without answers in which the lasting speed comes half way back to
+	// that of the others. Otherwise an upstream that was slow by chance would not be tried again.
+	speedHalfLife = 10 * time.Second
 	// maxSpeedSample bounds the weight of a single answer, and minSpeed and maxSpeed the
 	// lasting speed: an upstream beyond them is an outlier, which package route ejects.
 	maxSpeedSample     = 4
@@ -61,7 +64,8 @@
 	pace     Percent
 	probeAt  time.Time // when the upstream may be probed again
 
-	speed float64 // lasting time of work relative to other upstreams; 0 counts as 1
+	speed   float64 // lasting time of work relative to other upstreams at speedAt; 0 counts as 1
+	speedAt time.Time
 }
 
 // Sent records that a request was sent. Done must follow.
@@ -116,11 +120,11 @@
 }
 
 // Speed returns the lasting time of work at the upstream relative to the others.
-func (u *Upstream) Speed() float64 {
+func (u *Upstream) Speed(now time.Time) float64 {
 	if u.speed == 0 {
 		return 1
 	}
-	return u.speed
+	return 1 + (u.speed-1)*math.Exp2(-float64(max(now.Sub(u.speedAt), 0))/float64(speedHalfLife))
 }
 
 // Answered records the time that an answer took relative to the expected time. It is divided
@@ -136,7 +140,8 @@
 		weight *= k.paceTrust
 	}
 	sample := min(ratio/(k.passing(m.Pace)/m.Pace), maxSpeedSample)
-	u.speed = min(max(u.Speed()+weight*(sample-u.Speed()), minSpeed), maxSpeed)
+	u.speed = min(max(k.speed+weight*(sample-k.speed), minSpeed), maxSpeed)
+	u.speedAt = now
 }
 
 // trust returns the weight of a figure by its age: 1 for a new one, 0 from life on, and 0 for
@@ -167,7 +172,7 @@
 func (u *Upstream) Know(now time.Time) Known {
 	return Known{
 		work: u.work, requests: u.requests, others: float64(u.others), othersTrust: trust(now, u.reportAt, loadLife),
-		pace: float64(u.pace) / float64(Usual), paceTrust: trust(now, u.paceAt, paceLife), speed: u.Speed(),
+		pace: float64(u.pace) / float64(Usual), paceTrust: trust(now, u.paceAt, paceLife), speed: u.Speed(now),
 	}
 }
 
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -127,7 +127,7 @@
 	defer t.mu.Unlock()
 	d := UpstreamDump{
 		Service: t.Service, Centre: t.Centre, InFlight: t.inFlight, OpenConns: t.openConns, Cold: now.Before(t.coldUntil),
-		Ejected: t.outlier.Ejected(now), Penalty: t.outlier.Penalty(now), Speed: t.load.Speed(),
+		Ejected: t.outlier.Ejected(now), Penalty: t.outlier.Penalty(now), Speed: t.load.Speed(now),
 	}
 	if r, age, ok := t.load.Last(now); ok {
 		d.Told = &LoadDump{Running: r.Running, Waiting: r.Waiting, Slots: r.Slots, Pace: int(r.Pace), Age: age.Milliseconds()}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -202,7 +202,7 @@
 	}
 	v := x.view
 	logEnd("request ended", "request", x.spec.ID, "status", status, "reason", reason, "route", routeID, "team", team,
-		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "sends", x.sends, "runs", x.runs, "not_repeated", x.notRepeated, "took_ms", took.Milliseconds(),
+		"upstream", x.upstream, "software", x.software, "choice", x.choiceReason, "load", rounded(x.choiceLoad.Requests), "pace", rounded(x.choiceLoad.Factor), "known", rounded(x.choiceKnown), "sends", x.sends, "runs", x.runs, "not_repeated", x.notRepeated, "took_ms", took.Milliseconds(),
 		"left_ms", x.remaining().Milliseconds(), "config", v.version(),
 		"config_age_ms", v.age(platform.AreaOperatorSettings).Milliseconds(),
 		"upstreams_revision", v.At[platform.AreaUpstreamRegistry].Revision,
--- a/entry/load.go
+++ b/entry/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -136,6 +137,9 @@
 	}
 }
 
+// rounded rounds a number for the log to hundredths.
+func rounded(f float64) float64 { return math.Round(100*f) / 100 }
+
 // demand returns the demand for the shared parts of the prompt, for which it counts the request
 // once.
 func (x *exchange) demand(now time.Time, svc *pace.Service, engines int, confidence float64) route.Demand {
--- /dev/null
+++ b/entry/load_test.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/fakes/site"
+)
+
+// An answer after longWork may miss the target of a route if its upstream is slow, one after
+// shortWork does not.
+const (
+	shortWork = 5 * time.Millisecond
+	longWork  = 70 * time.Millisecond
+)
+
+// loadRig is a router and upstreams of a plain service that tell their load.
+type loadRig struct {
+	*rig
+	n     *node
+	first *site.Replica
+	fails atomic.Bool // whether the first one fails
+}
+
+// newLoadRig starts a router with or without Settings.Loads and upstreams that work for the given
+// time and tell the given paces, and sends requests until all have told theirs.
+func newLoadRig(t *testing.T, loads bool, work time.Duration, paces ...int) *loadRig {
+	t.Helper()
+	r := &loadRig{rig: newRig(t)}
+	for i, pace := range paces {
+		p := &site.Replica{ID: fmt.Sprint("i-", i+1), Service: "desk", Centre: "a", ServiceTime: work}
+		p.Pace = func(time.Time) int { return pace }
+		p.Act = func(*http.Request) site.Action {
+			if p == r.first && r.fails.Load() {
+				return site.InternalError
+			}
+			return site.Serve
+		}
+		if i == 0 {
+			r.first = p
+		}
+		assert.NilError(t, r.site.Add(p))
+	}
+	cfg := r.settings("r1")
+	cfg.Loads = loads
+	r.n = r.start(cfg)
+	r.waitForUpstreams(r.n, len(paces))
+	r.served("prime", 20)
+	return r
+}
+
+// served returns how many of some requests, sent one after the other, each upstream ran.
+func (r *loadRig) served(name string, requests int) map[string]int {
+	r.t.Helper()
+	before := len(r.site.Runs())
+	for i := range requests {
+		r.n.assertStatus(r.t, get(deskHost, fmt.Sprint("/safe/", name, i)), http.StatusOK, "")
+	}
+	got := map[string]int{}
+	for _, run := range r.site.Runs()[before:] {
+		got[run.Replica]++
+	}
+	return got
+}
+
+func (n *node) counters(t *testing.T) string {
+	t.Helper()
+	text, err := n.metrics.Text()
+	assert.NilError(t, err)
+	return string(text)
+}
+
+// TestLoads guards against requests to an upstream that is slow at the moment, against a fourth
+// figure that counts although the settings don't ask for it, and against a state dump and
+// metrics that don't show what was known.
+func TestLoads(t *testing.T) {
+	t.Run("slow upstream is left alone", func(t *testing.T) {
+		r := newLoadRig(t, true, shortWork, 250, 100)
+		got := r.served("", 40)
+		assert.Assert(t, got["i-1"] <= 4, "%v", got)
+		d := r.n.Dump(time.Now())
+		told := d.Upstreams["i-2"].Told
+		assert.Assert(t, told != nil && told.Pace == 100 && told.Slots == 8 && told.Age >= 0, "%+v", told)
+		assert.Assert(t, strings.Contains(r.n.counters(t), `reason="least_load"`))
+		assert.Assert(t, !strings.Contains(r.n.counters(t), "probes"), "the answers would be on time anyway")
+	})
+	t.Run("probed before the choice", func(t *testing.T) {
+		r := newLoadRig(t, true, longWork, 100, 100)
+		r.first.SetLoad("0,0,8,250")
+		time.Sleep(time.Second) // what was told before counts for nothing
+		got := r.served("", 6)
+		assert.Assert(t, got["i-1"] == 0 && got["i-2"] == 6, "%v", got)
+		assert.Assert(t, strings.Contains(r.n.counters(t), `outcome="told"`))
+	})
+	t.Run("off", func(t *testing.T) {
+		r := newLoadRig(t, false, shortWork, 250, 100)
+		got := r.served("", 40)
+		assert.Assert(t, got["i-1"] >= 8 && got["i-2"] >= 8, "%v", got)
+		assert.Assert(t, !strings.Contains(r.n.counters(t), "probes"))
+	})
+	t.Run("bad figures change nothing", func(t *testing.T) {
+		r := newLoadRig(t, true, shortWork, 100, 100)
+		r.first.SetLoad("0,0,8,-5")
+		changed := time.Now()
+		r.waitFor("a bad figure is ignored", func() bool {
+			r.served("", 1)
+			return strings.Contains(r.n.counters(t), "loads_ignored")
+		})
+		told, age := r.n.Dump(time.Now()).Upstreams["i-1"].Told, time.Since(changed)
+		assert.Assert(t, told.Pace == 100 && told.Age >= age.Milliseconds(), "%+v", told)
+	})
+	t.Run("idle and failing", func(t *testing.T) {
+		r := newLoadRig(t, true, shortWork, 100, 100)
+		r.first.SetLoad("0,0,8,50")
+		r.fails.Store(true)
+		got := r.served("", 40)
+		assert.Assert(t, got["i-1"] <= 8, "%v", got)
+	})
+}
+
+// TestReloadLoads guards against a setting that takes effect only after a restart.
+func TestReloadLoads(t *testing.T) {
+	data, err := os.ReadFile("../examples/entry.toml")
+	assert.NilError(t, err)
+	cfg, err := ParseSettings(data)
+	assert.NilError(t, err)
+	path := t.TempDir() + "/entry.toml"
+	s, err := New(cfg, path, new(logBuffer))
+	assert.NilError(t, err)
+	for _, loads := range []bool{true, false} {
+		text := strings.Replace(string(data), "level =", fmt.Sprintf("loads = %v\nlevel =", loads), 1)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		s.reload("hangup")
+		assert.Equal(t, s.loadsOn.Load(), loads)
+	}
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -105,7 +105,7 @@
 	} else {
 		i, reason = x.leastLoaded(usable, states, loads, confidence)
 	}
-	x.choiceReason = string(reason)
+	x.choiceReason, x.choiceLoad, x.choiceKnown = string(reason), loads[i], confidence
 	return usable[i], false
 }
 
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -14,6 +14,7 @@
 
 	"hornbeamcove.example/core/budget"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/pace"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -138,6 +139,8 @@
 	upstream     wire.UpstreamID       // upstream chosen last
 	software     fleet.SoftwareVersion // of that upstream
 	choiceReason string                // why upstream was chosen, for the log
+	choiceLoad   pace.Load             // its load as estimated then, for the log
+	choiceKnown  float64               // how far that includes the requests of other routers, from 0 to 1
 	// survived is whether the last attempt was answered for so long that the request is not
 	// the one that crashes its upstream.
 	survived   bool
