core/route: weigh a spill against reading the shared parts again

An engine above the bound lost prompts although waiting there cost their callers less than reading the shared parts elsewhere. The bound of the first holder is higher by half of that work.

--- a/core/route/holder.go
+++ b/core/route/holder.go
@@ -67,6 +67,9 @@
 // demand and loads that are of this router's requests alone.
 type Demand struct {
 	Holders int // engines that should hold the prompt's parts, at most 4; 0 counts as 1
+	// Shared is the work, in typical requests, of reading the shared parts again at an engine that
+	// doesn't hold them. The first holder's load may be above the bound by as much.
+	Shared float64
 	// Confidence is how far the loads include the requests of other routers, between 0 and 1.
 	Confidence float64
 	Draw       float64 // random number in [0, 1)
@@ -130,6 +133,10 @@
 		}
 		top[at] = c
 	}
+	if first.cost <= bound+d.Shared && (found == 0 || top[0] != first) {
+		copy(top[1:], top[:maxHolders-1])
+		top[0], found = first, min(found+1, n)
+	}
 	if found == 0 {
 		return least.pick(sameLoad*d.Confidence, d.Draw)
 	}
--- a/core/route/holder_test.go
+++ b/core/route/holder_test.go
@@ -38,6 +38,32 @@
 		overloaded[preferred].Load = 40
 		assert.Assert(t, PickEngine(key, overloaded) != preferred)
 	})
+	t.Run("an engine that holds much gets more", func(t *testing.T) {
+		loaded := append([]Engine{}, es...)
+		loaded[preferred].Load = 5
+		i, reason := PickHolder(key, loaded, Demand{Shared: 3})
+		assert.Assert(t, i == preferred && reason == ReasonHolder)
+		loaded[preferred].Load = 9
+		i, reason = PickHolder(key, loaded, Demand{Shared: 3})
+		assert.Assert(t, i != preferred && reason == ReasonSpill)
+	})
+	t.Run("holders in demand share the prompts", func(t *testing.T) {
+		loaded := append([]Engine{}, es...)
+		loaded[preferred].Load = 2
+		i, _ := PickHolder(key, loaded, Demand{})
+		assert.Equal(t, i, preferred)
+		i, reason := PickHolder(key, loaded, Demand{Holders: 2})
+		assert.Assert(t, i == RendezvousOrder(key, es)[1] && reason == ReasonSecondHolder)
+	})
+	t.Run("slow engine is skipped", func(t *testing.T) {
+		slow := append([]Engine{}, es...)
+		for i := range slow {
+			slow[i].Load, slow[i].Factor = 4, 1
+		}
+		slow[preferred].Factor = 2.5
+		i, _ := PickHolder(key, slow, Demand{Confidence: 1})
+		assert.Assert(t, i != preferred)
+	})
 	t.Run("failing engine is skipped", func(t *testing.T) {
 		failing := append([]Engine{}, es...)
 		failing[preferred].Penalty = 10
--- a/entry/load.go
+++ b/entry/load.go
@@ -32,6 +32,9 @@
 	// awayPenalty is the load, in requests, that fetching the stage results from another data
 	// centre counts for.
 	awayPenalty = 2
+	// keptShare is the part of the shared tokens that the engine which a prompt prefers is taken to
+	// hold. About half of all prompt tokens were found kept on played days.
+	keptShare = 0.5
 	// failingPenalty is the penalty, in requests, above which what an upstream tells doesn't
 	// place it below the mean. One failure counts for more for several seconds.
 	failingPenalty = 1
@@ -142,14 +145,20 @@
 
 // demand returns the demand for the shared parts of the prompt, for which it counts the request
 // once.
-func (x *exchange) demand(now time.Time, svc *pace.Service, engines int, confidence float64) route.Demand {
+func (x *exchange) demand(now time.Time, svc *pace.Service, m pace.Means, engines int, confidence float64) route.Demand {
 	if svc == nil {
 		return route.Demand{}
 	}
 	if x.holders == 0 {
 		x.holders = svc.Holders(now, route.PromptKey(x.sharedSegmentIDs()...), engines)
 	}
-	return route.Demand{Holders: x.holders, Confidence: confidence, Draw: randomFraction()}
+	d := route.Demand{Holders: x.holders, Confidence: confidence, Draw: randomFraction()}
+	if m.Work > 0 {
+		for _, p := range x.spec.SharedSegments() {
+			d.Shared += confidence * keptShare * float64(p.Tokens) / m.Work
+		}
+	}
+	return d
 }
 
 // work returns the work of the request at t, and the prompt tokens that t has to read.
--- a/entry/place.go
+++ b/entry/place.go
@@ -101,7 +101,7 @@
 	var i int
 	var reason route.Reason
 	if x.route.Engine {
-		i, reason = x.chooseEngine(usable, states, loads, x.demand(now, svc, len(usable), confidence))
+		i, reason = x.chooseEngine(usable, states, loads, x.demand(now, svc, means, len(usable), confidence))
 	} else {
 		i, reason = x.leastLoaded(usable, states, loads, confidence)
 	}
