entry: log what is known of a stream that is not taken up

Take-ups that end with "software version of the stream unknown" could not be told apart: records lost with their routers, routers that did not answer, a router that does not follow the upstreams, engines that were not asked or have not read the prompt. One line "stream not taken up" now has the routers and engines asked, those that answered, the versions seen and the readers.

--- a/entry/origin.go
+++ b/entry/origin.go
@@ -135,39 +135,46 @@
 	return o.s.view.Load().age(platform.AreaUpstreamRegistry) <= maxDenyAge
 }
 
-// resolve returns what this router and those that may hold the record of a stream know about
-// it, and whether all of them have answered.
-func (o *origins) resolve(ctx context.Context, q OriginQuery) (answers []origin.Answer, complete bool) {
+// originSearch is what was found out about a stream that is taken up.
+type originSearch struct {
+	answers  []origin.Answer // of this router and of those asked
+	asked    int             // other routers that may hold the record
+	complete bool            // whether all routers that may hold it have answered
+	caches   cacheSearch     // of the engines, asked if the routers don't know
+}
+
+// resolve returns what this router and those that may hold the record of a stream know about it.
+func (o *origins) resolve(ctx context.Context, q OriginQuery) (found originSearch) {
 	own := o.answer(q)
-	if own.Record.Version != "" {
-		return []origin.Answer{own}, true
+	if found = (originSearch{answers: []origin.Answer{own}, complete: true}); own.Record.Version != "" {
+		return found
 	}
 	var mu sync.Mutex
-	answers, complete = []origin.Answer{own}, true
 	var wg sync.WaitGroup
 	for _, name := range origin.Holders(q.Stream, o.s.peers.ownerCandidates(time.Now())) {
 		addr, ok := o.s.peers.address(name)
 		if !ok {
 			continue // this router
 		}
+		found.asked++
 		wg.Go(func() {
 			var a origin.Answer
 			err := o.s.peers.call(ctx, addr, "Peer.Origin", q, &a, originTimeout)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				complete = false
+				found.complete = false
 				return
 			}
-			answers = append(answers, a)
+			found.answers = append(found.answers, a)
 		})
 	}
 	wg.Wait()
-	if len(answers) == 1 && o.s.peers.knowsOthers(time.Now()) {
+	if len(found.answers) == 1 && o.s.peers.knowsOthers(time.Now()) {
 		// Streams of a version that has just joined are known to others alone.
-		answers[0].Covered, complete = false, false
+		found.answers[0].Covered, found.complete = false, false
 	}
-	return answers, complete
+	return found
 }
 
 // pinOrigin sets the software version at which a stream that the caller takes up must go on,
@@ -178,19 +185,22 @@
 	if len(x.route.Split) == 1 {
 		q.Service = x.route.Split[0].Service
 	}
-	answers, complete := x.s.origins.resolve(ctx, q)
-	r, ok := origin.Resolve(answers, q.Service)
+	found := x.s.origins.resolve(ctx, q)
+	r, ok := origin.Resolve(found.answers, q.Service)
 	outcome := "pinned"
 	if !ok && q.Service != "" && x.s.origins.current() {
-		r, ok = x.originFromReads(q.Service)
+		found.caches = x.searchCaches(q.Service)
+		r.Service = q.Service
+		r.Version, ok = origin.OfReaders(found.caches.readers)
 		outcome = "pinned by cache"
 	}
 	refuse := func(outcome, reason string) (fleet.ServiceID, *refusal) {
 		x.s.incCounter("streams_taken_up", "outcome", outcome)
+		x.logNotTakenUp(reason, found)
 		return "", &refusal{status: http.StatusServiceUnavailable, reason: reason}
 	}
 	switch {
-	case !ok && !complete: // another router may know
+	case !ok && !found.complete: // another router may know
 		svc, f := refuse("unknown", reasonOriginUnknown)
 		f.retryAfter = retryAfterBusy
 		return svc, f
@@ -206,6 +216,23 @@
 	return r.Service, nil
 }
 
+// logNotTakenUp logs what was known of a stream that is not taken up.
+func (x *exchange) logNotTakenUp(reason string, found originSearch) {
+	covered := 0
+	var versions []fleet.SoftwareVersion
+	for _, a := range found.answers {
+		if a.Covered {
+			covered++
+		}
+		versions = append(versions, a.Versions...)
+	}
+	slices.Sort(versions)
+	x.s.log.Info("stream not taken up", "request", x.spec.ID, "resumes", x.spec.Resumes, "reason", reason,
+		"routers_asked", found.asked, "routers_answered", len(found.answers)-1, "routers_covered", covered, "versions", slices.Compact(versions),
+		"current", x.s.origins.current(), "engines", found.caches.engines, "caches_asked", found.caches.asked, "caches_failed", found.caches.failed,
+		"readers", found.caches.readers)
+}
+
 // reasonOriginUnknown is the reason for refusing to take up a stream.
 const reasonOriginUnknown = "software version of the stream unknown"
 
--- a/entry/reads.go
+++ b/entry/reads.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
-	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
@@ -109,44 +108,47 @@
 	return parts, nil
 }
 
-// readers returns the versions of the engines of a service that have read the last segment of
-// the prompt, which belongs to this request or its session alone.
-func (x *exchange) readers(svc fleet.ServiceID) (found []fleet.SoftwareVersion) {
+// cacheSearch is what the caches of the engines of a service show about a prompt.
+type cacheSearch struct {
+	engines int                     // of the service
+	asked   int                     // those that the prompt prefers
+	failed  int                     // those of them that did not answer
+	readers []fleet.SoftwareVersion // of the engines that have read the prompt
+}
+
+// searchCaches looks for the last segment of the prompt, which belongs to this request or its
+// session alone, in the caches of the engines of a service.
+func (x *exchange) searchCaches(svc fleet.ServiceID) (found cacheSearch) {
+	us := x.view.Upstreams[svc]
+	found.engines = len(us)
 	if !x.route.Engine || len(x.spec.PromptSegments) == 0 {
-		return nil
+		return found
 	}
 	own := x.spec.PromptSegments[len(x.spec.PromptSegments)-1].ID
-	us := x.view.Upstreams[svc]
 	es := make([]route.Engine, len(us))
 	for i, u := range us {
 		es[i] = route.Engine{Upstream: u.ID}
 	}
 	order := route.RendezvousOrder(route.PromptKey(x.sharedSegmentIDs()...), es)
+	order = order[:min(len(order), maxCachesAsked)]
+	found.asked = len(order)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, i := range order[:min(len(order), maxCachesAsked)] {
+	for _, i := range order {
 		wg.Go(func() {
 			parts, err := x.s.origins.reads.read(x.s, us[i])
-			if err != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
 				x.s.log.Debug("could not read cache events", "upstream", us[i].ID, "err", err)
 				x.s.incCounter("cache_reads_failed")
-				return
-			}
-			if parts[own] {
-				mu.Lock()
-				defer mu.Unlock()
-				found = append(found, us[i].Software)
+				found.failed++
+			case parts[own]:
+				found.readers = append(found.readers, us[i].Software)
 			}
 		})
 	}
 	wg.Wait()
 	return found
 }
-
-// originFromReads returns the version that began a stream of a service as far as the caches of
-// its engines show it.
-func (x *exchange) originFromReads(svc fleet.ServiceID) (r origin.Record, ok bool) {
-	r.Service = svc
-	r.Version, ok = origin.OfReaders(x.readers(svc))
-	return r, ok
-}
