--- a/core/pace/play_test.go
+++ b/core/pace/play_test.go
@@ -20,6 +20,7 @@
 const (
 	ownRequests policy = iota // the router's own requests in flight, as without reports
 	answersOnly               // also what answers tell
+	probesAfter               // also probes of two random upstreams after each choice, for later ones
 	withProbes                // also probes before the choice
 )
 
@@ -183,6 +184,12 @@
 		p.probes++
 		p.hear(r, i)
 	}
+	for range 2 {
+		if p.policy == probesAfter && r.svc.AllowProbe() {
+			p.probes++
+			p.hear(r, p.own.IntN(p.upstreams))
+		}
+	}
 	p.requests++
 	if i == 0 {
 		p.toFirst++
@@ -326,13 +333,14 @@
 func TestPlay(t *testing.T) {
 	for name, load := range plays {
 		t.Run(name, func(t *testing.T) {
-			before, answers, now := load.with(ownRequests), load.with(answersOnly), load.with(withProbes)
-			t.Logf("\n%v\n%v\n%v", before, answers, now)
+			before, answers, after, now := load.with(ownRequests), load.with(answersOnly), load.with(probesAfter), load.with(withProbes)
+			t.Logf("\n%v\n%v\n%v\n%v", before, answers, after, now)
 			if load.even { // there is nothing to probe for
 				assert.Assert(t, now.late <= before.late && now.probes == 0)
 			} else {
 				assert.Assert(t, float64(now.late) < 0.6*float64(before.late))
 				assert.Assert(t, now.late < answers.late)
+				assert.Assert(t, load.keys == 0 || now.late < after.late)
 			}
 			assert.Assert(t, now.probes <= probesPerRequest*now.requests)
 			if load.keys > 0 {
--- a/entry/load.go
+++ b/entry/load.go
@@ -54,7 +54,7 @@
 
 func newProbeClient() *http.Client {
 	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
-		DialContext: dialAbortable, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdleTimeout,
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdleTimeout,
 		ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10, MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}}
 }
