core/pace: ignore implausible loads, bound what one report does

More requests than eight times the slots and a pace beyond 10 to 1000 are ignored, what counts of the others' requests is at most four times their mean. A reply to a probe without a pace ends the probes of the service for 30 s.

--- a/core/pace/report.go
+++ b/core/pace/report.go
@@ -12,11 +12,14 @@
 const Usual Percent = 100
 
 const (
+	// fastest and slowest bound the pace that counts, so that one upstream neither draws all
+	// requests nor makes all others look idle.
+	fastest, slowest = Usual / 2, 4 * Usual
 	// maxFigure bounds the counts of a report, as the registry bounds the slots of an upstream.
 	maxFigure = 1 << 20
-	// maxPercent bounds the figure of pace. An upstream a hundred times slower than usual would
-	// answer no request within its deadline.
-	maxPercent = 100 * Usual
+	// minPercent and maxPercent bound the figure of pace. An upstream beyond them would answer
+	// hardly any request within its deadline, or tells it in another unit.
+	minPercent, maxPercent = Usual / 10, 10 * Usual
 )
 
 // Report is the load that an upstream tells in an answer. The zero value is not valid.
@@ -35,12 +38,22 @@
 		return fmt.Errorf("%d waiting requests", r.Waiting)
 	case r.Slots <= 0 || r.Slots > maxFigure:
 		return fmt.Errorf("%d slots", r.Slots)
-	case r.Pace < 0 || r.Pace > maxPercent:
+	case r.Pace != 0 && (r.Pace < minPercent || r.Pace > maxPercent):
 		return fmt.Errorf("pace of %d percent", r.Pace)
 	}
 	return nil
 }
 
+// maxQueue is the number of requests in an upstream, as a multiple of its slots, beyond which
+// a report is taken to be wrong: upstreams queue few requests and reject more.
+const maxQueue = 8
+
+// Plausible reports whether an upstream with the given slots, as registered, can have so many
+// requests.
+func (r Report) Plausible(slots int) bool {
+	return r.Running+r.Waiting <= maxQueue*max(slots, 1)
+}
+
 // errFigures is the error of NewReport for a wrong number of figures.
 var errFigures = errors.New("not three or four figures")
 
--- a/core/pace/service.go
+++ b/core/pace/service.go
@@ -18,17 +18,24 @@
 	// asked is at its usual pace in 98 of 100 choices.
 	probesPerRequest = 2
 	probeBurst       = 8
+	// slowestRatio is the time that an answer may take relative to the mean of its kind: 2.5 times
+	// for a slow upstream, and twice for a large request.
+	slowestRatio = 5
+	// untoldPause is the time without probes after one whose reply told no pace. The health path
+	// then may wait for a slot.
+	untoldPause = 30 * time.Second
 )
 
 // Service is what a router knows about the upstreams of one service together. It is safe for
 // concurrent use. The zero value is ready to use.
 type Service struct {
 	mu      sync.Mutex
-	tells   bool    // whether the upstreams tell their load
-	paced   bool    // whether they tell their pace, too
-	usual   float64 // mean of the pace told, as a factor; 0 before the first
-	typical float64 // mean work of a request; 0 before the first
-	probes  float64 // probes that may be sent now
+	tells   bool      // whether the upstreams tell their load
+	paced   bool      // whether they tell their pace, too
+	usual   float64   // mean of the pace told, as a factor; 0 before the first
+	typical float64   // mean work of a request; 0 before the first
+	probes  float64   // probes that may be sent now
+	probeAt time.Time // when the next one may be sent
 	read    fit
 	demand  demand
 	held    held
@@ -80,23 +87,27 @@
 	s.typical += typicalSmoothing * (w.total() - s.typical)
 }
 
-// AllowProbe reports whether a probe may be sent, and counts it if so.
-func (s *Service) AllowProbe() bool {
+// AllowProbe reports whether a probe may be sent now, and counts it if so.
+func (s *Service) AllowProbe(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.paced || s.probes < 1 {
+	if !s.paced || s.probes < 1 || now.Before(s.probeAt) {
 		return false
 	}
 	s.probes--
 	return true
 }
 
-// Untold records that the reply to a probe told no pace. The upstreams then count as not telling
-// it until an answer does.
-func (s *Service) Untold() {
+// Matters reports whether the pace of its upstream may decide that a request is late: it is not
+// late yet, and would be if its answer took several times the mean. Only then is a probe worth
+// its cost.
+func Matters(left, mean time.Duration) bool { return left > 0 && left <= slowestRatio*mean }
+
+// Untold records that the reply to a probe told no pace.
+func (s *Service) Untold(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.paced = false
+	s.probeAt = now.Add(untoldPause)
 }
 
 // Part is a part of a prompt.
--- a/core/pace/upstream.go
+++ b/core/pace/upstream.go
@@ -98,7 +98,7 @@
 	u.report, u.reportAt = r, at
 	u.others = max(r.Running+r.Waiting-u.requests, 0)
 	if r.Pace > 0 {
-		u.pace, u.paceAt = r.Pace, at
+		u.pace, u.paceAt = min(max(r.Pace, fastest), slowest), at
 	}
 }
 
@@ -200,25 +200,35 @@
 	// taken to have, however little it tells. Many routers read the same figure of an idle
 	// upstream before any of their requests shows in it.
 	minOthers = 0.5
+	// maxOthers is the largest multiple of that mean, so that one wrong report doesn't make all
+	// other upstreams look idle.
+	maxOthers = 4
 	// enoughReports is the number of reports, weighted by age, from which on their mean is
 	// trusted in full.
 	enoughReports = 2
 )
 
-// Estimate sets loads, which has the length of known. If no figure is known, the load of each upstream is
-// that of the router's own requests and its factor is 1, also if its speed was learnt before:
-// the speed counts together with the pace that it was corrected by. confidence is between 0, no
-// figure is known, and 1.
-func Estimate(known []Known, loads []Load, m Means) (confidence float64) {
-	weight, sum := 0.0, 0.0
+// meanOthers returns the mean of the requests of other routers, each at most most, weighted by age,
+// and the sum of the weights.
+func meanOthers(known []Known, most float64) (mean, weight float64) {
 	for i := range known {
 		weight += known[i].othersTrust
-		sum += known[i].othersTrust * known[i].others
+		mean += known[i].othersTrust * min(known[i].others, most)
 	}
-	mean := 0.0
 	if weight > 0 {
-		mean = sum / weight
+		mean /= weight
 	}
+	return mean, weight
+}
+
+// Estimate sets loads, which has the length of known. If no figure is known, the load of each upstream is
+// that of the router's own requests and its factor is 1, also if its speed was learnt before:
+// the speed counts together with the pace that it was corrected by. confidence is between 0, no
+// figure is known, and 1.
+func Estimate(known []Known, loads []Load, m Means) (confidence float64) {
+	mean, weight := meanOthers(known, math.Inf(1))
+	most := maxOthers*mean + 1
+	mean, _ = meanOthers(known, most)
 	confidence = min(weight/enoughReports, 1)
 	for i := range known {
 		k := &known[i]
@@ -230,7 +240,7 @@
 		if k.Failing {
 			least = mean
 		}
-		others := max(k.othersTrust*k.others+(1-k.othersTrust)*mean, least)
+		others := max(k.othersTrust*min(k.others, most)+(1-k.othersTrust)*mean, least)
 		loads[i] = Load{
 			Requests: own + confidence*others,
 			Factor:   1 + confidence*(k.speed*k.passing(m.Pace)/m.Pace-1),
--- a/entry/load.go
+++ b/entry/load.go
@@ -26,9 +26,6 @@
 	probeTimeout = 200 * time.Millisecond
 	// probeIdleTimeout is how long a connection for probes is kept.
 	probeIdleTimeout = 20 * time.Second
-	// slowestRatio is the time that an answer may take relative to the mean of its route. A
-	// request that would be on time even then is not preceded by a probe.
-	slowestRatio = 5
 	// awayPenalty is the load, in requests, that fetching the stage results from another data
 	// centre counts for.
 	awayPenalty = 2
@@ -80,7 +77,10 @@
 	switch {
 	case info.BadLoad:
 		s.incCounter("loads_ignored", "service", string(u.Service))
-	case info.Load != pace.Report{}:
+	case info.Load == pace.Report{}:
+	case !info.Load.Plausible(u.Slots):
+		s.incCounter("loads_ignored", "service", string(u.Service))
+	default:
 		s.targets.get(u).heardLoad(at, info.Load)
 		s.paces.get(u.Service).Heard(info.Load)
 	}
@@ -224,14 +224,14 @@
 	if svc == nil || !m.Paced || x.svc.HealthPath == "" || x.choiceReason == choiceExcluded {
 		return false
 	}
-	if x.remainingToTarget() > slowestRatio*x.s.expectedFirstEvent(x.route) {
+	if !pace.Matters(x.remainingToTarget(), x.s.expectedFirstEvent(x.route)) {
 		return false
 	}
 	now := time.Now()
 	if _, limited := x.s.limits.Rate(t.ID); limited || !t.mayProbe(now) {
 		return false
 	}
-	if !svc.AllowProbe() {
+	if !svc.AllowProbe(now) {
 		t.probeEnded()
 		return false
 	}
@@ -310,6 +310,6 @@
 	s.recordLoad(t.Upstream, info, began)
 	if outcome = "told"; info.Load.Pace == 0 {
 		outcome = "untold"
-		s.paces.get(t.Service).Untold()
+		s.paces.get(t.Service).Untold(time.Now())
 	}
 }
