entry: don't bring a restarted upstream's old target back

A load told by an answer of the run before a restart would have replaced the target of the new run, with its connections and statistics. TestHeardLoad.

--- a/entry/load.go
+++ b/entry/load.go
@@ -81,12 +81,19 @@
 	case !info.Load.Plausible(u.Slots):
 		s.incCounter("loads_ignored", "service", string(u.Service))
 	default:
-		s.targets.get(u).heardLoad(at, info.Load)
+		s.targets.heardLoad(at, u, info.Load)
 		s.paces.get(u.Service).Heard(info.Load)
 	}
 }
 
-func (t *target) heardLoad(at time.Time, r pace.Report) {
+// heardLoad records the load that an upstream told, unless it has started again since.
+func (ts *targets) heardLoad(at time.Time, u fleet.Upstream, r pace.Report) {
+	ts.mu.Lock()
+	t := ts.byID[u.ID]
+	ts.mu.Unlock()
+	if t == nil || !t.SameRun(u) {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load.Heard(at, r)
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -11,6 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/pace"
+	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
 )
 
@@ -123,6 +126,20 @@
 	})
 }
 
+// TestHeardLoad guards against a late answer of an upstream before its restart that counts for the
+// one after it, or brings the old one back.
+func TestHeardLoad(t *testing.T) {
+	ts := &targets{byID: map[wire.UpstreamID]*target{}}
+	old, now := fleet.Upstream{ID: "i-1", Born: 1}, time.Now()
+	ts.heardLoad(now, old, pace.Report{Running: 3, Slots: 8})
+	assert.Equal(t, len(ts.byID), 0)
+	tg := ts.get(fleet.Upstream{ID: "i-1", Born: 2})
+	ts.heardLoad(now, old, pace.Report{Running: 3, Slots: 8})
+	assert.Assert(t, tg.dump(now).Told == nil && ts.byID["i-1"] == tg)
+	ts.heardLoad(now, tg.Upstream, pace.Report{Running: 3, Slots: 8})
+	assert.Equal(t, tg.dump(now).Told.Running, 3)
+}
+
 // TestReloadLoads guards against a setting that takes effect only after a restart.
 func TestReloadLoads(t *testing.T) {
 	data, err := os.ReadFile("../examples/entry.toml")
