--- a/entry/load.go
+++ b/entry/load.go
@@ -281,12 +281,21 @@
 		if due.Sub(began) > 2*wait { // this router was kept from running
 			return
 		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.load.Unanswered(due)
+		t.probeFailed(due, false)
 	}
 }
 
+// probeFailed records a probe without a reply in time. unreachable is set if the upstream took no
+// connection: that counts like a request to which it happens.
+func (t *target) probeFailed(now time.Time, unreachable bool) {
+	if unreachable {
+		t.recordFailure(now, true, false)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load.Unanswered(now)
+}
+
 // sendProbe asks an upstream for its health and records the load in the reply. The status
 // doesn't count: it may be wrong either way, and says nothing about the load.
 func (s *Server) sendProbe(t *target, path string) {
@@ -302,6 +311,7 @@
 	resp, err := s.paces.probeClient.Do(req)
 	if err != nil {
 		s.log.Debug("probe failed", "upstream", t.ID, "err", err)
+		t.probeFailed(time.Now(), !isTimeout(err) && !mayHaveStarted(err))
 		return
 	}
 	discardBody(resp)
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -140,6 +140,25 @@
 	assert.Equal(t, tg.dump(now).Told.Running, 3)
 }
 
+// TestProbeFails guards against a request to an upstream that was down when it was probed, and
+// against probes of it one after the other.
+func TestProbeFails(t *testing.T) {
+	r := newRig(t)
+	s, err := New(r.settings("r1"), "", r.log)
+	assert.NilError(t, err)
+	ln, err := listenTCP("127.0.0.1:0")
+	assert.NilError(t, err)
+	tg := s.targets.get(fleet.Upstream{ID: "i-1", Address: wire.Address(ln.Addr().String())})
+	_ = ln.Close()
+	assert.Assert(t, tg.mayProbe(time.Now()) && !tg.mayProbe(time.Now()), "one at a time")
+	s.sendProbe(tg, site.HealthPath)
+	now := time.Now()
+	assert.Assert(t, tg.status(now, &fleet.Service{}, 1).ejected)
+	assert.Assert(t, !tg.mayProbe(now))
+	tg.coldUntil = time.Time{}
+	assert.Assert(t, tg.mayProbe(now.Add(time.Second)))
+}
+
 // TestReloadLoads guards against a setting that takes effect only after a restart.
 func TestReloadLoads(t *testing.T) {
 	data, err := os.ReadFile("../examples/entry.toml")
