entry: take no reset for the end of an answer without a length

A caller got a part of an answer as a complete 200: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and the connection was reset while the upload was still written.

Cause: the kernel reports the error of a connection once. If the write of the upload is told of the reset, the next read returns the end of the connection, which ends such an answer. A look at a silent connection while another upstream is asked (Recvfrom with MSG_PEEK) takes the error in the same way.

At the end of an answer without a length the state of the connection is asked of the kernel: only if the peer has closed its side (TCP_CLOSE_WAIT) is the answer complete. Otherwise it broke off: the request may have run, is repeated where that is allowed, and gets 502 or a cut connection else.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -203,6 +203,52 @@
 	return n, err
 }
 
+// isUnframed reports whether only the end of the connection ends a response.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+var errCutOff = errors.New("connection ended within a response without a length")
+
+// unframedBody is the body of a response that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+// Read implements io.Reader. It returns errCutOff at the end of a connection that the peer has not
+// closed in the ordinary way. A read returns io.EOF after a reset too, if the write of the request
+// or a look at the connection was told of the reset before.
+func (b *unframedBody) Read(p []byte) (n int, err error) {
+	if n, err = b.ReadCloser.Read(p); errors.Is(err, io.EOF) && !closedByPeer(b.conn) {
+		err = errCutOff
+	}
+	return n, err
+}
+
+// closedByPeer reports whether the peer of a TCP connection has closed its side, and has not reset
+// the connection.
+func closedByPeer(c net.Conn) (closed bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) { closed = isCloseWait(fd) })
+	return err == nil && closed
+}
+
+// tcpCloseWait is TCP_CLOSE_WAIT of Linux: the peer has closed its side, this one is open.
+const tcpCloseWait = 8
+
+func isCloseWait(fd uintptr) bool {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.State == tcpCloseWait
+}
+
 // readHead reads the head of a response, which may be of maxResponseHeadBytes, and leaves its body
 // unread.
 func (c *upstreamConn) readHead(req *http.Request) (resp *http.Response, err error) {
@@ -212,6 +258,9 @@
 	if resp, err = http.ReadResponse(c.r, req); err != nil {
 		return nil, err
 	}
+	if isUnframed(resp) && resp.Body != http.NoBody {
+		resp.Body = &unframedBody{resp.Body, c.Conn}
+	}
 	// net/http deletes the length of a response that has both.
 	return resp, framer.CheckResponse(c.limit.copied)
 }
@@ -364,7 +413,7 @@
 	default:
 		return false // the upstream responded before the request was fully written
 	}
-	if rp.resp.Close || rp.resp.ContentLength < 0 && len(rp.resp.TransferEncoding) == 0 || c.r.Buffered() > 0 {
+	if rp.resp.Close || isUnframed(rp.resp) || c.r.Buffered() > 0 {
 		return false
 	}
 	c.idleSince = now
--- /dev/null
+++ b/entry/mixed_test.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// rawHead is the head of an answer to a request, without the empty line that ends it.
+func rawHead(q *http.Request, status string) string {
+	return "HTTP/1.1 " + status + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\nRequest-Id: " + q.Header.Get("Request-Id") + "\r\n"
+}
+
+// resetAfter lets what was written arrive, and resets the connection.
+func resetAfter(c net.Conn) {
+	time.Sleep(5 * time.Millisecond)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// poll waits until one of the events of poll(2) has arrived on a TCP connection.
+func poll(c net.Conn, events int16) {
+	if raw, err := c.(syscall.Conn).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: events}}, -1) })
+	}
+}
+
+// TestCutAnswer guards against a part of an answer that looks complete to its caller, because only
+// the end of the connection ends the answer, or because the end of the answer was lost. A request
+// that may not be repeated runs once.
+func TestCutAnswer(t *testing.T) {
+	const part = "id: 1\ndata: part\n\n"
+	upload := strings.Repeat("u", 900<<10)
+	read := func(q *http.Request) { _, _ = io.Copy(io.Discard, q.Body) }
+	for _, tc := range []struct {
+		name   string
+		answer func(c net.Conn, q *http.Request)
+		whole  bool
+	}{
+		{name: "no length, reset while the upload is written", answer: func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"\r\n"+part)
+			resetAfter(c)
+		}},
+		{name: "no length, reset after the upload", answer: func(c net.Conn, q *http.Request) {
+			read(q)
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"\r\n"+part)
+			resetAfter(c)
+		}},
+		{name: "no length, closed while the upload is written", answer: func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"\r\n"+part)
+			poll(c, unix.POLLIN) // the kernel resets a connection that is closed with unread bytes
+		}},
+		{name: "no length, sending side closed while the upload is written", whole: true, answer: func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"\r\n"+part)
+			_ = c.(*net.TCPConn).CloseWrite()
+			read(q)
+		}},
+		{name: "no length, closed after the upload", whole: true, answer: func(c net.Conn, q *http.Request) {
+			read(q)
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"\r\n"+part)
+		}},
+		{name: "HTTP/1.0, reset while the upload is written", answer: func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, strings.Replace(rawHead(q, "200 OK"), "HTTP/1.1", "HTTP/1.0", 1)+"\r\n"+part)
+			resetAfter(c)
+		}},
+		{name: "length, reset while the upload is written", answer: func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"Content-Length: 100\r\n\r\n"+part)
+			resetAfter(c)
+		}},
+		{name: "length, closed after the upload", answer: func(c net.Conn, q *http.Request) {
+			read(q)
+			_, _ = io.WriteString(c, rawHead(q, "200 OK")+"Content-Length: 100\r\n\r\n"+part)
+		}},
+		{name: "chunks, reset while the upload is written", answer: func(c net.Conn, q *http.Request) {
+			_, _ = fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", rawHead(q, "200 OK"), len(part), part)
+			resetAfter(c)
+		}},
+		{name: "chunks, closed after the upload", answer: func(c net.Conn, q *http.Request) {
+			read(q)
+			_, _ = fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", rawHead(q, "200 OK"), len(part), part)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, host := range []string{deskHost, streamHost} {
+				t.Run(host, func(t *testing.T) { assertCutAnswer(t, host, post(host, "/once/x", upload), tc.answer, tc.whole, part) })
+			}
+		})
+	}
+}
+
+// assertCutAnswer sends a request several times, since the router reads and writes at the same time,
+// and asserts that the answer is the whole part, or nothing that looks complete.
+func assertCutAnswer(t *testing.T, host string, c call, answer func(c net.Conn, q *http.Request), whole bool, part string) {
+	t.Helper()
+	const times = 8
+	r := newRig(t)
+	runs := make(chan string, 2*times)
+	service := "desk"
+	if host == streamHost {
+		service = "engine"
+	}
+	r.addRawReplica("i-1", service, func(nc net.Conn, q *http.Request) {
+		runs <- q.Header.Get("Request-Id")
+		answer(nc, q)
+	})
+	n := r.startRouter(1)
+	for i := range times {
+		c.id = fmt.Sprint("q", i)
+		resp, body, err := n.do(t, c)
+		switch {
+		case whole:
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Equal(t, body, part)
+		case err == nil:
+			assert.Equal(t, resp.StatusCode, http.StatusBadGateway, "%q looks complete", body)
+		}
+		assert.Equal(t, <-runs, c.id)
+		assert.Equal(t, len(runs), 0, "a request that may not be repeated was sent twice")
+	}
+}
+
+// TestHeadWithoutLength guards against 502 for a HEAD request, whose answer has no body and need not
+// state a length.
+func TestHeadWithoutLength(t *testing.T) {
+	r := newRig(t)
+	r.addRawReplica("i-1", "desk", func(c net.Conn, q *http.Request) { _, _ = io.WriteString(c, rawHead(q, "200 OK")+"\r\n") })
+	n := r.startRouter(1)
+	c := get(deskHost, "/safe/x")
+	c.method = http.MethodHead
+	n.assertStatus(t, c, http.StatusOK, "")
+}
+
+// TestResetSeenByWrite guards against a reset that passes for the end of an answer without a length:
+// the kernel reports the error of a connection once, to the write of the upload if that comes first.
+func TestResetSeenByWrite(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			accepted <- c
+		}
+	}()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer nc.Close()
+	c := newUpstreamConn(nc)
+	far := <-accepted
+	_, err = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\npart")
+	assert.NilError(t, err)
+	resp, err := c.readHead(&http.Request{Method: http.MethodPost})
+	assert.NilError(t, err)
+	_ = far.(*net.TCPConn).SetLinger(0)
+	_ = far.Close()
+	poll(nc, 0) // until the reset has arrived
+	_, err = nc.Write([]byte("upload"))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	body, err := io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil, "%q looks complete", body)
+}
--- a/entry/send.go
+++ b/entry/send.go
@@ -89,7 +89,7 @@
 		}
 		return nil, noResponse
 	}
-	c.unframed = rp.resp.ContentLength < 0 && len(rp.resp.TransferEncoding) == 0
+	c.unframed = isUnframed(rp.resp)
 	rp.watch = watch
 	rp.release = func(reuse bool) {
 		stop()
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -266,19 +266,12 @@
 		if errors.Is(e, unix.EAGAIN) {
 			return false
 		}
-		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n]) || c.due > 0 && int64(n) >= c.due || c.unframed && peerClosed(fd)
+		found = n == len(buf) || n > 0 && hasEmptyLine(buf[:n]) || c.due > 0 && int64(n) >= c.due || c.unframed && isCloseWait(fd)
 		return found || n <= 0
 	})
 	return err == nil && found
 }
 
-// peerClosed reports whether the peer has closed its side of a connection without a reset.
-func peerClosed(fd uintptr) bool {
-	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n == 1 && fds[0].Revents&unix.POLLRDHUP != 0 && fds[0].Revents&unix.POLLERR == 0
-}
-
 func hasEmptyLine(b []byte) bool {
 	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\r\n\r\n"))
 }
