entry: take no impossible status for an answer

An upstream in trouble sent an answer with a status that HTTP doesn't have. Callers got 600 and 999 as answers, from plain services and in place of streams. A status below 100 was taken for an informational response: what its body held was read as the next response, and reached the caller if it looked like one.

Cause: net/http takes any three digits for a status, and the router treated what is below 200 as informational and what is above 299 as the upstream's own error. Statuses outside 100 to 599, and 101, which nobody asked for, are now an answer that can't be read: the request may have run. It is repeated where that is allowed, and gets 502 else.

TestImpossibleStatus failed before for 600, 999 and an answer in the body of 000; 000 without that, 99, 0200, -200, +20 and informational ones without end were no answer before either.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -249,6 +249,18 @@
 	return err == nil && info.State == tcpCloseWait
 }
 
+// checkStatus returns the error of a status that no response to a request of this router can have:
+// HTTP has none below 100 and above 599 (RFC 9110, section 15), and the router never asks for another
+// protocol.
+func checkStatus(status int) error {
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("impossible status %d", status)
+	}
+	return nil
+}
+
+const maxStatus = 599
+
 // readHead reads the head of a response, which may be of maxResponseHeadBytes, and leaves its body
 // unread.
 func (c *upstreamConn) readHead(req *http.Request) (resp *http.Response, err error) {
@@ -258,6 +270,9 @@
 	if resp, err = http.ReadResponse(c.r, req); err != nil {
 		return nil, err
 	}
+	if err = checkStatus(resp.StatusCode); err != nil {
+		return nil, err
+	}
 	if isUnframed(resp) && resp.Body != http.NoBody {
 		resp.Body = &unframedBody{resp.Body, c.Conn}
 	}
--- a/entry/mixed_test.go
+++ b/entry/mixed_test.go
@@ -12,6 +12,8 @@
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/fakes/site"
 )
 
 // rawHead is the head of an answer to a request, without the empty line that ends it.
@@ -169,3 +171,48 @@
 	body, err := io.ReadAll(resp.Body)
 	assert.Assert(t, err != nil, "%q looks complete", body)
 }
+
+// TestImpossibleStatus guards against an answer whose status HTTP doesn't have, which says nothing of
+// the request: it may have run.
+func TestImpossibleStatus(t *testing.T) {
+	for _, status := range []string{"000 X", "001 X", "099 X", "99 X", "600 X", "999 X", "0200 OK", "-200 OK", "+20 OK", "101 Switching Protocols", "200OK"} {
+		for _, host := range []string{deskHost, streamHost} {
+			t.Run(status+" "+host, func(t *testing.T) {
+				answer := func(c net.Conn, q *http.Request) {
+					_, _ = io.Copy(io.Discard, q.Body)
+					_, _ = io.WriteString(c, rawHead(q, status)+"Content-Length: 2\r\n\r\nok")
+				}
+				assertCutAnswer(t, host, post(host, "/once/x", "x"), answer, false, "")
+			})
+		}
+	}
+	t.Run("answer in the body", func(t *testing.T) {
+		answer := func(c net.Conn, q *http.Request) {
+			inner := rawHead(q, "200 OK") + "Content-Length: 2\r\n\r\nok"
+			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", rawHead(q, "000 X"), len(inner), inner)
+		}
+		assertCutAnswer(t, deskHost, post(deskHost, "/once/x", "x"), answer, false, "")
+	})
+	t.Run("informational ones without end", func(t *testing.T) {
+		answer := func(c net.Conn, q *http.Request) {
+			for range 100 {
+				if _, err := io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+					return
+				}
+			}
+		}
+		assertCutAnswer(t, deskHost, post(deskHost, "/once/x", "x"), answer, false, "")
+	})
+	t.Run("repeated elsewhere", func(t *testing.T) {
+		r := newRig(t)
+		r.addRawReplica("i-1", "desk", func(c net.Conn, q *http.Request) {
+			_, _ = io.WriteString(c, rawHead(q, "600 X")+"Content-Length: 2\r\n\r\nok")
+		})
+		r.addReplica("i-2", "desk")
+		n := r.startRouter(2)
+		for i := range 4 {
+			c := get(deskHost, fmt.Sprint("/safe/", i))
+			n.assertStatus(t, c, http.StatusOK, site.Body(c.target))
+		}
+	})
+}
