agent: take no impossible status for an answer

On the way over the agents an upstream's answer with status 000 reached the caller as a success, from plain services and from engines.

Cause: fasthttp takes a status of 0 for 200. 099, 600, 999 and 101 were errors with that status, as if the upstream had said what became of the call.

The agent reads the status line before fasthttp does: a status outside 100 to 599, one that isn't three digits, and 101 are an answer that can't be read, so the call may have run. It skips four informational responses at most.

TestImpossibleStatus failed before. TestCutAnswer passes with and without the change: the agent writes the whole call before it reads, so no write takes the error of a reset from the read.

--- a/agent/conns.go
+++ b/agent/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -84,6 +85,9 @@
 	if err = req.Write(c.w); err == nil {
 		err = c.w.Flush()
 	}
+	if err == nil {
+		err = c.awaitStatus()
+	}
 	if err == nil {
 		err = resp.ReadLimitBody(c.r, maxAnswerBytes)
 	}
@@ -94,6 +98,58 @@
 	return nil
 }
 
+const (
+	// maxInformational limits the informational responses before an answer, and maxHeadLines the
+	// lines of each.
+	maxInformational = 4
+	maxHeadLines     = 100
+	// statusLineSize is the size of a status line up to the byte after its status.
+	statusLineSize = len("HTTP/1.1 200 ")
+	maxStatus      = 599
+)
+
+var errStatusLine = errors.New("status line without a possible status")
+
+// awaitStatus skips informational responses and checks the status of the answer that follows, which
+// it leaves unread. HTTP has none below 100 and above 599 (RFC 9110, section 15), and calls ask for
+// no other protocol. fasthttp takes a status of 0 for 200.
+func (c *conn) awaitStatus() error {
+	for range maxInformational + 1 {
+		line, err := c.r.Peek(statusLineSize)
+		if err != nil {
+			return err
+		}
+		version, status := string(line[:len("HTTP/1.1 ")]), string(line[len("HTTP/1.1 "):statusLineSize-1])
+		n, err := strconv.ParseUint(status, 10, 16)
+		end := line[statusLineSize-1]
+		if err != nil || version != "HTTP/1.1 " && version != "HTTP/1.0 " || end != ' ' && end != '\r' && end != '\n' ||
+			n < fasthttp.StatusContinue || n > maxStatus || n == fasthttp.StatusSwitchingProtocols {
+			return errStatusLine
+		}
+		if n >= fasthttp.StatusOK {
+			return nil
+		}
+		if err = c.skipHead(); err != nil {
+			return err
+		}
+	}
+	return errors.New("too many informational responses")
+}
+
+// skipHead reads a head up to the empty line that ends it.
+func (c *conn) skipHead() error {
+	for range maxHeadLines {
+		line, err := c.r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+	return errors.New("head of an informational response is too long")
+}
+
 // bindContext aborts reads and writes on c when ctx is done. The returned function
 // undoes this and reports whether ctx was not done yet.
 func (c *conn) bindContext(ctx context.Context) func() bool {
