core/admit, entry: send no stream that its caller won't get

What the stages leave of the time was not compared with what the stream itself needs.

Before a stream is sent, admit.Begin compares half of the mean time until the first event with the time until its caller leaves, and half of that and of the mean time for its length (Length-Hint, StreamTimes) with its deadline. One that has more time left than it has waited is sent whatever the means say, so they are corrected.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/platform"
 )
@@ -87,6 +88,9 @@
 	if f = st.sendRefusal(); f != nil {
 		return false, f
 	}
+	if f = st.lateRefusal(); f != nil {
+		return false, f
+	}
 	t := st.acquire(ctx)
 	if t == nil {
 		return false, st.giveUpStream(ctx)
@@ -113,6 +117,24 @@
 	return false, st.giveUpStream(ctx)
 }
 
+// lateRefusal returns the refusal of a stream that would be run in vain, see admit.Begin, or nil. Of a
+// stream that its caller takes up it is not known how much is left.
+func (st *streamExchange) lateRefusal() *refusal {
+	if st.headerSent {
+		return nil
+	}
+	b := admit.Begin{Elapsed: st.elapsed(), Awaited: st.patience(), Deadline: st.remaining(), First: st.s.expectedFirstEvent(st.route)}
+	if !st.spec.Resumed {
+		b.Rest = st.s.streamTimes.Rest(st.route.ID, st.spec.ExpectedTokens)
+	}
+	if !b.IsLate() {
+		return nil
+	}
+	st.s.log.Info("stream would be late", "request", st.spec.ID, "waited_ms", b.Elapsed.Milliseconds(), "awaited_ms", b.Awaited.Milliseconds(),
+		"left_ms", b.Deadline.Milliseconds(), "first_ms", b.First.Milliseconds(), "rest_ms", b.Rest.Milliseconds(), "tokens", st.spec.ExpectedTokens)
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stream would be late"}
+}
+
 // sendStream sends the request, or what the caller has not got of the stream yet, to t.
 func (st *streamExchange) sendStream(ctx context.Context, t *target) (*response, outcome) {
 	o := platform.Outgoing{LastEventID: st.lastEventID, Resumed: st.resume || st.eventsSent > 0}
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -3,11 +3,16 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/fakes/site"
 )
 
 // TestEventReader guards against a stream that ends within an event and is forwarded
@@ -62,3 +67,27 @@
 	}
 	return len(p), nil
 }
+
+// TestLateStream guards against a stream that an upstream runs in vain: its stages have taken so long
+// that by its length it can't end before its caller's deadline.
+func TestLateStream(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("e-1", "engine")
+	archive := r.addReplica("a-1", "archive")
+	n := r.startRouter(2)
+	send := func(target, tokens, deadline string, status int, body string) call {
+		c := post(planHost, target, "x")
+		c.header = http.Header{site.HeaderLengthHint: {tokens}, site.HeaderDeadline: {deadline}, "Piece-Count": {"1"}, "Piece-Key": {"k"}}
+		n.assertStatus(t, c, status, body)
+		return c
+	}
+	for i := range 5 {
+		c := send(fmt.Sprint("/once/", i), "6", "9000", http.StatusOK, "")
+		r.assertRuns(c.id, 1)
+	}
+	archive.ServiceTime = 1200 * time.Millisecond
+	long := send("/once/long", "60000", "2000", http.StatusServiceUnavailable, "stream would be late\n")
+	r.assertRuns(long.id, 0)
+	short := send("/once/short", "6", "2000", http.StatusOK, streamBody("/once/short", 6))
+	r.assertRuns(short.id, 1)
+}
