soak, fakes/site: kill routers beside a crash, cut answers, odd statuses

The soak drew kills of routers and crashes of engines independently of each other, so streams were never taken up while their queues' owners and the routers that had begun them were gone. The fault "engine crashes, routers are killed" kills one or two routers within 50 ms of the crash of an engine.

Replicas also answer without a length and reset the connection after a part, and answer with a status of 000, 600 or 999. A check "status" fails for a caller that gets a status outside 200 to 599. The proxy passes on the failure of a write as a reset: it closed the other side in the ordinary way, and such an answer would have looked complete.

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -54,6 +55,8 @@
 	TruncateHead                    // closes the connection in the middle of the answer's head
 	CrashLater                      // like Crash, but first works on the request for ServiceTime and, in a stream, sends one event
 	PauseBeforeHead                 // pauses for the replica's Pause before the head of the answer, then goes on
+	CutUnframed                     // answers without a length and resets the connection after a part of the answer; in a stream after two events
+	OddStatus                       // answers with a status that HTTP doesn't have
 	PauseWithin                     // pauses for the replica's Pause in the middle of the answer or, in a stream, after two events, then goes on
 )
 
@@ -337,6 +340,9 @@
 	_ = c.Close()
 }
 
+// Kill crashes the replica, as Crash does when a request arrives.
+func (p *Replica) Kill() { p.crash() }
+
 // crash makes the replica unreachable for Downtime and drops its stage results and limit. It
 // then starts again under its ID, with a new start time in its entry.
 func (p *Replica) crash() {
@@ -603,7 +609,7 @@
 		p.endless(w, r, act)
 		return
 	}
-	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead && act != TruncateHead {
+	if p.Events > 0 && act != InternalError && act != ErrorText && act != ErrorEvent && act != GarbledHead && act != TruncateHead && act != OddStatus {
 		p.stream(w, r, act)
 		return
 	}
@@ -641,7 +647,7 @@
 		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
 			resetConn(c)
 		}
-	case AnswerTwice, StrayAnswer, Unframed, Truncate:
+	case AnswerTwice, StrayAnswer, Unframed, CutUnframed, OddStatus, Truncate:
 		p.writeRaw(w, id, body, act)
 	default:
 		w.Header().Set("Request-Id", id)
@@ -721,12 +727,21 @@
 		_, _ = rw.WriteString(framed + body)
 	case Unframed:
 		_, _ = rw.WriteString(head + "\r\n" + body)
+	case CutUnframed:
+		_, _ = rw.WriteString(head + "\r\n" + body[:len(body)/2])
+	case OddStatus:
+		status := []string{"000 ", "600 ", "999 "}[rand.IntN(3)]
+		_, _ = rw.WriteString(strings.Replace(framed, "200 ", status, 1) + body)
 	case Truncate:
 		_, _ = rw.WriteString(framed + body[:len(body)/2])
 	}
 	_ = rw.Flush()
-	if act == AnswerTwice {
+	switch act {
+	case AnswerTwice:
 		time.Sleep(2 * p.ServiceTime)
+	case CutUnframed:
+		time.Sleep(time.Millisecond) // until the part has been read
+		resetConn(c)
 	}
 	_ = c.Close()
 }
@@ -861,8 +876,8 @@
 func (p *Replica) stream(w http.ResponseWriter, r *http.Request, act Action) {
 	lastEvent := p.firstEvent(r) - 1
 	p.streamHeader(w, r)
-	if act == Unframed {
-		p.streamUnframed(w, r, lastEvent)
+	if act == Unframed || act == CutUnframed {
+		p.streamUnframed(w, r, act, lastEvent)
 		return
 	}
 	rc := http.NewResponseController(w)
@@ -898,9 +913,9 @@
 	}
 }
 
-// streamUnframed sends the events after lastEvent without a length and closes the
-// connection in the middle of the third one.
-func (p *Replica) streamUnframed(w http.ResponseWriter, r *http.Request, lastEvent int) {
+// streamUnframed sends the events after lastEvent without a length. It closes the connection in the
+// middle of the third one, or resets it before that if act is CutUnframed.
+func (p *Replica) streamUnframed(w http.ResponseWriter, r *http.Request, act Action, lastEvent int) {
 	c, rw, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -910,6 +925,12 @@
 	for n := lastEvent + 1; n <= min(lastEvent+2, p.Events); n++ {
 		_, _ = rw.WriteString(p.event(r.RequestURI, n))
 	}
+	if act == CutUnframed {
+		_ = rw.Flush()
+		time.Sleep(time.Millisecond) // until the events have been read
+		resetConn(c)
+		return
+	}
 	_, _ = rw.WriteString(Event(r.RequestURI, lastEvent+3)[:8])
 	_ = rw.Flush()
 }
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -33,6 +33,7 @@
 	{"refusals sent twice", failAnswers(site.RepeatRefusal, site.RepeatBareRefusal, site.RepeatGone)},
 	{"refusals sent twice", failAnswers(site.RepeatGone)},
 	{"answers with an ambiguous end", failAnswers(site.BothLengths, site.OldChunks)},
+	{"answers cut at their connection, impossible statuses", failAnswers(site.CutUnframed, site.OddStatus)},
 	{"burst of drafts", burstOfDrafts},
 	{"burst of drafts", burstOfDrafts},
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -39,6 +39,8 @@
 	// maxUncancelled is the largest number of abandoned requests that replicas may still work
 	// on after cancelLimit.
 	maxUncancelled = 3
+	// maxStatus is the highest status that HTTP has.
+	maxStatus = 599
 	// maxViolationsPerKind is the largest number of violations reported for each kind.
 	maxViolationsPerKind = 5
 )
@@ -119,6 +121,9 @@
 	if rec.status == http.StatusUnauthorized || rec.status == http.StatusNotFound || rec.status == http.StatusBadRequest {
 		c.fail("denied", "%s was answered %d", rec.id, rec.status)
 	}
+	if rec.status != 0 && (rec.status < http.StatusOK || rec.status > maxStatus) {
+		c.fail("status", "%s was answered with the impossible status %d", rec.id, rec.status)
+	}
 	if rec.status == http.StatusOK {
 		c.checkAnswer(rec)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -162,6 +162,7 @@
 	{"pause a router", scopeRouters, pauseRouter},
 	{"reload a router", scopePlanned, reloadRouter},
 	{"kill all routers", scopeRouters, killAllRouters},
+	{"engine crashes, routers are killed", scopeRouters, crashAndKill},
 	{"fault on the store connection", scopeStore, faultStoreLink},
 	{"store fails", scopeStore, failStore},
 	{"store is restored", scopeStore, restoreStore},
@@ -315,12 +316,49 @@
 		}
 	}
 	time.Sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
+	r.restartClaimed(claimed)
+}
+
+// restartClaimed starts stopped routers that a fault has claimed, and releases them.
+func (r *Run) restartClaimed(claimed []*router) {
 	for _, rt := range claimed {
 		r.restartRouter(rt)
 		r.claims.release(rt.name)
 	}
 }
 
+// maxKillDelay is the longest time from the crash of an engine until routers are killed, in which
+// callers can't yet have taken up the streams that broke off.
+const maxKillDelay = 50 * time.Millisecond
+
+// crashAndKill crashes an engine and then kills one or two routers, some of which have begun its
+// streams, hold their records or own the queues of the stages that they need again.
+func crashAndKill(r *Run, rng *rand.Rand, e *event) {
+	rp := r.randomReplica(rng, "engine")
+	n := 1 + rng.IntN(2)
+	var claimed []*router
+	for _, i := range rng.Perm(len(r.routers)) {
+		if rt := r.routers[i]; len(claimed) < n && r.claims.claim(rt.name) {
+			claimed = append(claimed, rt)
+		}
+	}
+	if len(claimed) == 0 {
+		r.events.remove(e)
+		return
+	}
+	crashed := r.events.begin("engine crashes", scopeReplicas)
+	r.events.setTargets(crashed, "", rp)
+	rp.Kill()
+	time.Sleep(randomDuration(rng, 0, maxKillDelay))
+	for _, rt := range claimed {
+		rt.stop(os.Kill, time.Second)
+	}
+	time.Sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
+	r.restartClaimed(claimed)
+	time.Sleep(crashDowntime)
+	r.events.end(crashed)
+}
+
 var linkFaults = []Fault{Delay, Blackhole, BlackholeResponses, Reset}
 
 // faultStoreLink disturbs the connections of one router to the store.
@@ -373,7 +411,7 @@
 
 // replicaActions are the ways in which replicas misbehave. Crash must be the last, because
 // failService leaves the last one out.
-var replicaActions = []site.Action{site.Reject, site.LoseAnswer, site.NoAnswer, site.AnswerTwice, site.StrayAnswer, site.Unframed, site.Truncate, site.Stall, site.RejectEarly, site.InternalError, site.TruncateHead, site.Crash}
+var replicaActions = []site.Action{site.Reject, site.LoseAnswer, site.NoAnswer, site.AnswerTwice, site.StrayAnswer, site.Unframed, site.Truncate, site.Stall, site.RejectEarly, site.InternalError, site.TruncateHead, site.CutUnframed, site.OddStatus, site.Crash}
 
 // failReplica makes one replica misbehave.
 func failReplica(r *Run, rng *rand.Rand, e *event) {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -178,6 +178,8 @@
 		}
 		if n > 0 && !dropped {
 			if _, e := dst.Write(buf[:n]); e != nil {
+				// The other direction may read the end of the stream, since a reset is reported once.
+				_ = src.(*net.TCPConn).SetLinger(0)
 				_ = src.Close()
 				return
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,6 +107,7 @@
 		{"executed twice", "twice", func(_ *requestRecord, r *site.Run) []site.Run { return []site.Run{*r} }},
 		{"refused although executed", "false promise", func(rec *requestRecord, _ *site.Run) []site.Run { rec.status = 503; return nil }},
 		{"denied", "denied", func(rec *requestRecord, _ *site.Run) []site.Run { rec.status = 401; return nil }},
+		{"impossible status", "status", func(rec *requestRecord, _ *site.Run) []site.Run { rec.status = 600; return nil }},
 		{"another answer", "answer", func(rec *requestRecord, _ *site.Run) []site.Run { rec.answer = site.Body("/once/2"); return nil }},
 		{"a truncated answer without an error", "answer", func(rec *requestRecord, _ *site.Run) []site.Run { rec.answer = rec.answer[:4]; return nil }},
 		{"cut without a fault", "lost", func(rec *requestRecord, _ *site.Run) []site.Run {
