core/fleet, entry: let a team's rank go before that of the route

The rank of a team was decoded and used nowhere. A request's rank is now the position of its team's and its route's rank among the pairs that occur in the configuration, so that it stays a small number that engines accept. Where teams do not differ in rank it is that of the route, as before.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -21,8 +21,14 @@
 	routesByHost map[string][]*Route // longest prefix first
 	servicesByID map[ServiceID]*Service
 	teamsByKey   map[string]*Team
+	// ranks holds the ranks of requests if teams differ in rank; nil otherwise.
+	ranks map[rankPair]int
 }
 
+// rankPair is what the rank of a request follows from: the rank of its team, which goes first,
+// and that of its route.
+type rankPair struct{ team, route int }
+
 // Index validates c and builds its lookup tables. The error names the first invalid
 // object.
 func (c *Config) Index() (err error) {
@@ -55,9 +61,54 @@
 			c.teamsByKey[k] = &c.Teams[i]
 		}
 	}
+	c.indexRanks()
 	return nil
 }
 
+// indexRanks numbers the pairs of ranks that occur, in lexicographic order. If the ranks of the
+// teams make no difference, the ranks of the routes stay as they are.
+func (c *Config) indexRanks() {
+	c.ranks = nil
+	if !slices.ContainsFunc(c.Teams, func(t Team) bool { return t.HasRank != c.Teams[0].HasRank || t.HasRank && t.Rank != c.Teams[0].Rank }) {
+		return
+	}
+	// Routes and teams may be many, but their ranks are few.
+	var teamRanks []int
+	for i := range c.Teams {
+		if t := &c.Teams[i]; t.HasRank && !slices.Contains(teamRanks, t.Rank) {
+			teamRanks = append(teamRanks, t.Rank)
+		}
+	}
+	var pairs []rankPair
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		pairs = append(pairs, r.rankPair(nil))
+		for _, rank := range teamRanks {
+			pairs = append(pairs, rankPair{rank, r.Rank})
+		}
+		pairs = compactRanks(pairs)
+	}
+	c.ranks = make(map[rankPair]int, len(pairs))
+	for i, p := range pairs {
+		c.ranks[p] = i
+	}
+}
+
+// compactRanks sorts pairs and removes those that occur twice.
+func compactRanks(pairs []rankPair) []rankPair {
+	slices.SortFunc(pairs, func(a, b rankPair) int { return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.route, b.route)) })
+	return slices.Compact(pairs)
+}
+
+// rankPair returns the ranks of a request of route r and team t. A team without a rank has that
+// of the route.
+func (r *Route) rankPair(t *Team) rankPair {
+	if t != nil && t.HasRank {
+		return rankPair{t.Rank, r.Rank}
+	}
+	return rankPair{r.Rank, r.Rank}
+}
+
 func (c *Config) checkRoute(r *Route) error {
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		return fmt.Errorf("route %s: prefix %q does not begin and end with a slash", r.ID, r.PathPrefix)
@@ -105,6 +156,24 @@
 // Team returns the team that an API key belongs to, or nil.
 func (c *Config) Team(key string) *Team { return c.teamsByKey[key] }
 
+// RankOf returns the rank of a request of route r and team t, which is nil for an anonymous
+// request; 0 is the most urgent. The team's rank takes precedence over the route's: the result is
+// the position of both among the pairs that occur in c. If the teams don't differ in rank, it is
+// that of the route.
+func (c *Config) RankOf(r *Route, t *Team) int {
+	if rank, ok := c.ranks[r.rankPair(t)]; ok {
+		return rank
+	}
+	return r.Rank
+}
+
+// RankLevels is the number of ranks that counts by rank tell apart.
+const RankLevels = 8
+
+// RankLevel returns the position of a rank in counts by rank. Less urgent ranks than there are
+// positions count with the last one.
+func RankLevel(rank int) int { return min(max(rank, 0), RankLevels-1) }
+
 // ChooseService returns the service for a request, chosen by weight. draw is a random
 // number in [0, 1). If all weights are 0, it returns the first service.
 func (r *Route) ChooseService(draw float64) ServiceID {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -270,3 +270,37 @@
 		assert.Equal(t, tc.p.Restored(tc.o), tc.restored, "restored between %v and %v", tc.p, tc.o)
 	}
 }
+
+// TestRankOf guards against a team's rank that is ignored or that goes behind the route's, and
+// against ranks that change where teams don't differ.
+func TestRankOf(t *testing.T) {
+	split := []WeightedService{{Service: "desk", Weight: 1}}
+	routes := []Route{
+		{ID: "plan", Host: "a", PathPrefix: "/", Split: split, Rank: 0},
+		{ID: "chat", Host: "b", PathPrefix: "/", Split: split, Rank: 4},
+	}
+	gold, silver, plain := Team{ID: "gold", Rank: 1, HasRank: true}, Team{ID: "silver", Rank: 6, HasRank: true}, Team{ID: "plain"}
+	for _, tc := range []struct {
+		name  string
+		teams []Team
+		want  [][2]int // by team and route; the last one is that of an anonymous request
+	}{
+		{"no teams", nil, [][2]int{{0, 4}}},
+		{"no team has a rank", []Team{plain, plain}, [][2]int{{0, 4}, {0, 4}, {0, 4}}},
+		{"the same rank", []Team{gold, gold}, [][2]int{{0, 4}, {0, 4}, {0, 4}}},
+		{"two ranks", []Team{silver, gold}, [][2]int{{4, 5}, {1, 2}, {0, 3}}},
+		{"one has a rank", []Team{gold, plain}, [][2]int{{1, 2}, {0, 3}, {0, 3}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := &Config{Version: 1, Services: []Service{{ID: "desk"}}, Routes: routes, Teams: tc.teams}
+			assert.NilError(t, c.Index())
+			for i, want := range tc.want {
+				var team *Team
+				if i < len(tc.teams) {
+					team = &c.Teams[i]
+				}
+				assert.Equal(t, [2]int{c.RankOf(&c.Routes[0], team), c.RankOf(&c.Routes[1], team)}, want)
+			}
+		})
+	}
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -415,10 +415,10 @@
 // authorize sets the rank and the team of the request. It refuses a request without a
 // valid API key unless the route is anonymous or no teams are configured.
 func (x *exchange) authorize(cfg *fleet.Config) *refusal {
-	x.rank = x.route.Rank
 	if key := platform.APIKey(x.r.Header); key != "" {
 		x.team = cfg.Team(key)
 	}
+	x.rank = cfg.RankOf(x.route, x.team)
 	if x.team == nil && !x.route.Anonymous && len(cfg.Teams) > 0 {
 		return x.deny(http.StatusUnauthorized, "unknown key")
 	}
