core/batch: say which pieces give way, and let pieces age

For shedding by cost to callers: the queue counts what waits by rank, names the less urgent pieces that a new one needs out of its way to be on time (Yielders), and lets pieces that have missed their aim and waited for half of their time go first if they are marked so (Ages), before more urgent ones within a twentieth of the places. Nothing uses this yet. fleet.Config.RanksOf returns the ranks that a route's requests may have.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -46,6 +46,10 @@
 	// callers take up again go before all others. It leaves the other half to new requests,
 	// however many streams are taken up.
 	ResumedShare = 0.5
+	// agedShare is the share of the places in calls up to which pieces that have aged go before more
+	// urgent ones that can still be on time: enough that nothing is passed over for as long as
+	// there is a shortage.
+	agedShare = 0.05
 	// maxPollInterval limits the time until Next should be called again.
 	maxPollInterval = 50 * time.Millisecond
 )
@@ -61,6 +65,7 @@
 	Deadline time.Time         // time after which the result is useless
 	Late     bool              // whether the piece yields to all that can be made before their aim
 	Resumed  bool              // whether the piece is for a stream that its caller takes up again
+	Ages     bool              // whether the piece may go first when it has waited for half of its time
 
 	queuedAt time.Time
 	seq      uint64
@@ -70,6 +75,11 @@
 // hasPriority reports whether the piece may go before all others, within ResumedShare.
 func (p *Piece[T]) hasPriority() bool { return p.Resumed && !p.Late }
 
+// hasAged reports whether the piece has missed its aim and waited for half of its time.
+func (p *Piece[T]) hasAged(now time.Time) bool {
+	return p.Ages && now.After(p.Aim) && now.Sub(p.queuedAt) >= p.Deadline.Sub(p.queuedAt)/2
+}
+
 // Queue holds the pieces that wait for one service and the state of its upstreams.
 // It is not safe for concurrent use.
 type Queue[T any] struct {
@@ -79,10 +89,13 @@
 	// departed holds the upstreams that take no more calls but still have some in flight.
 	departed map[wire.UpstreamID]*upstream
 	lastSeq  uint64
-	late     int // waiting pieces that yield to the others
-	resumed  int // waiting pieces that have priority
+	late     int                   // waiting pieces that yield to the others
+	resumed  int                   // waiting pieces that have priority
+	byRank   [fleet.RankLevels]int // waiting pieces that don't yield
 	// resumedDebt is the number of places that pieces with priority took beyond ResumedShare.
 	resumedDebt float64
+	// agedDebt is the number of places that pieces which have aged took beyond agedShare.
+	agedDebt float64
 }
 
 // upstream is what the queue knows about one upstream.
@@ -158,23 +171,20 @@
 		q.lastSeq++
 		p.seq = q.lastSeq
 		q.waiting = append(q.waiting, &p)
-		if p.Late {
-			q.late++
-		}
-		if p.hasPriority() {
-			q.resumed++
-		}
+		q.count(&p, 1)
 	}
 	return true
 }
 
-// leave records that a piece no longer waits.
-func (q *Queue[T]) leave(p *Piece[T]) {
+// count adds n to the counts of waiting pieces that p belongs to.
+func (q *Queue[T]) count(p *Piece[T], n int) {
 	if p.Late {
-		q.late--
+		q.late += n
+	} else {
+		q.byRank[fleet.RankLevel(p.Rank)] += n
 	}
 	if p.hasPriority() {
-		q.resumed--
+		q.resumed += n
 	}
 }
 
@@ -185,7 +195,7 @@
 		if !match(p.Value) {
 			return false
 		}
-		q.leave(p)
+		q.count(p, -1)
 		return true
 	})
 	return before - len(q.waiting)
@@ -201,6 +211,9 @@
 // without those that yield to the others.
 func (q *Queue[T]) CountResumed() int { return q.resumed }
 
+// CountByRank returns the number of waiting pieces that don't yield, by fleet.RankLevel.
+func (q *Queue[T]) CountByRank() [fleet.RankLevels]int { return q.byRank }
+
 // Next removes and returns the pieces of the next call to an upstream, most urgent
 // first. If there are none, wait is the time after which to call Next again unless
 // pieces are pushed before. expired holds the pieces that can't be made before their
@@ -227,9 +240,13 @@
 	}
 	taken := make(map[*Piece[T]]bool, len(selected))
 	q.resumedDebt = max(q.resumedDebt-ResumedShare*float64(q.calls.MaxBatch), 0)
+	q.agedDebt = max(q.agedDebt-agedShare*float64(q.calls.MaxBatch), 0)
 	for _, p := range selected {
-		if p.first {
+		switch {
+		case p.first && p.hasPriority():
 			q.resumedDebt++
+		case p.first:
+			q.agedDebt++
 		}
 		taken[p] = true
 		u.reserved += p.Size
@@ -237,7 +254,7 @@
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *Piece[T]) bool {
 		if taken[p] {
-			q.leave(p)
+			q.count(p, -1)
 		}
 		return taken[p]
 	})
@@ -361,13 +378,25 @@
 }
 
 // markFirst marks the pieces that go before all others in the next call: as many of those
-// with priority as ResumedShare allows, by aim.
-func (q *Queue[T]) markFirst() {
+// with priority as ResumedShare allows, by aim, and the most urgent of those that have aged, the
+// first to be pushed among them, if none that can be on time is more urgent or agedShare allows it.
+func (q *Queue[T]) markFirst(now time.Time) {
 	var ps []*Piece[T]
+	var oldest *Piece[T]
+	urgent := math.MaxInt // rank of the most urgent piece that can be on time
 	for _, p := range q.waiting {
+		if !p.Late && p.Aim.After(now) {
+			urgent = min(urgent, p.Rank)
+		}
 		if p.first = false; p.hasPriority() {
 			ps = append(ps, p)
 		}
+		if p.hasAged(now) && (oldest == nil || cmp.Or(cmp.Compare(p.Rank, oldest.Rank), cmp.Compare(p.seq, oldest.seq)) < 0) {
+			oldest = p
+		}
+	}
+	if oldest != nil && (oldest.Rank <= urgent || q.agedDebt <= 0) {
+		oldest.first = true
 	}
 	slices.SortFunc(ps, func(a, b *Piece[T]) int { return cmp.Or(a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq)) })
 	for _, p := range ps[:min(len(ps), max(q.calls.MaxBatch-int(math.Ceil(q.resumedDebt)), 0))] {
@@ -379,7 +408,7 @@
 // that it can make before their aim and that don't yield, by aim, then the others, by rank,
 // aim and age.
 func (q *Queue[T]) sortWaiting(now time.Time, u *upstream) {
-	q.markFirst()
+	q.markFirst(now)
 	end := now.Add(q.callTime(u, min(len(q.waiting), q.calls.MaxBatch)))
 	class := func(p *Piece[T]) int {
 		if p.first {
@@ -410,7 +439,7 @@
 			return false
 		}
 		expired = append(expired, *p)
-		q.leave(p)
+		q.count(p, -1)
 		return true
 	})
 	return expired
@@ -544,6 +573,33 @@
 	return d, ok
 }
 
+// Yielders returns waiting pieces that give way if n pieces like p are pushed, and the number of
+// them that has to: the queue is longer than the bound, and p would miss its aim behind them. They
+// are less urgent than p but have an earlier aim, and mayYield allows it. The least urgent come
+// first, and among them the last to be pushed, so that what has waited longest stays. It returns
+// none if p would miss its aim all the same.
+func (q *Queue[T]) Yielders(now time.Time, p Piece[T], n int, bound time.Duration, mayYield func(T) bool) (ps []Piece[T], count int) {
+	rate := q.Rate(now)
+	if bound <= 0 || rate <= 0 || p.Late || float64(len(q.waiting)-q.late)/rate <= bound.Seconds() {
+		return nil, 0
+	}
+	d, _ := q.Estimate(now, n, p.Aim)
+	if d <= p.Aim.Sub(now) {
+		return nil, 0
+	}
+	count = int(math.Ceil((d - p.Aim.Sub(now)).Seconds() * rate))
+	for _, w := range q.waiting {
+		if w.Rank > p.Rank && !w.Late && !w.Resumed && w.Aim.After(now) && !w.Aim.After(p.Aim) && mayYield(w.Value) {
+			ps = append(ps, *w)
+		}
+	}
+	if len(ps) < count {
+		return nil, 0
+	}
+	slices.SortFunc(ps, func(a, b Piece[T]) int { return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(b.seq, a.seq)) })
+	return ps, count
+}
+
 // estimate returns the expected time until the given number of pieces would be made, with
 // results as for Estimate.
 func (q *Queue[T]) estimate(now time.Time, pieces float64) (d time.Duration, ok bool) {
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -509,3 +509,83 @@
 	after, _ := q.Estimate(now, 8, now.Add(time.Minute))
 	assert.Equal(t, after, estimate)
 }
+
+// TestYielders guards against an urgent request that is late behind less urgent ones, and against
+// ending requests that wait although that helps nobody.
+func TestYielders(t *testing.T) {
+	less := func(v string, rank int, aim time.Duration) Piece[string] {
+		p := piece(v, aim, 5*time.Second)
+		p.Rank = rank
+		return p
+	}
+	for _, tc := range []struct {
+		name     string
+		aim      time.Duration // of the urgent request
+		bound    time.Duration
+		late     bool
+		mayYield func(string) bool
+		want     []string
+	}{
+		{"it would be late", 900 * time.Millisecond, 300 * time.Millisecond, false, nil, []string{"c7", "c6", "c5", "c4", "c3", "c2", "c1", "c0", "b7", "b6", "b5", "b4", "b3", "b2", "b1", "b0"}},
+		{"it is on time behind them", 3 * time.Second, 300 * time.Millisecond, false, nil, nil},
+		{"the queue is within its bound", 900 * time.Millisecond, 2 * time.Second, false, nil, nil},
+		{"it asks for no room", 900 * time.Millisecond, 0, false, nil, nil},
+		{"it yields itself", 900 * time.Millisecond, 300 * time.Millisecond, true, nil, nil},
+		{"it would be late all the same", 200 * time.Millisecond, 100 * time.Millisecond, false, nil, nil},
+		{"too few may give way", 900 * time.Millisecond, 300 * time.Millisecond, false, func(v string) bool { return v == "c0" }, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := newQueue("a")
+			q.Push(start, pieces(8, less("a", 0, 700*time.Millisecond))...)
+			q.Push(start, pieces(8, less("b", 1, 800*time.Millisecond))...)
+			q.Push(start, pieces(8, less("c", 2, 750*time.Millisecond))...)
+			q.Push(start, pieces(8, less("d", 2, 4*time.Second))...) // goes after it anyway
+			if tc.mayYield == nil {
+				tc.mayYield = func(string) bool { return true }
+			}
+			urgent := less("urgent", 0, tc.aim)
+			urgent.Late = tc.late
+			ps, count := q.Yielders(start, urgent, 1, tc.bound, tc.mayYield)
+			assert.DeepEqual(t, values(ps), tc.want)
+			assert.Equal(t, count > 0, len(ps) > 0)
+			assert.Assert(t, count <= len(ps))
+		})
+	}
+}
+
+// TestAges guards against pieces that are passed over until their deadline because others can
+// still be on time, and against such pieces that hold up more urgent ones.
+func TestAges(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ages bool
+		wait time.Duration
+		rank int // of the others
+		want int // pieces of the late request in ten calls
+	}{
+		{"it has waited long", true, 1100 * time.Millisecond, 1, 10},
+		{"it has not", true, 900 * time.Millisecond, 1, 0},
+		{"it does not age", false, 1100 * time.Millisecond, 1, 0},
+		{"others are more urgent", true, 1100 * time.Millisecond, 0, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := newQueue("a", "a")
+			late := piece("late", 100*time.Millisecond, 2*time.Second)
+			late.Ages, late.Rank, late.Size = tc.ages, 1, 1
+			q.Push(start, pieces(20, late)...)
+			other := piece("new", 2*time.Second, 4*time.Second)
+			other.Rank, other.Size = tc.rank, 1
+			q.Push(at(tc.wait), pieces(80, other)...)
+			n := 0
+			for range 10 {
+				for _, p := range assertNext(t, q, at(tc.wait), "u0", 8) {
+					if p.Value[:4] == "late" {
+						n++
+					}
+				}
+				q.Done(at(tc.wait), "u0", CallOutcome{Reserved: 8})
+			}
+			assert.Equal(t, n, tc.want)
+		})
+	}
+}
--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -22,7 +22,8 @@
 	servicesByID map[ServiceID]*Service
 	teamsByKey   map[string]*Team
 	// ranks holds the ranks of requests if teams differ in rank; nil otherwise.
-	ranks map[rankPair]int
+	ranks     map[rankPair]int
+	teamRanks []int // ranks that teams have, each once
 }
 
 // rankPair is what the rank of a request follows from: the rank of its team, which goes first,
@@ -68,22 +69,21 @@
 // indexRanks numbers the pairs of ranks that occur, in lexicographic order. If the ranks of the
 // teams make no difference, the ranks of the routes stay as they are.
 func (c *Config) indexRanks() {
-	c.ranks = nil
+	c.ranks, c.teamRanks = nil, nil
 	if !slices.ContainsFunc(c.Teams, func(t Team) bool { return t.HasRank != c.Teams[0].HasRank || t.HasRank && t.Rank != c.Teams[0].Rank }) {
 		return
 	}
 	// Routes and teams may be many, but their ranks are few.
-	var teamRanks []int
 	for i := range c.Teams {
-		if t := &c.Teams[i]; t.HasRank && !slices.Contains(teamRanks, t.Rank) {
-			teamRanks = append(teamRanks, t.Rank)
+		if t := &c.Teams[i]; t.HasRank && !slices.Contains(c.teamRanks, t.Rank) {
+			c.teamRanks = append(c.teamRanks, t.Rank)
 		}
 	}
 	var pairs []rankPair
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		pairs = append(pairs, r.rankPair(nil))
-		for _, rank := range teamRanks {
+		for _, rank := range c.teamRanks {
 			pairs = append(pairs, rankPair{rank, r.Rank})
 		}
 		pairs = compactRanks(pairs)
@@ -167,8 +167,17 @@
 	return r.Rank
 }
 
+// RanksOf returns the ranks that requests of route r may have.
+func (c *Config) RanksOf(r *Route) (ranks []int) {
+	ranks = append(ranks, c.RankOf(r, nil))
+	for _, rank := range c.teamRanks {
+		ranks = append(ranks, c.RankOf(r, &Team{Rank: rank, HasRank: true}))
+	}
+	return ranks
+}
+
 // RankLevels is the number of ranks that counts by rank tell apart.
-const RankLevels = 8
+const RankLevels = 16
 
 // RankLevel returns the position of a rank in counts by rank. Less urgent ranks than there are
 // positions count with the last one.
