core/admit, entry: shed by cost to callers if the setting shed is on

The fixed tenth of the slack per rank knew neither what a request needs nor how much time it has. admit.Decide now asks an admit.Yielding last: FixedCut, which is the former rule, or with shed = true the level that the owners of the service's queues report. Orders of which nothing is made give way to more urgent ones that would be late behind them, and are told so at once.

The deployments' settings do not switch it on yet.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -126,7 +126,7 @@
 type Decision struct {
 	OK         bool
 	Reason     string        // empty if OK
-	Wait       time.Duration // expected queueing time of all stages, or with ReasonYield of the stage that causes it
+	Wait       time.Duration // expected queueing time of all stages, or of the stage for which the request yields
 	RetryAfter time.Duration // earliest time after which a retry may be admitted
 	Spare      time.Duration // how long the caller can wait before a retry and still be on time if the queues are empty by then
 }
@@ -135,13 +135,26 @@
 const (
 	ReasonLate  = "would be late" // the queues are too long for its target latency or deadline
 	ReasonYield = "yields"        // it would take queueing time that more urgent routes need
+	ReasonShed  = "shed"          // others that need the same service cost their callers more to lose
 )
 
-// Decide decides whether to admit a request with forecast f. timeLeft is the time until
-// its deadline, forecastError is the time by which forecasts of the route are expected to
-// be too short, and firstEventTime returns the expected time from the end of a route's
-// stages to the first event.
-func Decide(cfg *fleet.Config, r *fleet.Route, f Forecast, timeLeft, forecastError time.Duration, firstEventTime func(*fleet.Route) time.Duration) Decision {
+// Yield says for what a request that can be on time leaves room to others.
+type Yield struct {
+	Reason      string
+	Wait, Bound time.Duration // queueing time of the stage for which it yields, and the longest one there
+	Lasts       time.Duration // how long the shortage is expected to last, 0 if unknown
+}
+
+// Yielding decides whether a request that can be on time leaves room to others.
+type Yielding interface {
+	// Yields reports whether a request with forecast f leaves room to others, and for what.
+	Yields(f Forecast) (y Yield, yields bool)
+}
+
+// Decide decides whether to admit a request of route r with forecast f. timeLeft is the time
+// until its deadline, forecastError is the time by which forecasts of the route are expected
+// to be too short, and others decides whether a request that can be on time is admitted.
+func Decide(r *fleet.Route, f Forecast, timeLeft, forecastError time.Duration, others Yielding) Decision {
 	target := min(r.TargetLatency, timeLeft)
 	if r.TargetLatency <= 0 {
 		target = timeLeft
@@ -154,15 +167,78 @@
 	if limit := time.Duration(maxTargetFraction * float64(target)); totalWait > 0 && f.Total+forecastError > limit {
 		return Decision{Reason: ReasonLate, Wait: totalWait, RetryAfter: max(f.Total+forecastError-limit, minRetryDelay), Spare: spare}
 	}
+	if y, yields := others.Yields(f); yields {
+		return Decision{Reason: y.Reason, Wait: y.Wait, RetryAfter: max(y.Wait-y.Bound, min(y.Lasts, timeLeft/retryDivisor), minRetryDelay), Spare: spare}
+	}
+	return Decision{OK: true, Wait: totalWait}
+}
+
+// FixedCut yields when the queueing time of a stage exceeds MaxWait.
+type FixedCut struct {
+	Config *fleet.Config
+	Route  *fleet.Route
+	// FirstEventTime returns the expected time from the end of a route's stages to the first
+	// event.
+	FirstEventTime func(*fleet.Route) time.Duration
+}
+
+// Yields implements Yielding.
+func (c FixedCut) Yields(f Forecast) (y Yield, yields bool) {
 	for i, w := range f.Waits {
 		if w == 0 {
 			continue // never above MaxWait, which is slow because it looks at all routes
 		}
-		if bound := MaxWait(cfg, r, r.Stages[i].Service, firstEventTime); w > bound {
-			return Decision{Reason: ReasonYield, Wait: w, RetryAfter: max(w-bound, minRetryDelay), Spare: spare}
+		if bound := MaxWait(c.Config, c.Route, c.Route.Stages[i].Service, c.FirstEventTime); w > bound {
+			return Yield{Reason: ReasonYield, Wait: w, Bound: bound}, true
 		}
 	}
-	return Decision{OK: true, Wait: totalWait}
+	return Yield{}, false
+}
+
+// QueueBounds returns by fleet.RankLevel how much work may be ahead of a new request at a service,
+// as the time that it takes there, with which the requests of all routes that use it are on time,
+// also if they wait as long in each of their stages; 0 for ranks that no such route has. The time
+// until a request reaches the service counts in full: the work is done meanwhile. forecastError is
+// as in Decide. No wait is taken to be below minSlackFraction of a route's slack or half of a full
+// call, since pieces wait that long for the end of a call however little there is to do.
+func QueueBounds(cfg *fleet.Config, id fleet.ServiceID, firstEventTime, forecastError func(*fleet.Route) time.Duration) (bounds [fleet.RankLevels]time.Duration) {
+	calls := cfg.Service(id).StageCalls
+	floor := max(calls.ExpectedTime(calls.MaxBatch)/2, time.Millisecond)
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		begin, depth, ok := reach(cfg, r, id)
+		if !ok {
+			continue
+		}
+		slack := Slack(cfg, r, firstEventTime(r))
+		wait := slack - time.Duration((1-maxTargetFraction)*float64(r.TargetLatency)) - forecastError(r)
+		wait = max(max(wait, time.Duration(minSlackFraction*float64(slack)))/time.Duration(depth), floor)
+		for _, rank := range cfg.RanksOf(r) {
+			if b := &bounds[fleet.RankLevel(rank)]; *b == 0 || begin+wait < *b {
+				*b = begin + wait
+			}
+		}
+	}
+	return bounds
+}
+
+// reach returns when a request of route r first needs a service if nothing waits and all calls are
+// full, and the number of stages in the route's longest chain. ok is whether r needs the service.
+func reach(cfg *fleet.Config, r *fleet.Route, id fleet.ServiceID) (begin time.Duration, depth int, ok bool) {
+	ends, depths := make([]time.Duration, len(r.Stages)), make([]int, len(r.Stages))
+	for i, s := range r.Stages {
+		for _, a := range s.After {
+			ends[i], depths[i] = max(ends[i], ends[a]), max(depths[i], depths[a])
+		}
+		if s.Service == id && (!ok || ends[i] < begin) {
+			begin, ok = ends[i], true
+		}
+		calls := cfg.Service(s.Service).StageCalls
+		ends[i] += calls.ExpectedTime(calls.MaxBatch)
+		depths[i]++
+		depth = max(depth, depths[i])
+	}
+	return begin, depth, ok
 }
 
 // Patience returns how long after its first attempt began a caller of route r waits for the
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -85,7 +85,7 @@
 				}
 				return Backlog{}
 			})
-			assertDecision(t, Decide(cfg, tc.route, f, 5*time.Second, 0, fixedFirstEventTime), tc.reason)
+			assertDecision(t, Decide(tc.route, f, 5*time.Second, 0, FixedCut{cfg, tc.route, fixedFirstEventTime}), tc.reason)
 		})
 	}
 }
@@ -106,7 +106,7 @@
 	cfg := deployment(t)
 	f := Predict(cfg, &cfg.Routes[1], &fleet.RequestSpec{PieceCounts: []int{1, 8, 16}}, 250*ms, noBacklog)
 	assert.Equal(t, f.Total, 166*ms+182*ms+182*ms+250*ms)
-	assertDecision(t, Decide(cfg, &cfg.Routes[1], f, 300*ms, 0, fixedFirstEventTime), "")
+	assertDecision(t, Decide(&cfg.Routes[1], f, 300*ms, 0, FixedCut{cfg, &cfg.Routes[1], fixedFirstEventTime}), "")
 }
 
 // TestForecastErrors guards against forecasts with a lasting bias, which occurs in a large
@@ -129,8 +129,8 @@
 	cfg := deployment(t)
 	plan := &cfg.Routes[0]
 	f := Predict(cfg, plan, &fleet.RequestSpec{PieceCounts: []int{3}}, 250*ms, func(fleet.ServiceID) Backlog { return Backlog{Waiting: 25, Rate: 100} })
-	assertDecision(t, Decide(cfg, plan, f, 5*time.Second, 0, fixedFirstEventTime), "")
-	assertDecision(t, Decide(cfg, plan, f, 5*time.Second, 300*ms, fixedFirstEventTime), ReasonLate)
+	assertDecision(t, Decide(plan, f, 5*time.Second, 0, FixedCut{cfg, plan, fixedFirstEventTime}), "")
+	assertDecision(t, Decide(plan, f, 5*time.Second, 300*ms, FixedCut{cfg, plan, fixedFirstEventTime}), ReasonLate)
 }
 
 // TestRetryDelay guards against asking the callers of a burst to retry all at once, or
@@ -167,8 +167,33 @@
 		ok       bool
 	}{{"in time", 2500 * ms, true}, {"after its caller has left", 1300 * ms, false}} {
 		t.Run(tc.name, func(t *testing.T) {
-			assertDecision(t, Decide(cfg, plan, f, tc.timeLeft, 0, fixedFirstEventTime), ReasonLate)
+			assertDecision(t, Decide(plan, f, tc.timeLeft, 0, FixedCut{cfg, plan, fixedFirstEventTime}), ReasonLate)
 			assert.Equal(t, DecideResumed(f, tc.timeLeft, 0), tc.ok)
 		})
 	}
 }
+
+// TestQueueBounds guards against queues so long that requests of a chain are late once they have
+// waited in each of its stages, and against patient requests that may wait no longer than urgent
+// ones.
+func TestQueueBounds(t *testing.T) {
+	cfg := deployment(t)
+	noError := func(*fleet.Route) time.Duration { return 0 }
+	for _, id := range []fleet.ServiceID{"archive", "school", "parcel"} {
+		bounds := QueueBounds(cfg, id, fixedFirstEventTime, noError)
+		for i := range cfg.Routes {
+			r := &cfg.Routes[i]
+			if id != "archive" && r.ID == "plan" {
+				assert.Equal(t, bounds[r.Rank], time.Duration(0))
+				continue
+			}
+			begin, _, _ := reach(cfg, r, id)
+			wait := bounds[r.Rank] - begin
+			assert.Assert(t, wait > 0 && time.Duration(len(r.Stages))*wait <= Slack(cfg, r, 250*ms), "%s: %s waits %v in each stage", id, r.ID, wait)
+		}
+		assert.Assert(t, bounds[2] > bounds[1], "chat has more time than note")
+		assert.Equal(t, bounds[3], time.Duration(0), "no route has the rank")
+	}
+	late := QueueBounds(cfg, "archive", fixedFirstEventTime, func(*fleet.Route) time.Duration { return 10 * time.Second })
+	assert.Assert(t, late[0] > 0, "requests are admitted although forecasts have been wrong")
+}
--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -103,7 +103,7 @@
 	req := &request{route: r, spec: fleet.RequestSpec{PieceCounts: pieces}, arrived: sim.now, coming: make([]bool, len(pieces)), deadline: sim.now.Add(5 * time.Second)}
 	if sim.admission != admitAll {
 		f := Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), sim.backlog)
-		if !Decide(sim.cfg, r, f, 5*time.Second, 0, fixedFirstEventTime).OK {
+		if !Decide(r, f, 5*time.Second, 0, FixedCut{sim.cfg, r, fixedFirstEventTime}).OK {
 			f = Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), func(id fleet.ServiceID) Backlog { return sim.backlog(id).BehindAll() })
 			req.yields = sim.admission == admitOnTimeAndLate && DecideLate(f, 5*time.Second, 0)
 			if !req.yields {
@@ -121,7 +121,7 @@
 	sim.resumed++
 	f := Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), sim.backlog)
 	first := Predict(sim.cfg, r, &req.spec, fixedFirstEventTime(r), func(id fleet.ServiceID) Backlog { return sim.backlog(id).BehindResumed() })
-	if Decide(sim.cfg, r, f, timeLeft, 0, fixedFirstEventTime).OK || DecideResumed(first, timeLeft, 0) {
+	if Decide(r, f, timeLeft, 0, FixedCut{sim.cfg, r, fixedFirstEventTime}).OK || DecideResumed(first, timeLeft, 0) {
 		sim.admit(req)
 	}
 }
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -9,18 +9,21 @@
 	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/shed"
 )
 
 // unqueuedPieces counts by service the pieces of admitted requests that have not yet
 // reached the service's queue. It is safe for concurrent use.
 type unqueuedPieces struct {
 	mu        sync.Mutex
-	byService map[fleet.ServiceID]Load // Coming, Late and Resumed only
+	byService map[fleet.ServiceID]Load                  // Coming, Late and Resumed only
+	byRank    map[fleet.ServiceID][fleet.RankLevels]int // pieces in Coming
 }
 
-// add adds n pieces, or removes them if n is negative. late says whether they yield to
-// others, resumed whether they are for a stream that its caller takes up again.
-func (c *unqueuedPieces) add(id fleet.ServiceID, n int, late, resumed bool) {
+// add adds n pieces of a request with the given rank, or removes them if n is negative. late says
+// whether they yield to others, resumed whether they are for a stream that its caller takes up
+// again.
+func (c *unqueuedPieces) add(id fleet.ServiceID, n, rank int, late, resumed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.byService[id]
@@ -31,6 +34,11 @@
 		if resumed {
 			l.Resumed += n
 		}
+		ranks := c.byRank[id]
+		ranks[fleet.RankLevel(rank)] += n
+		if c.byRank[id] = ranks; l.Coming == 0 {
+			delete(c.byRank, id)
+		}
 	}
 	if c.byService[id] = l; l == (Load{}) {
 		delete(c.byService, id)
@@ -81,9 +89,19 @@
 		}
 	}
 	cfg := x.view.Config
-	forecast := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id] })
+	seen := func(id fleet.ServiceID) admit.Backlog { return backlogs[id] }
+	var others admit.Yielding = admit.FixedCut{Config: cfg, Route: x.route, FirstEventTime: x.s.expectedFirstEvent}
+	var v *verdict
+	if x.s.shedding.on.Load() {
+		v = x.newVerdict(now, backlogs, owned)
+		seen, others = v.backlog, v
+	}
+	forecast := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), seen)
 	forecastError := x.s.forecastErrors.Expected(x.route.ID)
-	decision := admit.Decide(cfg, x.route, forecast, x.remaining(), forecastError, x.s.expectedFirstEvent)
+	decision := admit.Decide(x.route, forecast, x.remaining(), forecastError, others)
+	if v != nil && decision.Reason == admit.ReasonLate {
+		v.sheds(shed.Late)
+	}
 	if x.spec.Resumed && !decision.OK {
 		first := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id].BehindResumed() })
 		// forecastError comes from new requests, behind whose backlog the stream does not wait.
@@ -91,9 +109,20 @@
 	}
 	if !decision.OK && x.admitLate(forecastError, backlogs) {
 		x.late = true
+		if decision.Reason == admit.ReasonShed {
+			v.count("delayed")
+		}
 	} else if !decision.OK {
-		x.s.log.Info("stages would be late", "request", x.spec.ID, "reason", decision.Reason, "wait_ms", decision.Wait.Milliseconds(),
+		logger := x.s.log.With("request", x.spec.ID, "reason", decision.Reason, "wait_ms", decision.Wait.Milliseconds(),
 			"total_ms", forecast.Total.Milliseconds(), "error_ms", forecastError.Milliseconds(), "aim_ms", x.route.TargetLatency.Milliseconds(), "retry_ms", decision.RetryAfter.Milliseconds())
+		if decision.Reason == admit.ReasonShed {
+			sh := v.shortages[v.service]
+			logger.Info("request shed", "service", v.service, "rank", x.rank, "group", v.group.String(), "size", v.size.String(), "work_ms", int64(1000*v.work),
+				"fraction", v.fraction, "level_age_ms", sh.levelAge.Milliseconds(), "lasted_ms", sh.lasted.Milliseconds(), "bound_ms", sh.Bound[fleet.RankLevel(x.rank)].Milliseconds())
+			v.count("refused")
+		} else {
+			logger.Info("stages would be late")
+		}
 		return &refusal{http.StatusServiceUnavailable, "stages: " + decision.Reason, admit.RetryDelay(decision.RetryAfter, decision.Spare, x.remaining(), randomFraction())}
 	}
 	if !x.late {
@@ -102,7 +131,7 @@
 	x.unqueuedByStage = make([]int, len(x.route.Stages))
 	for i, st := range x.route.Stages {
 		x.unqueuedByStage[i] = x.spec.PieceCount(i)
-		x.s.unqueued.add(st.Service, x.unqueuedByStage[i], x.late, x.spec.Resumed)
+		x.s.unqueued.add(st.Service, x.unqueuedByStage[i], x.rank, x.late, x.spec.Resumed)
 	}
 	return nil
 }
@@ -144,7 +173,7 @@
 	n := x.unqueuedByStage[stage]
 	x.unqueuedByStage[stage] = 0
 	x.unqueuedMu.Unlock()
-	x.s.unqueued.add(x.route.Stages[stage].Service, -n, x.late, x.spec.Resumed)
+	x.s.unqueued.add(x.route.Stages[stage].Service, -n, x.rank, x.late, x.spec.Resumed)
 }
 
 // releaseUnqueued stops counting the pieces of all stages as unqueued.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -66,6 +66,7 @@
 	Late    int     // pieces that yield to others, in the queue or coming
 	Resumed int     // pieces of streams that callers take up again, in the queue or coming
 	Rate    float64 // throughput of the queue in pieces per second, if the router owns it
+	Demand  Demand  // what callers ask of the router; only by service
 }
 
 // Beat is the heartbeat that routers exchange periodically.
@@ -279,6 +280,11 @@
 	v := p.s.view.Load()
 	owned := p.s.queues.ownedLoads(now)
 	loads := p.s.stageLoads(owned)
+	for id, d := range p.s.reportDemands(now, owned) {
+		l := loads[id]
+		l.Demand = d
+		loads[id] = l
+	}
 	b := Beat{From: p.self, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -492,6 +498,24 @@
 	return b
 }
 
+// addDemands adds the demand for a stage service at the live peers. All that waits at a router
+// that reports no demand counts as most urgent.
+func (p *peers) addDemands(sh *shortage, now time.Time, id fleet.ServiceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if !m.isAlive(now) {
+			continue
+		}
+		l := m.Loads[id]
+		d, ok := l.Demand.decode()
+		if !ok && l.Coming+l.Waiting > 0 {
+			d.pending = []int{l.Coming + l.Waiting}
+		}
+		sh.add(d, now.Sub(m.seenAt))
+	}
+}
+
 // shardWait returns the expected queueing time of a queue, as its owner last reported it.
 func (p *peers) shardWait(now time.Time, owner wire.HostID, id shard.ID) time.Duration {
 	if owner == p.self.Name {
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -6,10 +6,12 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/batch"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/limit"
@@ -50,13 +52,14 @@
 	Left    time.Duration     // time until the results are useless
 	Late    bool              // whether the pieces yield to all that can be made before their aim
 	Resumed bool              // whether the pieces are for a stream that its caller takes up again
+	Bound   time.Duration     // queueing time beyond which less urgent orders give way, 0 if none do
 }
 
 // Made answers an Order with a handle for each piece, or with the reason of a failure.
 type Made struct {
 	Handles []fleet.Handle
 	Reason  string        // one of the reason constants, or empty on success
-	Retry   time.Duration // time until the queue may have room, for reasonBusy
+	Retry   time.Duration // time until the queue may have room, for reasonBusy and reasonYielded
 }
 
 // Freed lists results of a service that are no longer needed.
@@ -79,6 +82,7 @@
 	reasonCancelled  = "left"      // the request was cancelled
 	reasonNoAnswer   = "no answer" // the owner of the queue did not answer
 	reasonMoved      = "moved"     // the service is divided differently, so the queue is gone
+	reasonYielded    = "yielded"   // a more urgent order needs the place in the queue
 )
 
 // stageQueues holds the queues of the stage services. Only the queues that this router
@@ -127,7 +131,10 @@
 // job is an Order in progress.
 type job struct {
 	order     Order
+	aim       time.Time
 	deadline  time.Time
+	begun     bool           // whether a piece has been in a call
+	retry     time.Duration  // see Made.Retry
 	handles   []fleet.Handle // by piece, empty for a piece that is not made yet
 	remaining int            // pieces not made yet
 	reason    string         // why the job failed, one of the reason constants
@@ -198,6 +205,18 @@
 	return qs.byID[id]
 }
 
+// ofService returns the queues of a service that this router has, whether it owns them or not.
+func (qs *stageQueues) ofService(id fleet.ServiceID) (sqs []*stageQueue) {
+	qs.mu.Lock()
+	defer qs.mu.Unlock()
+	for _, sq := range qs.byID {
+		if sq.id.Service == id {
+			sqs = append(sqs, sq)
+		}
+	}
+	return sqs
+}
+
 // findFor returns the queue that an order or a list of results to free names, or nil if
 // there is none.
 func (qs *stageQueues) findFor(service fleet.ServiceID, id shard.ID) *stageQueue {
@@ -228,7 +247,7 @@
 		return Made{Reason: reasonMoved}
 	}
 	now := time.Now()
-	j := &job{order: o, deadline: now.Add(o.Left), handles: make([]fleet.Handle, o.Pieces), remaining: o.Pieces, done: make(chan struct{})}
+	j := &job{order: o, aim: now.Add(o.Aim), deadline: now.Add(o.Left), handles: make([]fleet.Handle, o.Pieces), remaining: o.Pieces, done: make(chan struct{})}
 	if m, ok := sq.admit(now, j); !ok {
 		return m
 	}
@@ -245,7 +264,7 @@
 	defer sq.mu.Unlock()
 	delete(sq.jobs, j)
 	if j.reason != "" {
-		return Made{Reason: j.reason}
+		return Made{Reason: j.reason, Retry: j.retry}
 	}
 	return Made{Handles: j.handles}
 }
@@ -255,11 +274,11 @@
 func (sq *stageQueue) admit(now time.Time, j *job) (m Made, ok bool) {
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
-	o := j.order
-	aim := now.Add(o.Aim)
+	o, aim := j.order, j.aim
 	if len(sq.upstreams) == 0 {
 		return Made{Reason: reasonNoUpstream}, false
 	}
+	sq.makeRoom(now, j)
 	estimate := sq.q.Estimate
 	if o.Resumed {
 		estimate = sq.q.EstimateResumed
@@ -269,10 +288,7 @@
 	}
 	ps := make([]batch.Piece[*pieceWork], o.Pieces)
 	for i := range ps {
-		ps[i] = batch.Piece[*pieceWork]{
-			Value: &pieceWork{job: j, piece: i, queued: true}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
-			Aim: aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed,
-		}
+		ps[i] = j.newPiece(i)
 	}
 	if !sq.q.Push(now, ps...) {
 		return Made{Reason: reasonBusy, Retry: time.Second}, false
@@ -282,6 +298,46 @@
 	return Made{}, true
 }
 
+// makeRoom ends the jobs that give way to a new one. The caller holds mu.
+func (sq *stageQueue) makeRoom(now time.Time, j *job) {
+	o := j.order
+	ps, count := sq.q.Yielders(now, j.newPiece(0), o.Pieces, o.Bound, func(w *pieceWork) bool { return w.mayGiveWay() })
+	for _, p := range ps {
+		other := p.Value.job
+		if count <= 0 {
+			return
+		}
+		if other.reason != "" {
+			continue // an earlier piece has ended it
+		}
+		count -= other.order.Pieces
+		wait := admit.Backlog{Waiting: sq.q.Len() - sq.q.CountLate(), Rate: sq.q.Rate(now)}.WaitAfter(0)
+		other.retry = max(wait-o.Bound, minYieldRetry)
+		sq.failJobLocked(other, reasonYielded)
+		sq.qs.s.log.Info("stage order gives way", "request", other.order.Request, "service", o.Service, "rank", other.order.Rank, "pieces", other.order.Pieces,
+			"for", o.Request, "for_rank", o.Rank, "wait_ms", wait.Milliseconds(), "bound_ms", o.Bound.Milliseconds(), "aim_ms", o.Aim.Milliseconds())
+		sq.qs.s.incCounter("orders_yielded", "service", string(o.Service), "rank", strconv.Itoa(fleet.RankLevel(other.order.Rank)))
+	}
+}
+
+// minYieldRetry is the shortest delay after which the caller of a request that gave way retries.
+const minYieldRetry = 200 * time.Millisecond
+
+// mayGiveWay reports whether a job that waits may be ended for a more urgent one: no piece of its
+// request has been begun.
+func (j *job) mayGiveWay() bool {
+	return j.reason == "" && !j.begun && len(j.order.Inputs) == 0 && j.order.Bound > 0
+}
+
+// newPiece returns a piece of the job for the queue.
+func (j *job) newPiece(i int) batch.Piece[*pieceWork] {
+	o := &j.order
+	return batch.Piece[*pieceWork]{
+		Value: &pieceWork{job: j, piece: i, queued: true}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
+		Aim: j.aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed, Ages: o.Bound > 0,
+	}
+}
+
 // failJob is failJobLocked for callers that don't hold mu.
 func (sq *stageQueue) failJob(j *job, reason string) {
 	sq.mu.Lock()
@@ -469,6 +525,7 @@
 			for _, p := range ps {
 				p.Value.queued = false
 				p.Value.calls++
+				p.Value.begun = true
 			}
 			ctx, cancel := context.WithDeadline(context.Background(), c.deadline(now))
 			c.cancel = cancel
--- a/entry/server.go
+++ b/entry/server.go
@@ -85,6 +85,7 @@
 	streamTimes    admit.StreamTimes
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
+	shedding       shedding
 	lag            lagMonitor
 
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
@@ -143,6 +144,8 @@
 	s.heldBodies, s.heldAnswers = limit.NewBytes(memory/bodyShare), limit.NewBytes(memory/answerShare)
 	s.stopCtx, s.cancelStopCtx = context.WithCancel(context.Background())
 	s.unqueued.byService = map[fleet.ServiceID]Load{}
+	s.unqueued.byRank = map[fleet.ServiceID][fleet.RankLevels]int{}
+	s.shedding.on.Store(cfg.Shed)
 	s.latencies.byRoute = map[fleet.RouteID]time.Duration{}
 	s.seedList.Store(&cfg.Seeds)
 	s.view.Store(&View{})
@@ -335,7 +338,7 @@
 	}
 }
 
-// reload applies the settings that may change while the router runs: the seeds.
+// reload applies the settings that may change while the router runs: the seeds and shed.
 // Invalid settings are logged and change nothing.
 func (s *Server) reload(signal string) {
 	if s.path == "" {
@@ -351,8 +354,11 @@
 	if changed {
 		s.seedList.Store(&next.Seeds)
 	}
+	if s.shedding.on.Swap(next.Shed) != next.Shed {
+		changed = true
+	}
 	if changed || signal != "" {
-		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds)
+		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "shed", next.Shed)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,6 +34,8 @@
 	Retries float64 `toml:"retries"` // retries of all routers, as a ratio of first attempts
 	Slack   float64 `toml:"slack"`   // retries of all routers in any period on top of that ratio
 	Level   string  `toml:"level"`   // log level, "info" if empty
+
+	Shed bool `toml:"shed"` // when there is too little room, turn away what costs callers least
 }
 
 // LoadSettings reads and validates the settings file at path.
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -21,6 +21,7 @@
 		{name: "processor share", old: "slack", next: "cores = 0.352\nslack"},
 		{"negative processor share", "slack", "cores = -1\nslack", "cores must not be negative"},
 		{"negative slack", "slack = 50", "slack = -1", "retries and slack must not be negative"},
+		{"text for a switch", "shed = true", `shed = "yes"`, "line 15: shed"},
 		{"text for a number", "memory = 284", `memory = "284"`, "line 9: memory"},
 		{"unreadable", "memory = 284", "memory 284", "line 9"},
 	} {
