core/batch, entry: forecast with the rate that calls sustain

If more waits than the next calls take for a second, a queue reports what its calls made lately. Only with the setting shed.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -96,6 +96,10 @@
 	resumedDebt float64
 	// agedDebt is the number of places that pieces which have aged took beyond agedShare.
 	agedDebt float64
+
+	made         float64 // pieces per second that calls made lately, as of madeAt
+	madeAt       time.Time
+	backlogSince time.Time // when the waiting pieces began to be more than the upstreams' next calls take, zero if they aren't
 }
 
 // upstream is what the queue knows about one upstream.
@@ -220,6 +224,7 @@
 // deadline; they are removed too.
 func (q *Queue[T]) Next(now time.Time, id wire.UpstreamID) (ps []Piece[T], expired []Piece[T], wait time.Duration) {
 	expired = q.removeExpired(now)
+	q.recordBacklog(now)
 	u := q.upstreams[id]
 	switch {
 	case u == nil || len(q.waiting) == 0 || q.isBusy(u):
@@ -488,6 +493,12 @@
 	u.inFlight--
 	u.reserved -= outcome.Reserved
 	q.store(now, u, outcome.Results)
+	switch {
+	case outcome.NoRoom:
+		q.recordMade(now, len(outcome.Results))
+	case !outcome.Failed && !outcome.Full:
+		q.recordMade(now, u.lastPieces)
+	}
 	if outcome.NoRoom {
 		u.noRoomLimit = u.used
 		u.noRoomUntil = now.Add(noRoomInterval)
@@ -638,6 +649,44 @@
 	return rate
 }
 
+// SustainedRate is Rate, or what the calls made lately if there was more to do than that for
+// sustainWindow: results that wait for their readers may leave the upstreams no room for more.
+func (q *Queue[T]) SustainedRate(now time.Time) float64 {
+	rate := q.Rate(now)
+	if q.backlogSince.IsZero() || now.Sub(q.backlogSince) < sustainWindow {
+		return rate
+	}
+	q.recordMade(now, 0)
+	return min(rate, max(q.made, minSustained*rate))
+}
+
+const (
+	// sustainWindow is the time constant of the average of what calls make.
+	sustainWindow = time.Second
+	// minSustained is the fraction of Rate below which SustainedRate does not fall: calls that
+	// fail together would otherwise make a queue look endless.
+	minSustained = 0.2
+)
+
+// recordMade counts the pieces that a call made.
+func (q *Queue[T]) recordMade(now time.Time, pieces int) {
+	if dt := now.Sub(q.madeAt); dt > 0 {
+		q.made *= math.Exp(-dt.Seconds() / sustainWindow.Seconds())
+		q.madeAt = now
+	}
+	q.made += float64(pieces) / sustainWindow.Seconds()
+}
+
+// recordBacklog notes since when more pieces wait than the next calls of all upstreams take.
+func (q *Queue[T]) recordBacklog(now time.Time) {
+	switch {
+	case len(q.waiting)-q.late <= q.calls.MaxBatch*len(q.upstreams):
+		q.backlogSince = time.Time{}
+	case q.backlogSince.IsZero():
+		q.backlogSince = now
+	}
+}
+
 // answeredSlowdown returns the slowdown of the calls that were answered in time. Calls that time
 // out make the next timeout longer, but a silence does not show that the upstream is slow.
 func (u *upstream) answeredSlowdown() float64 { return cmp.Or(u.slowdownBeforeTimeout, u.slowdown) }
--- a/core/batch/queue_test.go
+++ b/core/batch/queue_test.go
@@ -589,3 +589,39 @@
 		})
 	}
 }
+
+// TestSustainedRate guards against a forecast that counts on calls which upstreams have no room
+// for, and against one that takes a queue with little to do for a slow one.
+func TestSustainedRate(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		waiting int
+		noRoom  bool
+		reduced bool
+	}{{"calls are full", 200, false, false}, {"half of each call finds no room", 200, true, true}, {"little to do", 4, true, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := newQueue("a", "a")
+			var now time.Time
+			started := map[wire.UpstreamID]bool{}
+			for i := range 40 {
+				now = at(time.Duration(i) * calls.ExpectedTime(8))
+				q.Push(now, pieces(tc.waiting-q.Len(), Piece[string]{Centre: "a", Size: 1, Aim: at(time.Minute), Deadline: at(time.Minute)})...)
+				for _, id := range []wire.UpstreamID{"u0", "u1"} {
+					o := CallOutcome{NoRoom: tc.noRoom, Results: map[fleet.Handle]fleet.Bytes{}}
+					for j := range 4 {
+						o.Results[fleet.Handle(fmt.Sprint(id, i, j))] = 1
+					}
+					if started[id] {
+						q.Done(now, id, o)
+					}
+					ps, _, _ := q.Next(now, id)
+					started[id] = len(ps) > 0
+				}
+			}
+			rate := q.Rate(now)
+			got := q.SustainedRate(now)
+			assert.Assert(t, got <= rate && got >= minSustained*rate)
+			assert.Equal(t, got < 0.8*rate, tc.reduced, "%v of %v", got, rate)
+		})
+	}
+}
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -156,7 +156,11 @@
 	l.Late = sq.q.CountLate()
 	l.Waiting = sq.q.Len() - l.Late
 	l.Resumed = sq.q.CountResumed()
-	if !now.IsZero() {
+	switch {
+	case now.IsZero():
+	case sq.qs.s.shedding.on.Load():
+		l.Rate = sq.q.SustainedRate(now)
+	default:
 		l.Rate = sq.q.Rate(now)
 	}
 	return l
