--- a/entry/server.go
+++ b/entry/server.go
@@ -85,6 +85,7 @@
 	streamTimes    admit.StreamTimes
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
+	shedding       shedding
 	lag            lagMonitor
 
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
@@ -145,6 +146,8 @@
 	s.heldBodies, s.heldAnswers = limit.NewBytes(memory/bodyShare), limit.NewBytes(memory/answerShare)
 	s.stopCtx, s.cancelStopCtx = context.WithCancel(context.Background())
 	s.unqueued.byService = map[fleet.ServiceID]Load{}
+	s.unqueued.byRank = map[fleet.ServiceID][fleet.RankLevels]int{}
+	s.shedding.on.Store(cfg.Shed)
 	s.latencies.byRoute = map[fleet.RouteID]time.Duration{}
 	s.seedList.Store(&cfg.Seeds)
 	s.loadsOn.Store(cfg.Loads)
@@ -339,7 +342,8 @@
 	}
 }
 
-// reload applies the settings that may change while the router runs: the seeds and loads.
+// reload applies the settings that may change while the router runs: the seeds, and whether
+// requests are shed by cost and upstreams are chosen by what they tell.
 // Invalid settings are logged and change nothing.
 func (s *Server) reload(signal string) {
 	if s.path == "" {
@@ -351,13 +355,14 @@
 		s.incCounter("reload_failed")
 		return
 	}
-	changed := !slices.Equal(next.Seeds, s.seeds()) || next.Loads != s.loadsOn.Load()
+	changed := !slices.Equal(next.Seeds, s.seeds())
 	if changed {
 		s.seedList.Store(&next.Seeds)
-		s.loadsOn.Store(next.Loads)
 	}
+	changed = s.shedding.on.Swap(next.Shed) != next.Shed || changed
+	changed = s.loadsOn.Swap(next.Loads) != next.Loads || changed
 	if changed || signal != "" {
-		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "loads", next.Loads)
+		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "shed", next.Shed, "loads", next.Loads)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,8 @@
 	Slack   float64 `toml:"slack"`   // retries of all routers in any period on top of that ratio
 	Loads   bool    `toml:"loads"`   // whether choices go by the load and pace that upstreams tell
 	Level   string  `toml:"level"`   // log level, "info" if empty
+
+	Shed bool `toml:"shed"` // when there is too little room, turn away what costs callers least
 }
 
 // LoadSettings reads and validates the settings file at path.
