entry: tell neighbours what changed since what they know

Each heartbeat carried all members with their loads. Calls now carry the router's own state, answers what the caller's digest lacks, and both a digest of a byte a member; neighbours without a digest, of other runs or long silent are told all, as is everyone every 10 s. Crashes are told until they are acknowledged and not for 10 s. Calls are spread over the interval, so that what one answer tells the next leaves out. Fields are added to Beat and Member only; a former build is told everything.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"hornbeamcove.example/core/admit"
+	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/gossip"
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
@@ -56,6 +58,12 @@
 	Loads   map[fleet.ServiceID]Load // stage work of the router, by service
 	Shards  map[shard.ID]Load        // queues of divided services that the router owns
 	CPU     float64                  // processor share of its host in cores, 0 if unknown
+	// Version numbers the content, the fields above without Age. It is zero from builds that
+	// do not number it.
+	Version gossip.Version
+	// Brief says that Address, Centre and CPU are left out, because the receiver knows the run. A
+	// sender whose Version is left out too tells its name alone.
+	Brief bool
 }
 
 // Load is a router's share of the outstanding work for a stage service, or for one queue of
@@ -79,16 +87,27 @@
 	Blocks  []crash.AgedStrike // crashes of the requests that are blocked
 	Parts   crash.PartsReport  // prompt parts that crash upstreams
 	Limits  []limit.Report     // limits that upstreams name
+	// Digest says what the sender knows of the members. If it is zero, the sender is of a build
+	// that must be told everything.
+	Digest gossip.Digest
+	Fresh  gossip.Refreshes // members whose content the receiver knows, with their age
+	Stamp  time.Duration    // time since the sender's start
+	Heard  time.Duration    // Stamp of the last heartbeat from the receiver's run, 0 if there is none
 }
 
 // peers tracks the other routers and holds the connections to them. It is safe for
 // concurrent use.
 type peers struct {
 	s    *Server
-	self Member // without the fields that change, which composeHeartbeat sets
+	self Member // without the fields that change, which updateOwn sets
+	// startAt is the time from which Beat.Stamp counts.
+	startAt time.Time
 
 	mu      sync.Mutex
 	members map[wire.HostID]*peerRecord
+	own     *peerRecord // this router, as heartbeats tell it
+	ring    ring
+	told    map[wire.HostID]*neighbourState
 	watches map[*peerWatch]struct{}
 	clients map[wire.Address]*rpc.Client
 	// introduced holds the peers whose memory was added after the start.
@@ -112,6 +131,7 @@
 	seenAt time.Time
 	// endedAt is when the router's address refused a connection, zero if it did not.
 	endedAt time.Time
+	inRing  bool // whether it is in the ring
 }
 
 // isAlive reports whether the router was heard of recently enough to own queues, and has not
@@ -121,10 +141,14 @@
 }
 
 func newPeers(s *Server) *peers {
+	self := Member{Name: s.cfg.Name, Address: s.cfg.Peers, Centre: s.cfg.Centre, Boot: time.Now().UnixNano(), CPU: s.cfg.Cores}
 	return &peers{
 		s:       s,
-		self:    Member{Name: s.cfg.Name, Address: s.cfg.Peers, Centre: s.cfg.Centre, Boot: time.Now().UnixNano(), CPU: s.cfg.Cores},
+		self:    self,
+		startAt: time.Now(),
 		members: map[wire.HostID]*peerRecord{},
+		own:     &peerRecord{Member: self},
+		told:    map[wire.HostID]*neighbourState{},
 		watches: map[*peerWatch]struct{}{},
 		clients: map[wire.Address]*rpc.Client{}, introduced: map[wire.HostID]bool{},
 	}
@@ -139,8 +163,15 @@
 		p.recordTick(now)
 		p.s.queues.reassign(now)
 		p.cancelLost(now)
-		for _, addr := range p.neighbours(now) {
-			p.s.background.Go(func() { p.sendHeartbeat(ctx, addr) })
+		p.updateOwn(now, 0)
+		ns := p.neighbours(now)
+		for i, n := range ns {
+			p.s.background.Go(func() {
+				// An answer leaves out what earlier ones have told, so calls are spread over the interval.
+				if n.name == "" || clock.Sleep(ctx, heartbeatInterval*time.Duration(i)/time.Duration(len(ns))) {
+					p.sendHeartbeat(ctx, n)
+				}
+			})
 		}
 		select {
 		case <-tick.C:
@@ -169,47 +200,46 @@
 	return now.Sub(p.tickAt) > crash.MaxTransit || now.Sub(p.resumedAt) < 2*crash.MaxTransit
 }
 
-// neighbours returns the addresses to send heartbeats to: the members at distances 1,
+// neighbour is a router to send heartbeats to. The name of a seed may be unknown.
+type neighbour struct {
+	name wire.HostID
+	addr wire.Address
+}
+
+// neighbours returns the routers to send heartbeats to: the members at distances 1,
 // 2, 4 and so on after this router in the ring of names, and the seeds that are not
 // known as members yet.
-func (p *peers) neighbours(now time.Time) (out []wire.Address) {
+func (p *peers) neighbours(now time.Time) (out []neighbour) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ring := []*peerRecord{{Member: p.self}}
-	known := map[wire.Address]bool{p.self.Address: true}
-	for _, m := range p.members {
-		if now.Sub(m.seenAt) < memberTimeout {
-			ring = append(ring, m)
-			known[m.Address] = true
-		}
-	}
-	slices.SortFunc(ring, func(a, b *peerRecord) int { return cmp.Compare(a.Name, b.Name) })
-	self := slices.IndexFunc(ring, func(m *peerRecord) bool { return m.Name == p.self.Name })
+	ring := p.currentRing(now).records
+	self := slices.Index(ring, p.own)
 	for d := 1; d < len(ring) && len(out) < maxNeighbours; d *= 2 {
-		out = append(out, ring[(self+d)%len(ring)].Address)
+		m := ring[(self+d)%len(ring)]
+		out = append(out, neighbour{m.Name, m.Address})
 	}
 	for _, a := range p.s.seeds() {
-		if !known[a] {
-			out = append(out, a)
+		if !slices.ContainsFunc(ring, func(m *peerRecord) bool { return m.Address == a }) {
+			out = append(out, neighbour{addr: a})
 		}
 	}
 	return out
 }
 
 // sendHeartbeat sends a heartbeat to a peer and merges the one that it answers with.
-func (p *peers) sendHeartbeat(ctx context.Context, addr wire.Address) {
+func (p *peers) sendHeartbeat(ctx context.Context, n neighbour) {
 	var answer Beat
-	if err := p.call(ctx, addr, "Peer.Beat", p.composeHeartbeat(time.Now()), &answer, heartbeatTimeout); err != nil {
-		p.s.log.Debug("heartbeat failed", "peer", addr, "err", err)
+	if err := p.call(ctx, n.addr, "Peer.Beat", p.composeHeartbeat(time.Now(), beatCall, n.name), &answer, heartbeatTimeout); err != nil {
+		p.s.log.Debug("heartbeat failed", "peer", n.addr, "err", err)
 		p.s.incCounter("heartbeats_failed")
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.recordEndedAt(time.Now(), addr)
+			p.recordEndedAt(time.Now(), n.addr)
 		}
 		return
 	}
 	p.mergeHeartbeat(time.Now(), answer)
 	p.followConfig(ctx, answer)
-	p.catchUp(ctx, addr, answer)
+	p.catchUp(ctx, n.addr, answer)
 }
 
 // catchUp copies the store's state from a peer if the peer's heartbeat b shows a later
@@ -273,28 +303,18 @@
 		!v.At[op].Before(fleet.Position{Era: b.Eras[op], Revision: b.At[op]})
 }
 
-// composeHeartbeat returns the heartbeat that describes this router and the members
-// that it knows.
-func (p *peers) composeHeartbeat(now time.Time) Beat {
+// composeHeartbeat returns the heartbeat for a neighbour, which describes this router and the
+// members that it knows, or what has changed since the neighbour was told.
+func (p *peers) composeHeartbeat(now time.Time, kind beatKind, to wire.HostID) Beat {
 	v := p.s.view.Load()
-	owned := p.s.queues.ownedLoads(now)
-	loads := p.s.stageLoads(owned)
-	b := Beat{From: p.self, Strikes: p.s.strikes.Recent(now, maxStrikeAge), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.updateOwn(now, heartbeatInterval)
+	b := Beat{Stamp: now.Sub(p.startAt), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	b.Config = v.version()
 	for i, at := range v.At {
 		b.At[i], b.Eras[i] = at.Revision, at.Era
 	}
-	b.From.Leaving = p.s.draining.Load()
-	b.From.Loads = loads
-	b.From.Shards = dividedOnly(owned)
-	for _, m := range p.members {
-		if age := now.Sub(m.seenAt); age < memberTimeout {
-			m.Member.Age = age
-			b.Members = append(b.Members, m.Member)
-		}
-	}
+	strikeAge := p.composeMembers(now, kind, to, &b)
+	b.Strikes = p.s.strikes.Recent(now, strikeAge)
 	return b
 }
 
@@ -321,6 +341,8 @@
 	for _, m := range b.Members {
 		p.mergeMember(now.Add(-m.Age), m)
 	}
+	p.mergeRefreshes(now, &b.Fresh)
+	p.recordTold(now, &b)
 }
 
 // mergeMember records that m was last heard of at the given time. It ignores m if a
@@ -331,20 +353,31 @@
 		return
 	}
 	old := p.members[m.Name]
+	if m.Brief && !m.complete(old) {
+		return // the next digest asks for everything
+	}
 	switch {
 	case old == nil:
 		p.s.log.Info("peer found", "peer", m.Name, "address", m.Address, "centre", m.Centre)
+		old = &peerRecord{}
+		p.members[m.Name] = old
 	case m.Boot < old.Boot && at.Sub(old.seenAt) < ownerTimeout:
 		return // of a run before the one known; a lower start later on shows that the clock was set back
+	case m.Boot == old.Boot && m.Version.Seq > 0 && old.Version.Seq > 0:
+		if m.Version.Seq <= old.Version.Seq {
+			return
+		}
 	case m.Boot == old.Boot && !at.After(old.seenAt):
 		return
 	}
-	r := &peerRecord{Member: m, seenAt: at}
-	if old != nil && m.Boot == old.Boot {
-		r.endedAt = old.endedAt // members that heard of it before report it still
+	started := m.Boot != old.Boot || m.Name != old.Name
+	if started {
+		old.endedAt, old.seenAt = time.Time{}, at
+		p.ring.valid = false
 	}
-	p.members[m.Name] = r
-	if old == nil || m.Boot != old.Boot {
+	p.ring.valid = p.ring.valid && old.inRing
+	old.Member, old.seenAt = m, later(at, old.seenAt)
+	if started {
 		p.s.background.Go(func() { p.s.origins.peerStarted(m.Name) })
 	}
 }
--- a/entry/push.go
+++ b/entry/push.go
@@ -93,7 +93,8 @@
 	p.s.background.Go(func() {
 		c, err := p.packer.pack(v)
 		if err == nil {
-			err = p.transfer(ctx, b.From.Address, "Peer.Configuration", c, new(int))
+			addr, _ := p.address(b.From.Name) // a heartbeat may leave it out
+			err = p.transfer(ctx, addr, "Peer.Configuration", c, new(int))
 		}
 		if err != nil {
 			p.s.log.Info("could not send configuration to peer", "peer", b.From.Name, "version", own, "known", b.Config, "err", err)
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -99,7 +99,7 @@
 	now := time.Now()
 	p.s.peers.mergeHeartbeat(now, b)
 	p.s.peers.followConfig(context.Background(), b)
-	*answer = p.s.peers.composeHeartbeat(now)
+	*answer = p.s.peers.composeHeartbeat(now, beatAnswer, b.From.Name)
 	return nil
 }
 
