--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -54,7 +54,15 @@
 	cfg.Loads = loads
 	r.n = r.start(cfg)
 	r.waitForUpstreams(r.n, len(paces))
-	r.served("prime", 20)
+	r.waitFor("all upstreams have told their load", func() bool {
+		r.served("prime", 1)
+		for _, u := range r.n.Dump(time.Now()).Upstreams {
+			if u.Told == nil {
+				return false
+			}
+		}
+		return true
+	})
 	return r
 }
 
