--- a/entry/shed_test.go
+++ b/entry/shed_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -55,6 +57,54 @@
 	t.Run("nothing is heard any more", func(t *testing.T) { assertShortage(t, now.Add(ownerTimeout), 0, 0) })
 }
 
+// TestShed guards against requests that are refused in a shortage although their callers would wait,
+// against refusals that don't say that the request has not run, and against a rule that stays in
+// force when the setting is off. A peer that owns a queue turns all away, this router none: both go
+// by the mean, so that of 24 requests some are turned away and some are not.
+func TestShed(t *testing.T) {
+	short := (&demandReport{owner: true, levels: slices.Repeat([]int{1000}, fleet.RankLevels)}).encode()
+	for _, tc := range []struct {
+		name             string
+		on               bool
+		load             Load // at the peer
+		delayed, refused bool
+	}{
+		{"no shortage", true, Load{}, false, false},
+		{"delayed", true, Load{Demand: short}, true, false},
+		{"refused", true, Load{Waiting: 1 << 20, Demand: short}, false, true},
+		{"off", false, Load{Demand: short}, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.addReplica("e-1", "engine")
+			r.addReplica("a-1", "archive")
+			r.addReplica("s-1", "school")
+			n := r.startRouter(3)
+			n.shedding.on.Store(tc.on)
+			refused := 0
+			for i := range 24 {
+				n.peers.mu.Lock()
+				n.peers.mergeMember(time.Now(), Member{Name: "r2", Boot: 1, Leaving: true, Loads: map[fleet.ServiceID]Load{"archive": tc.load}})
+				n.peers.mu.Unlock()
+				resp, body, err := n.do(t, planCall(i))
+				assert.NilError(t, err)
+				if resp.StatusCode == http.StatusOK {
+					continue
+				}
+				refused++
+				assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+				assert.Equal(t, body, "stages: shed\n")
+				assert.Assert(t, resp.Header.Get("Retry-After") != "")
+			}
+			assert.Equal(t, refused > 0, tc.refused)
+			assert.Assert(t, refused < 24)
+			log := r.log.String()
+			assert.Equal(t, strings.Count(log, `"msg":"request shed"`), refused)
+			assert.Equal(t, strings.Contains(log, `"msg":"admitted late"`), tc.delayed)
+		})
+	}
+}
+
 // TestDemand guards against a report that crashes the routers that read it, or that changes on its
 // way.
 func TestDemand(t *testing.T) {
