--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -196,68 +196,49 @@
 }
 
 // QueueBounds returns by fleet.RankLevel how much work may be ahead of a new request at a service,
-// as the time that it takes there, with which the requests of all routes that use it are on time;
-// 0 for ranks that no such route has. The time until a request reaches the service counts in full:
-// the work is done meanwhile. More urgent requests stay on time if none waits for longer than they
-// can, or if none waits until it has as little time left as they have, since queues are in the
-// order of the aims; the longer of both counts. forecastError is as in Decide. No wait is taken to
-// be below minSlackFraction of a route's slack or half of a full call, since pieces wait that long
-// for the end of a call however little there is to do.
+// as the time that it takes there, with which the requests of all routes that use it are on time,
+// also if they wait as long in each of their stages; 0 for ranks that no such route has. The time
+// until a request reaches the service counts in full: the work is done meanwhile. forecastError is
+// as in Decide. No wait is taken to be below minSlackFraction of a route's slack or half of a full
+// call, since pieces wait that long for the end of a call however little there is to do.
 func QueueBounds(cfg *fleet.Config, id fleet.ServiceID, firstEventTime, forecastError func(*fleet.Route) time.Duration) (bounds [fleet.RankLevels]time.Duration) {
 	calls := cfg.Service(id).StageCalls
 	floor := max(calls.ExpectedTime(calls.MaxBatch)/2, time.Millisecond)
-	var begins, slacks [fleet.RankLevels]time.Duration
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
-		begin, ok := reach(cfg, r, id)
+		begin, depth, ok := reach(cfg, r, id)
 		if !ok {
 			continue
 		}
 		slack := Slack(cfg, r, firstEventTime(r))
 		wait := slack - time.Duration((1-maxTargetFraction)*float64(r.TargetLatency)) - forecastError(r)
-		wait = max(wait, time.Duration(minSlackFraction*float64(slack)), floor)
+		wait = max(max(wait, time.Duration(minSlackFraction*float64(slack)))/time.Duration(depth), floor)
 		for _, rank := range cfg.RanksOf(r) {
-			rank = fleet.RankLevel(rank)
-			if bounds[rank] == 0 || begin < begins[rank] {
-				begins[rank] = begin
+			if b := &bounds[fleet.RankLevel(rank)]; *b == 0 || begin+wait < *b {
+				*b = begin + wait
 			}
-			lower(&bounds[rank], wait)
-			lower(&slacks[rank], max(slack, floor))
-		}
-	}
-	urgent := time.Duration(0)
-	for rank := range bounds {
-		if bounds[rank] > 0 {
-			lower(&bounds[rank], max(urgent, bounds[rank]-urgent))
-			lower(&urgent, slacks[rank])
-			bounds[rank] += begins[rank]
 		}
 	}
 	return bounds
 }
 
-// lower lowers a bound to d if it is higher or not set. A d of 0 is no bound.
-func lower(bound *time.Duration, d time.Duration) {
-	if d > 0 && (*bound == 0 || d < *bound) {
-		*bound = d
-	}
-}
-
 // reach returns when a request of route r first needs a service if nothing waits and all calls are
-// full. ok is whether it needs the service.
-func reach(cfg *fleet.Config, r *fleet.Route, id fleet.ServiceID) (begin time.Duration, ok bool) {
-	ends := make([]time.Duration, len(r.Stages))
+// full, and the number of stages in the route's longest chain. ok is whether r needs the service.
+func reach(cfg *fleet.Config, r *fleet.Route, id fleet.ServiceID) (begin time.Duration, depth int, ok bool) {
+	ends, depths := make([]time.Duration, len(r.Stages)), make([]int, len(r.Stages))
 	for i, s := range r.Stages {
 		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
+			ends[i], depths[i] = max(ends[i], ends[a]), max(depths[i], depths[a])
 		}
 		if s.Service == id && (!ok || ends[i] < begin) {
 			begin, ok = ends[i], true
 		}
 		calls := cfg.Service(s.Service).StageCalls
 		ends[i] += calls.ExpectedTime(calls.MaxBatch)
+		depths[i]++
+		depth = max(depth, depths[i])
 	}
-	return begin, ok
+	return begin, depth, ok
 }
 
 // Patience returns how long after its first attempt began a caller of route r waits for the
