entry: read the blocked requests once an interval for heartbeats

Each heartbeat and answer went through all crashes of the last two minutes to find the requests that are blocked: half of the time that composing took in a profile of 25 routers under load, now that members are told by changes. They are read with the router's own state, and their ages brought up to date as they are told.

--- a/entry/beat.go
+++ b/entry/beat.go
@@ -105,12 +105,14 @@
 	owned := p.s.queues.ownedLoads(now)
 	next.Loads = p.s.stageLoads(owned)
 	next.Shards = dividedOnly(owned)
+	blocks := p.s.strikes.Blocks(now) // reads all crashes of two minutes
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	version := p.own.Version
 	next.Version = version
 	next.Version = version.Next(version.Seq == 0 || !reflect.DeepEqual(next, p.own.Member))
 	p.own.Member, p.own.seenAt = next, now
+	p.blocks = blocks
 }
 
 // composeMembers adds to a heartbeat what its receiver is to be told of this router and the
@@ -127,6 +129,10 @@
 		st = &neighbourState{}
 	}
 	b.Heard = st.stamp
+	for _, k := range p.blocks {
+		k.Age += now.Sub(p.own.seenAt)
+		b.Blocks = append(b.Blocks, k)
+	}
 	strikeAge = maxStrikeAge
 	if st.acked > 0 {
 		strikeAge = min(maxStrikeAge, now.Sub(p.startAt)-st.acked+strikeOverlap)
--- a/entry/beat_test.go
+++ b/entry/beat_test.go
@@ -226,4 +226,16 @@
 	exchange()
 	exchange()
 	assert.Equal(t, len(r2.strikes.Recent(now, maxStrikeAge)), 1)
+
+	t.Run("blocked requests", func(t *testing.T) {
+		began := now
+		for born := range 3 {
+			r1.strikes.Add(began, crash.Strike{Print: "print", Upstream: "u", Born: int64(born)})
+		}
+		r1.peers.updateOwn(now, 0)
+		now = now.Add(heartbeatInterval / 2)
+		b := r1.peers.composeHeartbeat(now, beatAnswer, "r2")
+		assert.Equal(t, len(b.Blocks), 3)
+		assert.Equal(t, b.Blocks[0].Age, heartbeatInterval/2)
+	})
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -105,7 +105,8 @@
 
 	mu      sync.Mutex
 	members map[wire.HostID]*peerRecord
-	own     *peerRecord // this router, as heartbeats tell it
+	own     *peerRecord        // this router, as heartbeats tell it
+	blocks  []crash.AgedStrike // as of own.seenAt
 	ring    ring
 	told    map[wire.HostID]*neighbourState
 	watches map[*peerWatch]struct{}
@@ -308,7 +309,7 @@
 func (p *peers) composeHeartbeat(now time.Time, kind beatKind, to wire.HostID) Beat {
 	v := p.s.view.Load()
 	p.updateOwn(now, heartbeatInterval)
-	b := Beat{Stamp: now.Sub(p.startAt), Blocks: p.s.strikes.Blocks(now), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
+	b := Beat{Stamp: now.Sub(p.startAt), Parts: p.s.parts.Report(now), Limits: p.s.limits.Reports(now)}
 	b.Config = v.version()
 	for i, at := range v.At {
 		b.At[i], b.Eras[i] = at.Revision, at.Era
