--- a/core/share/share.go
+++ b/core/share/share.go
@@ -1,6 +1,8 @@
-// Package share implements a weighted fair queue: teams get capacity in proportion
-// to their weights, interactive work goes before batch work, and batch work is
-// guaranteed a minimum share. It does no I/O and starts no goroutine.
+// Package share divides capacity among teams in proportion to their weights. Queue is a
+// weighted fair queue for a process that holds all waiting requests: interactive work goes
+// before batch work, and batch work is guaranteed a minimum share. Divider computes the same
+// shares for many routers from the demand that each of them measures. The package does no
+// I/O and starts no goroutine.
 package share
 
 import (
