core/batch: order pieces of a team over its share behind the others

A burst of one team makes the pieces of all teams late, since the queue goes by aims and ranks alone. A queue that knows which teams are over their share now puts their pieces behind the last of the same rank and class of the other teams, unless all that can be on time are. Without such a team the order is as before.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -61,10 +61,13 @@
 	Deadline time.Time         // time after which the result is useless
 	Late     bool              // whether the piece yields to all that can be made before their aim
 	Resumed  bool              // whether the piece is for a stream that its caller takes up again
+	Team     wire.TeamID       // team of the request, empty if it has none
 
 	queuedAt time.Time
 	seq      uint64
-	first    bool // whether the piece goes before all others in the next call
+	first    bool      // whether the piece goes before all others in the next call
+	over     bool      // whether its team is over its share, as of the last sortWaiting
+	turn     time.Time // aim by which it is ordered, as of the last sortWaiting
 }
 
 // hasPriority reports whether the piece may go before all others, within ResumedShare.
@@ -83,6 +86,7 @@
 	resumed  int // waiting pieces that have priority
 	// resumedDebt is the number of places that pieces with priority took beyond ResumedShare.
 	resumedDebt float64
+	overShare   func(time.Time, wire.TeamID) bool
 }
 
 // upstream is what the queue knows about one upstream.
@@ -121,6 +125,10 @@
 // SetCalls replaces the description of the service's calls.
 func (q *Queue[T]) SetCalls(c fleet.StageCalls) { q.calls = c }
 
+// SetOverShare sets the function that says whether a team asks for more than its share of the
+// service. Without it, no team does.
+func (q *Queue[T]) SetOverShare(over func(now time.Time, team wire.TeamID) bool) { q.overShare = over }
+
 // SetUpstreams replaces the upstreams that take calls. Upstreams that remain keep
 // their state, and so do those that come back while a call is in flight.
 func (q *Queue[T]) SetUpstreams(us []fleet.Upstream) {
@@ -375,33 +383,105 @@
 	}
 }
 
-// sortWaiting orders the waiting pieces for u: first those that markFirst marks, then those
-// that it can make before their aim and that don't yield, by aim, then the others, by rank,
-// aim and age.
+// Classes of waiting pieces, in the order in which they are made.
+const (
+	classFirst  = iota // marked by markFirst
+	classOnTime        // can be made before their aim and don't yield
+	classLate
+)
+
+// sortWaiting orders the waiting pieces for u by class, those that can be on time by aim, and
+// the late ones by rank, aim and age. If not all of a class can be on time, pieces of teams
+// over their share come after those of the same rank of the other teams.
 func (q *Queue[T]) sortWaiting(now time.Time, u *upstream) {
 	q.markFirst()
 	end := now.Add(q.callTime(u, min(len(q.waiting), q.calls.MaxBatch)))
 	class := func(p *Piece[T]) int {
 		if p.first {
-			return 0
+			return classFirst
 		}
 		if p.Late || end.After(p.Aim) {
-			return 2
+			return classLate
 		}
-		return 1
+		return classOnTime
+	}
+	anyOver := q.markOver(now)
+	q.sortByTurn(class)
+	if anyOver && !q.allOnTime(now, u, class) {
+		q.delayOver(class)
+		q.sortByTurn(class)
+	}
+}
+
+// sortByTurn orders the waiting pieces by class and turn.
+func (q *Queue[T]) sortByTurn(class func(*Piece[T]) int) {
+	overLast := func(a, b *Piece[T]) int {
+		switch {
+		case a.over == b.over:
+			return 0
+		case a.over:
+			return 1
+		}
+		return -1
 	}
 	slices.SortFunc(q.waiting, func(a, b *Piece[T]) int {
 		aClass, bClass := class(a), class(b)
-		if aClass != bClass {
+		switch {
+		case aClass != bClass:
 			return aClass - bClass
+		case aClass == classLate:
+			return cmp.Or(cmp.Compare(a.Rank, b.Rank), overLast(a, b), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
 		}
-		if aClass == 2 {
-			return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
-		}
-		return cmp.Or(a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
+		return cmp.Or(a.turn.Compare(b.turn), overLast(a, b), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
 	})
 }
 
+// markOver marks the pieces of teams over their share, sets each piece's turn to its aim, and
+// reports whether it marked any. Streams that are taken up again have a share of their own.
+func (q *Queue[T]) markOver(now time.Time) (marked bool) {
+	for _, p := range q.waiting {
+		p.turn = p.Aim
+		p.over = q.overShare != nil && !p.Resumed && q.overShare(now, p.Team)
+		marked = marked || p.over
+	}
+	return marked
+}
+
+// allOnTime reports whether the pieces that can be on time all are, in the order of their aims
+// and if the upstreams in use are as fast as u.
+func (q *Queue[T]) allOnTime(now time.Time, u *upstream, class func(*Piece[T]) int) bool {
+	available := 0
+	for _, other := range q.upstreams {
+		if !now.Before(other.backoffUntil) {
+			available++
+		}
+	}
+	perRound := max(q.calls.MaxBatch*available, 1)
+	round := q.callTime(u, q.calls.MaxBatch)
+	for i, p := range q.waiting {
+		if class(p) == classOnTime && now.Add(time.Duration(i/perRound+1)*round).After(p.Aim) {
+			return false
+		}
+	}
+	return true
+}
+
+// delayOver moves the turn of pieces of teams over their share behind the last of the same rank
+// and class of the other teams. Pieces of other ranks keep their turns.
+func (q *Queue[T]) delayOver(class func(*Piece[T]) int) {
+	last := make(map[int]time.Time)
+	for _, p := range q.waiting {
+		if class(p) == classOnTime && !p.over && p.Aim.After(last[p.Rank]) {
+			last[p.Rank] = p.Aim
+		}
+	}
+	for _, p := range q.waiting {
+		if p.over && last[p.Rank].After(p.turn) {
+			p.turn = last[p.Rank]
+		}
+	}
+}
+
 // removeExpired removes and returns the pieces that can't be made before their deadline.
 func (q *Queue[T]) removeExpired(now time.Time) (expired []Piece[T]) {
 	minTime := q.calls.ExpectedTime(1)
