entry: measure the demand of teams and tell peers of it in a shortage

The routers measure what each team asks of each service, served or not, and tell each other of the services that are short of room: the largest teams, 16 at most and 2 each at 300 routers, and the total. Each decides from that which teams are over their share and publishes it; overShare reads it without a lock for the admission, and the queues of stages order by it. Orders carry the team.

Nothing refuses by shares yet: the admission does not call overShare.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -234,6 +234,7 @@
 		x.refuse(*f)
 		return
 	}
+	x.recordAdmitted()
 	defer x.releaseUnqueued()
 	ctx, cancel = context.WithTimeout(ctx, x.remaining()+x.margin)
 	defer cancel()
@@ -321,6 +322,7 @@
 	if x.quarantined() && !x.tryPart() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPartQuarantined}
 	}
+	x.recordDemand()
 	return x.admitStages()
 }
 
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -50,6 +50,7 @@
 	Left    time.Duration     // time until the results are useless
 	Late    bool              // whether the pieces yield to all that can be made before their aim
 	Resumed bool              // whether the pieces are for a stream that its caller takes up again
+	Team    wire.TeamID       // team of the request, empty from routers that don't tell it
 }
 
 // Made answers an Order with a handle for each piece, or with the reason of a failure.
@@ -184,6 +185,7 @@
 			qs: qs, id: id, q: batch.New[*pieceWork](*calls), jobs: map[*job]struct{}{},
 			upstreams: map[wire.UpstreamID]fleet.Upstream{}, calls: map[wire.UpstreamID][]*stageCall{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
+		sq.q.SetOverShare(func(now time.Time, team wire.TeamID) bool { return qs.s.overShare(now, id.Service, team) > 0 })
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
 		sq.freeTimer = time.AfterFunc(time.Hour, sq.flushFrees)
 		qs.byID[id] = sq
@@ -271,7 +273,7 @@
 	for i := range ps {
 		ps[i] = batch.Piece[*pieceWork]{
 			Value: &pieceWork{job: j, piece: i, queued: true}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
-			Aim: aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed,
+			Aim: aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed, Team: o.Team,
 		}
 	}
 	if !sq.q.Push(now, ps...) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -86,6 +86,7 @@
 	unqueued       unqueuedPieces
 	forecastErrors admit.ForecastErrors
 	lag            lagMonitor
+	shares         *teamShares
 
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
 	lost     [2]atomic.Bool                 // by platform.Area: whether the area can't be read from the store
@@ -149,6 +150,7 @@
 	s.lastArrival.Store(&processStart)
 	s.queues = newStageQueues(s)
 	s.peers = newPeers(s)
+	s.shares = newTeamShares(s)
 	s.origins.s = s
 	s.callerServer = &http.Server{
 		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout,
@@ -262,6 +264,7 @@
 		s.spawn("watch "+a.String(), func() error { return s.watch(ctx, store, a) })
 	}
 	s.spawn("peers", func() error { return s.peers.run(ctx) })
+	s.spawn("team shares", func() error { return s.shares.run(ctx) })
 	s.spawn("lag", func() error { return s.watchLag(ctx) })
 	s.spawn("sweep", func() error { return s.sweepIdleConns(ctx) })
 	s.spawn("peer listener", func() error { return s.servePeers(l.peers) })
@@ -335,7 +338,8 @@
 	}
 }
 
-// reload applies the settings that may change while the router runs: the seeds.
+// reload applies the settings that may change while the router runs: the seeds and the shares
+// of teams.
 // Invalid settings are logged and change nothing.
 func (s *Server) reload(signal string) {
 	if s.path == "" {
@@ -347,12 +351,15 @@
 		s.incCounter("reload_failed")
 		return
 	}
-	changed := !slices.Equal(next.Seeds, s.seeds())
-	if changed {
+	seedsChanged, sharesChanged := !slices.Equal(next.Seeds, s.seeds()), next.Shares != s.shares.on.Load()
+	if seedsChanged {
 		s.seedList.Store(&next.Seeds)
 	}
-	if changed || signal != "" {
-		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds)
+	if sharesChanged {
+		s.shares.set(next.Shares)
+	}
+	if changed := seedsChanged || sharesChanged; changed || signal != "" {
+		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "shares", next.Shares)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,6 +34,8 @@
 	Retries float64 `toml:"retries"` // retries of all routers, as a ratio of first attempts
 	Slack   float64 `toml:"slack"`   // retries of all routers in any period on top of that ratio
 	Level   string  `toml:"level"`   // log level, "info" if empty
+
+	Shares bool `toml:"shares"` // whether services that are short of room are divided among teams
 }
 
 // LoadSettings reads and validates the settings file at path.
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -94,7 +94,7 @@
 	timeAfter := rs.s.timeAfterStage(x, i)
 	o := Order{
 		Request: x.spec.ID, Service: st.Service, Stage: i, Pieces: n, Size: st.ResultSize, Moved: fleet.TransferBytes(rs.route.Stages, &x.spec, i), Centre: centre, Rank: x.rank,
-		Aim: x.remainingToTarget() - timeAfter, Left: x.awaitedFor() - timeAfter, Late: x.late, Resumed: x.spec.Resumed,
+		Aim: x.remainingToTarget() - timeAfter, Left: x.awaitedFor() - timeAfter, Late: x.late, Resumed: x.spec.Resumed, Team: x.teamID(),
 	}
 	if len(st.After) == 0 {
 		o.Key = x.spec.PieceKey
