--- a/core/share/maxmin_test.go
+++ b/core/share/maxmin_test.go
@@ -75,7 +75,7 @@
 	roomFor    = 0.4 // seconds of work that may wait
 )
 
-// play sends the requests of one large team, which has a third of the traffic and sends four
+// play sends the requests of one large team, which has a third of the traffic and sends six
 // times as much for eight seconds, and of 15 small teams to a service that does 100 of them a
 // second. Each of the routers measures those that reach it and reports every 120 ms. admit says
 // whether a request is admitted when the given work waits. play returns the requests and those
