core/share, entry: let the level of shares fall at once and rise slowly

The level rises with a time constant of 1 s now, towards one at which no team is cut. A shortage lasts while more is asked for than can be done, at most 3 s without a long wait, and begins at half of the time that the most urgent route has to spare instead of a quarter: the forecast of a wait counts pieces that are still in earlier stages.

--- a/core/share/maxmin.go
+++ b/core/share/maxmin.go
@@ -51,8 +51,14 @@
 	// stays so until it asks for no more than its share. The margin keeps a team that asks for
 	// about its share from changing sides with every measurement.
 	overMargin = 0.1
-	// shortageEnd is the time without a shortage after which it counts as over.
+	// shortageEnd is the time without a shortage after which it counts as over, and heldEnd that
+	// after which it does although more is asked for than can be done. The wait is short then
+	// because teams are held to their shares, and would be long again if they were not.
 	shortageEnd = 500 * time.Millisecond
+	heldEnd     = 3 * time.Second
+	// levelWindow is the time constant with which the level rises. It falls at once. The waits
+	// in a queue rise and fall with each burst and call, and with them what is left to divide.
+	levelWindow = time.Second
 	// calmWait is the fraction of the tolerated wait below which a wait shows no shortage.
 	calmWait = 0.5
 	// capacityWindow is the time constant with which the capacity of a service that states
@@ -110,8 +116,10 @@
 type Divider struct {
 	short    bool
 	shortAt  time.Time // last time at which the service was short
+	calmAt   time.Time // last time at which the service was short, or had more to do than it can
 	capacity Rate      // as estimated from what was admitted
-	at       time.Time // time of capacity
+	level    Rate      // infinite without a shortage
+	at       time.Time // last update
 	over     Over
 }
 
@@ -125,13 +133,20 @@
 	}
 	sum := Sum(valid)
 	div := Division{Capacity: d.estimate(now, in, sum.Admitted), Level: Rate(math.Inf(1)), Asked: sum}
-	d.observeShortage(now, in, sum.Short)
+	wasShort := d.short
+	d.observeShortage(now, in, sum, div.Capacity)
 	next := Over(nil)
 	if div.Short = d.short; d.short {
-		div.Level, next = d.divide(div.Capacity, sum, in.Weight)
+		claims := claimsOf(sum, in.Weight)
+		div.Level = Level(div.Capacity, claims)
+		if wasShort {
+			div.Level = d.rise(now, div.Level, claims)
+		}
+		next = d.divide(div.Level, sum, claims)
 	}
 	div.Changes = changes(d.over, next, sum, div.Level, in.Weight)
 	d.over, div.Over = next, next
+	d.level, d.at = div.Level, now
 	return div
 }
 
@@ -144,30 +159,49 @@
 		return in.Capacity * Rate(min(max(in.Coverage, 0), 1)*max(1-backlog, minCapacity))
 	}
 	f := Rate(math.Exp(-max(now.Sub(d.at), 0).Seconds() / capacityWindow.Seconds()))
-	d.capacity, d.at = max(admitted, admitted+(d.capacity-admitted)*f), now
+	d.capacity = max(admitted, admitted+(d.capacity-admitted)*f)
 	return d.capacity
 }
 
-// observeShortage begins a shortage at once and ends it after shortageEnd without one.
-func (d *Divider) observeShortage(now time.Time, in Input, reported bool) {
-	short, calm := reported, !reported
+// observeShortage begins a shortage at once and ends it after shortageEnd without one, if no more
+// is asked for than can be done, or after heldEnd.
+func (d *Divider) observeShortage(now time.Time, in Input, sum Report, capacity Rate) {
+	short, calm := sum.Short, !sum.Short
 	if in.Tolerated > 0 {
 		short, calm = in.Wait >= in.Tolerated, in.Wait < time.Duration(calmWait*float64(in.Tolerated))
 	}
-	switch {
-	case short:
-		d.short, d.shortAt = true, now
-	case d.short && !calm:
+	if short {
+		d.short = true
+	}
+	if short || !calm {
 		d.shortAt = now
-	case d.short && now.Sub(d.shortAt) >= shortageEnd:
+	}
+	if short || !calm || sum.Asked > capacity {
+		d.calmAt = now
+	}
+	if now.Sub(d.calmAt) >= shortageEnd || now.Sub(d.shortAt) >= heldEnd {
 		d.short = false
 	}
 }
 
-// divide returns the level and the teams over their share. Teams that no report names count
-// as a group that asks for the same each. If no team is within its share, none is over it:
-// there is nobody to protect.
-func (d *Divider) divide(capacity Rate, sum Report, weight func(wire.TeamID) float64) (level Rate, over Over) {
+// rise returns the level between the last one and the next to which it has risen. It rises towards
+// one at which no claim is cut, if the next is higher.
+func (d *Divider) rise(now time.Time, next Rate, claims []Claim) Rate {
+	if next <= d.level {
+		return next
+	}
+	uncut := Rate(0)
+	for _, c := range claims {
+		uncut = max(uncut, c.Rate/Rate(c.Weight))
+	}
+	next = max(min(next, (1+overMargin)*uncut), d.level)
+	f := Rate(math.Exp(-max(now.Sub(d.at), 0).Seconds() / levelWindow.Seconds()))
+	return next + (d.level-next)*f
+}
+
+// claimsOf returns the claims of the teams that a report names, in its order. Those that it does
+// not name come last, as a group of teams that ask for the same each.
+func claimsOf(sum Report, weight func(wire.TeamID) float64) []Claim {
 	claims := make([]Claim, 0, len(sum.Teams)+1)
 	named := Rate(0)
 	for _, t := range sum.Teams {
@@ -177,13 +211,15 @@
 	if others := sum.Count - len(sum.Teams); others > 0 {
 		claims = append(claims, Claim{max(sum.Asked-named, 0), float64(others)})
 	}
-	level = Level(capacity, claims)
-	within := false
-	for _, c := range claims {
-		within = within || c.Rate <= Rate(c.Weight)*level
-	}
+	return claims
+}
+
+// divide returns the teams over their share. If no team is within its share, none is over it:
+// there is nobody to protect.
+func (d *Divider) divide(level Rate, sum Report, claims []Claim) (over Over) {
+	within := slices.ContainsFunc(claims, func(c Claim) bool { return c.Rate <= Rate(c.Weight)*level })
 	if !within || level <= 0 {
-		return level, nil
+		return nil
 	}
 	for i, t := range sum.Teams {
 		excess := float64(t.Rate/(Rate(claims[i].Weight)*level)) - 1
@@ -194,7 +230,7 @@
 			over[t.Team] = excess
 		}
 	}
-	return level, over
+	return over
 }
 
 func weightOf(weight func(wire.TeamID) float64, team wire.TeamID) float64 {
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -20,7 +20,7 @@
 	// toleratedFraction is the fraction of the shortest queueing time that a route of a service
 	// has to spare which counts as a shortage of the service. All routers know of a shortage
 	// two heartbeats later, while the queue may go on growing as fast as it is drained.
-	toleratedFraction = 0.25
+	toleratedFraction = 0.5
 	// minTolerated is the shortest wait that counts as a shortage, for routes without time to spare.
 	minTolerated = 10 * time.Millisecond
 	// reportFraction is the fraction of the tolerated wait from which routers report the demand
