--- a/entry/peers.go
+++ b/entry/peers.go
@@ -57,8 +57,8 @@
 	Loads   map[fleet.ServiceID]Load // stage work of the router, by service
 	Shards  map[shard.ID]Load        // queues of divided services that the router owns
 	CPU     float64                  // processor share of its host in cores, 0 if unknown
-	// Demands tells what the router's callers ask of the services that are short of room.
-	Demands map[fleet.ServiceID]share.Report
+	// TeamDemands tells what the router's callers ask of the services that are short of room.
+	TeamDemands map[fleet.ServiceID]share.Report
 }
 
 // Load is a router's share of the outstanding work for a stage service, or for one queue of
@@ -292,7 +292,7 @@
 	b.From.Leaving = p.s.draining.Load()
 	b.From.Loads = loads
 	b.From.Shards = dividedOnly(owned)
-	b.From.Demands = p.s.shares.reports(now)
+	b.From.TeamDemands = p.s.shares.reports(now)
 	for _, m := range p.members {
 		if age := now.Sub(m.seenAt); age < memberTimeout {
 			m.Member.Age = age
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -311,7 +311,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
-		if r, ok := m.Demands[svc]; ok && m.isAlive(now) {
+		if r, ok := m.TeamDemands[svc]; ok && m.isAlive(now) {
 			age := now.Sub(m.seenAt)
 			oldest = max(oldest, age)
 			reports = append(reports, r.Aged(age))
--- a/entry/teams_test.go
+++ b/entry/teams_test.go
@@ -58,7 +58,7 @@
 		for _, d := range demand {
 			r.Asked += d.Rate
 		}
-		m.Demands = map[fleet.ServiceID]share.Report{"archive": r}
+		m.TeamDemands = map[fleet.ServiceID]share.Report{"archive": r}
 	}
 	c.peers.mu.Lock()
 	defer c.peers.mu.Unlock()
@@ -210,7 +210,7 @@
 			}
 			c.step()
 		}
-		return c.peers.composeHeartbeat(c.now).From.Demands
+		return c.peers.composeHeartbeat(c.now).From.TeamDemands
 	}
 	assert.Equal(t, len(play(10)), 0)
 	reports := play(queueLength)
@@ -224,7 +224,7 @@
 	assert.Assert(t, func() bool { r := play(queueLength); return len(r) == 1 }(), "the shortage of the desk is over")
 	c.recordShortage(c.now, "desk")
 	c.step()
-	assert.Assert(t, c.peers.composeHeartbeat(c.now).From.Demands["desk"].Short)
+	assert.Assert(t, c.peers.composeHeartbeat(c.now).From.TeamDemands["desk"].Short)
 }
 
 // TestSuspended guards against teams that are held to their shares for good, because the router
