core/batch, core/share: put behind only what exceeds a team's share

All pieces of a team over its share went behind the others, so that a team that asks for a tenth more lost as much as one that asks for ten times its share. share.Exceeds takes the part of a team's requests that exceeds its share; the queue of a stage service marks as many of its pieces, and the admission can use the same rule.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -46,6 +47,8 @@
 	// callers take up again go before all others. It leaves the other half to new requests,
 	// however many streams are taken up.
 	ResumedShare = 0.5
+	// goldenRatio spreads its multiples modulo 1 evenly, in whatever order pieces arrive.
+	goldenRatio = 0.6180339887498949
 	// maxPollInterval limits the time until Next should be called again.
 	maxPollInterval = 50 * time.Millisecond
 )
@@ -66,7 +69,7 @@
 	queuedAt time.Time
 	seq      uint64
 	first    bool      // whether the piece goes before all others in the next call
-	over     bool      // whether its team is over its share, as of the last sortWaiting
+	over     bool      // whether it exceeds its team's share, as of the last sortWaiting
 	turn     time.Time // aim by which it is ordered, as of the last sortWaiting
 }
 
@@ -86,7 +89,7 @@
 	resumed  int // waiting pieces that have priority
 	// resumedDebt is the number of places that pieces with priority took beyond ResumedShare.
 	resumedDebt float64
-	overShare   func(time.Time, wire.TeamID) bool
+	overShare   func(time.Time, wire.TeamID) float64
 }
 
 // upstream is what the queue knows about one upstream.
@@ -125,9 +128,11 @@
 // SetCalls replaces the description of the service's calls.
 func (q *Queue[T]) SetCalls(c fleet.StageCalls) { q.calls = c }
 
-// SetOverShare sets the function that says whether a team asks for more than its share of the
-// service. Without it, no team does.
-func (q *Queue[T]) SetOverShare(over func(now time.Time, team wire.TeamID) bool) { q.overShare = over }
+// SetOverShare sets the function that says by what ratio a team asks for more than its share of
+// the service, 0 if it doesn't. Without it, no team does.
+func (q *Queue[T]) SetOverShare(ratio func(now time.Time, team wire.TeamID) float64) {
+	q.overShare = ratio
+}
 
 // SetUpstreams replaces the upstreams that take calls. Upstreams that remain keep
 // their state, and so do those that come back while a call is in flight.
@@ -391,8 +396,8 @@
 )
 
 // sortWaiting orders the waiting pieces for u by class, those that can be on time by aim, and
-// the late ones by rank, aim and age. If not all of a class can be on time, pieces of teams
-// over their share come after those of the same rank of the other teams.
+// the late ones by rank, aim and age. If not all of a class can be on time, pieces that exceed
+// the share of their team come after the others of the same rank.
 func (q *Queue[T]) sortWaiting(now time.Time, u *upstream) {
 	q.markFirst()
 	end := now.Add(q.callTime(u, min(len(q.waiting), q.calls.MaxBatch)))
@@ -436,13 +441,18 @@
 	})
 }
 
-// markOver marks the pieces of teams over their share, sets each piece's turn to its aim, and
-// reports whether it marked any. Streams that are taken up again have a share of their own.
+// markOver marks, of the pieces of a team over its share, the part by which it exceeds it, sets
+// each piece's turn to its aim, and reports whether it marked any. Streams that are taken up again
+// have a share of their own.
 func (q *Queue[T]) markOver(now time.Time) (marked bool) {
 	for _, p := range q.waiting {
 		p.turn = p.Aim
-		p.over = q.overShare != nil && !p.Resumed && q.overShare(now, p.Team)
-		marked = marked || p.over
+		p.over = false
+		if q.overShare != nil && !p.Resumed {
+			_, draw := math.Modf(float64(p.seq) * goldenRatio)
+			p.over = share.Exceeds(q.overShare(now, p.Team), draw)
+			marked = marked || p.over
+		}
 	}
 	return marked
 }
@@ -466,8 +476,8 @@
 	return true
 }
 
-// delayOver moves the turn of pieces of teams over their share behind the last of the same rank
-// and class of the other teams. Pieces of other ranks keep their turns.
+// delayOver moves the turn of the marked pieces behind the last of the others of the same rank that
+// can be on time. Pieces of other ranks keep their turns.
 func (q *Queue[T]) delayOver(class func(*Piece[T]) int) {
 	last := make(map[int]time.Time)
 	for _, p := range q.waiting {
--- a/core/share/maxmin.go
+++ b/core/share/maxmin.go
@@ -90,6 +90,12 @@
 // does so: 0.5 is half as much again as its share. It is not changed after it was returned.
 type Over map[wire.TeamID]float64
 
+// Exceeds reports whether a request of a team counts to the part of the team's demand that exceeds
+// its share. ratio is that of Over, draw a number in [0, 1) that is spread evenly over the team's
+// requests. With all requests of such teams taken alike, one that asks for a tenth more would lose
+// as much as one that asks for ten times its share.
+func Exceeds(ratio, draw float64) bool { return draw*(1+ratio) < ratio }
+
 // Change reports that a team has gone over its share or is back within it.
 type Change struct {
 	Team   wire.TeamID
--- a/core/share/maxmin_test.go
+++ b/core/share/maxmin_test.go
@@ -199,6 +199,19 @@
 	}
 }
 
+// TestExceeds guards against a team that loses more than what exceeds its share.
+func TestExceeds(t *testing.T) {
+	for _, ratio := range []float64{0, 0.1, 0.5, 9} {
+		n := 0
+		for i := range 1000 {
+			if Exceeds(ratio, float64(i)/1000) {
+				n++
+			}
+		}
+		assert.Assert(t, math.Abs(float64(n)-1000*ratio/(1+ratio)) <= 1, "ratio %v: %d of 1000", ratio, n)
+	}
+}
+
 // TestWeight guards against weights that are ignored: a team of four times the weight may ask
 // for four times as much.
 func TestWeight(t *testing.T) {
