core/share, entry: divide what is left for the rank that is short

Shares were of the whole service, while the admission turns requests away by rank: in the least urgent rank more had to be turned away than exceeded the shares, and small teams lost as much as before. A team that asks for much in an urgent rank was also held back in another.

Routers report demand by rank, and the teams of the rank that is short. What more urgent ranks ask for is set aside, and the first rank that asks for more than is left is divided. A long wait reduces what is divided by a fifth at most (was half), since a queue that admission holds at some length does all that arrives; and teams that all exceed their shares are all over them now. With the smaller capacity no team was within its share at times, and then none counted as over it.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -89,7 +89,7 @@
 	resumed  int // waiting pieces that have priority
 	// resumedDebt is the number of places that pieces with priority took beyond ResumedShare.
 	resumedDebt float64
-	overShare   func(time.Time, wire.TeamID) float64
+	overShare   func(time.Time, int, wire.TeamID) float64
 }
 
 // upstream is what the queue knows about one upstream.
@@ -128,9 +128,9 @@
 // SetCalls replaces the description of the service's calls.
 func (q *Queue[T]) SetCalls(c fleet.StageCalls) { q.calls = c }
 
-// SetOverShare sets the function that says by what ratio a team asks for more than its share of
-// the service, 0 if it doesn't. Without it, no team does.
-func (q *Queue[T]) SetOverShare(ratio func(now time.Time, team wire.TeamID) float64) {
+// SetOverShare sets the function that says by what ratio a team's requests of a rank ask for more
+// than their share of the service, 0 if they don't. Without it, none do.
+func (q *Queue[T]) SetOverShare(ratio func(now time.Time, rank int, team wire.TeamID) float64) {
 	q.overShare = ratio
 }
 
@@ -450,7 +450,7 @@
 		p.over = false
 		if q.overShare != nil && !p.Resumed {
 			_, draw := math.Modf(float64(p.seq) * goldenRatio)
-			p.over = share.Exceeds(q.overShare(now, p.Team), draw)
+			p.over = share.Exceeds(q.overShare(now, p.Rank, p.Team), draw)
 			marked = marked || p.over
 		}
 	}
--- a/core/batch/share_test.go
+++ b/core/batch/share_test.go
@@ -17,8 +17,8 @@
 )
 
 // overLarge returns a function for SetOverShare by which the large team is over its share.
-func overLarge(ratio float64) func(time.Time, wire.TeamID) float64 {
-	return func(_ time.Time, team wire.TeamID) float64 {
+func overLarge(ratio float64) func(time.Time, int, wire.TeamID) float64 {
+	return func(_ time.Time, _ int, team wire.TeamID) float64 {
 		if team == largeTeam {
 			return ratio
 		}
@@ -29,7 +29,7 @@
 // simulateBurst simulates ten seconds in which small teams ask for three fifths of what eight
 // upstreams make and a large team for a fifth, for two seconds in the middle for as much as all
 // of it. It returns the pieces of both asked for and made on time.
-func simulateBurst(overShare func(time.Time, wire.TeamID) float64) (asked, onTime map[wire.TeamID]int) {
+func simulateBurst(overShare func(time.Time, int, wire.TeamID) float64) (asked, onTime map[wire.TeamID]int) {
 	const aim, deadline = 900 * time.Millisecond, 4 * time.Second
 	asked, onTime = map[wire.TeamID]int{}, map[wire.TeamID]int{}
 	q := newQueue("a", "a", "a", "a", "a", "a", "a", "a")
--- a/core/share/demand.go
+++ b/core/share/demand.go
@@ -51,34 +51,48 @@
 	return math.Exp(-max(age, 0).Seconds() / demandWindow.Seconds())
 }
 
+// Ranks is the number of ranks of requests, from 0, the most urgent.
+const Ranks = 10
+
+// clampRank returns the nearest rank to r.
+func clampRank(r int) int { return min(max(r, 0), Ranks-1) }
+
 // Meter measures the work that teams ask of one service. It is safe for concurrent use. The
 // zero value has measured nothing.
 type Meter struct {
 	mu       sync.Mutex
-	asked    decaying
+	asked    [Ranks]decaying
 	admitted decaying
-	teams    map[wire.TeamID]*decaying
+	teams    map[rankedTeam]*decaying
 }
 
-// Ask records that a team asks for work, served or not. Work that is not positive and finite
-// is ignored. Beyond 4,096 teams, the work of a new one counts in the total only.
-func (m *Meter) Ask(now time.Time, team wire.TeamID, work float64) {
+// rankedTeam is a team's requests of one rank.
+type rankedTeam struct {
+	rank int
+	team wire.TeamID
+}
+
+// Ask records that requests of a team and rank ask for work, served or not. Work that is not
+// positive and finite is ignored. Beyond 4,096 teams and ranks, the work of a new one counts in
+// the total only.
+func (m *Meter) Ask(now time.Time, rank int, team wire.TeamID, work float64) {
 	if !(work > 0) || work > maxCost {
 		return
 	}
+	id := rankedTeam{clampRank(rank), team}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.asked.add(now, work)
-	t := m.teams[team]
+	m.asked[id.rank].add(now, work)
+	t := m.teams[id]
 	if t == nil {
 		if m.teams == nil {
-			m.teams = make(map[wire.TeamID]*decaying)
+			m.teams = make(map[rankedTeam]*decaying)
 		}
 		if len(m.teams) >= maxTeams {
 			return
 		}
 		t = new(decaying)
-		m.teams[team] = t
+		m.teams[id] = t
 	}
 	t.add(now, work)
 }
@@ -93,23 +107,37 @@
 	m.admitted.add(now, work)
 }
 
-// Report returns what the meter measured, with the given number of teams named, at most
-// MaxReportTeams. It forgets the teams that ask for nothing any more.
-func (m *Meter) Report(now time.Time, teams int) Report {
+// Report returns what the meter measured. It names the teams of one rank that ask for most, as
+// many as given and at most MaxReportTeams. It forgets those that ask for nothing any more.
+func (m *Meter) Report(now time.Time, rank, teams int) Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := Report{Asked: m.asked.rate(now), Admitted: m.admitted.rate(now)}
+	r := Report{Admitted: m.admitted.rate(now)}
+	var counts [Ranks]int
+	var named []TeamRate
 	for id, t := range m.teams {
 		rate := t.rate(now)
 		if rate < negligibleRate {
 			delete(m.teams, id)
 			continue
 		}
-		r.Teams = append(r.Teams, TeamRate{id, rate})
+		counts[id.rank]++
+		if id.rank == rank {
+			named = append(named, TeamRate{id.team, rate})
+		}
+	}
+	sortTeams(named)
+	named = slices.Clone(named[:min(len(named), max(teams, 0), MaxReportTeams)])
+	for i := range m.asked {
+		if counts[i] == 0 {
+			continue
+		}
+		d := Demand{Rank: i, Asked: m.asked[i].rate(now), Count: counts[i]}
+		if i == rank {
+			d.Teams = named
+		}
+		r.Demands = append(r.Demands, d)
 	}
-	r.Count = len(r.Teams)
-	slices.SortFunc(r.Teams, func(a, b TeamRate) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Team, b.Team)) })
-	r.Teams = slices.Clone(r.Teams[:min(len(r.Teams), max(teams, 0), MaxReportTeams)])
 	return r
 }
 
@@ -119,60 +147,111 @@
 	Rate Rate
 }
 
-// Report is what one router's callers ask of one service. Routers send it to each other.
-type Report struct {
-	Asked    Rate       // by all teams, served or not
-	Admitted Rate       // part of Asked that was admitted
-	Count    int        // teams that ask for work
-	Teams    []TeamRate // those that ask for most, at most MaxReportTeams
-	Short    bool       // whether the router has turned requests away lately for want of room at the service
+// sortTeams sorts teams by what they ask for, the largest first.
+func sortTeams(ts []TeamRate) {
+	slices.SortFunc(ts, func(a, b TeamRate) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Team, b.Team)) })
 }
 
-// IsValid reports whether a report can be right: a router of another build or a damaged
-// message may say anything.
-func (r *Report) IsValid() bool {
-	if !r.Asked.valid() || !r.Admitted.valid() || r.Count < len(r.Teams) || r.Count > maxTeams || len(r.Teams) > MaxReportTeams {
+// Demand is what the requests of one rank ask of a service.
+type Demand struct {
+	Rank  int
+	Asked Rate       // by all teams, served or not
+	Count int        // teams that ask for work
+	Teams []TeamRate // some of those that ask for most
+}
+
+// isValid is Report.IsValid for one rank.
+func (d *Demand) isValid() bool {
+	if d.Rank < 0 || d.Rank >= Ranks || !d.Asked.valid() || d.Count < len(d.Teams) || d.Count > maxTeams || len(d.Teams) > MaxReportTeams {
 		return false
 	}
 	sum := Rate(0)
-	for _, t := range r.Teams {
+	for _, t := range d.Teams {
 		if !t.Rate.valid() {
 			return false
 		}
 		sum += t.Rate
 	}
-	return sum <= r.Asked*(1+1e-6)
+	return sum <= d.Asked*(1+1e-6)
+}
+
+// Report is what one router's callers ask of one service. Routers send it to each other.
+type Report struct {
+	Demands  []Demand // those that aren't 0, the most urgent first
+	Admitted Rate     // part of them that was admitted
+	Short    bool     // whether the router has turned requests away lately for want of room at the service
+}
+
+// IsValid reports whether a report can be right: a router of another build or a damaged
+// message may say anything.
+func (r *Report) IsValid() bool {
+	last := -1
+	for i := range r.Demands {
+		d := &r.Demands[i]
+		if d.Rank <= last || !d.isValid() {
+			return false
+		}
+		last = d.Rank
+	}
+	return r.Admitted.valid()
+}
+
+// Asked returns the work that the requests of all ranks ask for.
+func (r *Report) Asked() (sum Rate) {
+	for _, d := range r.Demands {
+		sum += d.Asked
+	}
+	return sum
 }
 
 // Aged returns the report as of a later time, if nothing was asked for since.
 func (r Report) Aged(age time.Duration) Report {
 	f := Rate(decay(age))
-	r.Asked *= f
 	r.Admitted *= f
-	r.Teams = slices.Clone(r.Teams)
-	for i := range r.Teams {
-		r.Teams[i].Rate *= f
+	r.Demands = slices.Clone(r.Demands)
+	for i := range r.Demands {
+		d := &r.Demands[i]
+		d.Asked *= f
+		d.Teams = slices.Clone(d.Teams)
+		for j := range d.Teams {
+			d.Teams[j].Rate *= f
+		}
 	}
 	return r
 }
 
 // Sum adds up the reports of several routers. The sum names all teams that one of them names.
-// Count is the largest of the counts, since routers may count the same teams.
+// Counts are the largest of the counts, since routers may count the same teams.
 func Sum(reports []Report) (sum Report) {
-	rates := make(map[wire.TeamID]Rate)
+	var demands [Ranks]Demand
+	var rates [Ranks]map[wire.TeamID]Rate
 	for _, r := range reports {
-		sum.Asked += r.Asked
 		sum.Admitted += r.Admitted
-		sum.Count = max(sum.Count, r.Count)
 		sum.Short = sum.Short || r.Short
-		for _, t := range r.Teams {
-			rates[t.Team] += t.Rate
+		for _, d := range r.Demands {
+			total := &demands[d.Rank]
+			total.Asked += d.Asked
+			total.Count = max(total.Count, d.Count)
+			for _, t := range d.Teams {
+				if rates[d.Rank] == nil {
+					rates[d.Rank] = make(map[wire.TeamID]Rate)
+				}
+				rates[d.Rank][t.Team] += t.Rate
+			}
 		}
 	}
-	for id, rate := range rates {
-		sum.Teams = append(sum.Teams, TeamRate{id, rate})
+	for rank := range demands {
+		d := &demands[rank]
+		if d.Asked == 0 {
+			continue
+		}
+		d.Rank = rank
+		for id, rate := range rates[rank] {
+			d.Teams = append(d.Teams, TeamRate{id, rate})
+		}
+		sortTeams(d.Teams)
+		d.Count = max(d.Count, len(d.Teams))
+		sum.Demands = append(sum.Demands, *d)
 	}
-	slices.SortFunc(sum.Teams, func(a, b TeamRate) int { return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Team, b.Team)) })
-	sum.Count = max(sum.Count, len(sum.Teams))
 	return sum
 }
--- a/core/share/maxmin.go
+++ b/core/share/maxmin.go
@@ -65,8 +65,9 @@
 	// none decays to the work that is admitted. What is admitted falls as soon as teams are held
 	// to their shares, which must not make the shares smaller in turn.
 	capacityWindow = 5 * time.Second
-	// minCapacity is the fraction of the capacity that is always divided, however much waits.
-	minCapacity = 0.5
+	// minCapacity is the fraction of the capacity that is always divided, however much waits. A
+	// queue whose length admission control holds does what arrives.
+	minCapacity = 0.8
 )
 
 // Input is what is known of one service when Divider.Update decides.
@@ -106,18 +107,23 @@
 
 // Division is the outcome of Divider.Update.
 type Division struct {
-	Short    bool // whether the service is short of room
-	Over     Over // nil if no team is over its share
+	Short bool // whether the service is short of room
+	// Rank is the most urgent rank whose requests ask for more than the more urgent ones leave.
+	// Those of less urgent ranks get nothing of their own. If there is room for all, it is the
+	// least urgent.
+	Rank     int
+	Over     Over // of requests of Rank; nil if no team is over its share
 	Capacity Rate
-	Level    Rate // rate per unit of weight up to which teams are within their share, infinite without a shortage
-	Asked    Report
+	Level    Rate     // rate per unit of weight up to which teams are within their share, infinite without a shortage
+	Asked    Rate     // by all ranks
+	Demand   Demand   // of Rank, by all routers
 	Changes  []Change // in the order of the teams' names
 }
 
-// Divider divides a service that is short of room among the teams that ask for its work, by
-// weighted max-min shares. It answers bursts of one team that make a service short for all: a
-// team that asks for less than its share does not pay for them, and what such teams leave is
-// divided among the others. Without a shortage no team is over its share. It is not safe for
+// Divider divides a service that is short of room among the teams that ask for its work. What the
+// more urgent ranks leave to the rank that can't be served in full is divided by weighted max-min
+// shares. It answers bursts of one team that make a service short for all: a team that asks for
+// less than its share does not pay for them, and what such teams leave is divided among the others. Without a shortage no team is over its share. It is not safe for
 // concurrent use. The zero value has seen no shortage.
 type Divider struct {
 	short    bool
@@ -125,8 +131,10 @@
 	calmAt   time.Time // last time at which the service was short, or had more to do than it can
 	capacity Rate      // as estimated from what was admitted
 	level    Rate      // infinite without a shortage
+	rank     int       // as in Division
 	at       time.Time // last update
-	over     Over
+	over     Over      // of requests of rank
+	logged   Over      // over before the rank changed
 }
 
 // Update decides which teams are over their share from now on. Invalid reports are ignored.
@@ -138,24 +146,43 @@
 		}
 	}
 	sum := Sum(valid)
-	div := Division{Capacity: d.estimate(now, in, sum.Admitted), Level: Rate(math.Inf(1)), Asked: sum}
+	div := Division{Capacity: d.estimate(now, in, sum.Admitted), Level: Rate(math.Inf(1)), Asked: sum.Asked()}
 	wasShort := d.short
-	d.observeShortage(now, in, sum, div.Capacity)
+	d.observeShortage(now, in, sum.Short, div.Asked > div.Capacity)
+	demand, left := marginal(sum, div.Capacity)
+	div.Rank, div.Demand = demand.Rank, demand
+	if div.Rank != d.rank {
+		d.over, wasShort = nil, false
+	}
 	next := Over(nil)
 	if div.Short = d.short; d.short {
-		claims := claimsOf(sum, in.Weight)
-		div.Level = Level(div.Capacity, claims)
+		claims := claimsOf(demand, in.Weight)
+		div.Level = Level(left, claims)
 		if wasShort {
 			div.Level = d.rise(now, div.Level, claims)
 		}
-		next = d.divide(div.Level, sum, claims)
+		next = d.divide(div.Level, demand, claims)
 	}
-	div.Changes = changes(d.over, next, sum, div.Level, in.Weight)
-	d.over, div.Over = next, next
-	d.level, d.at = div.Level, now
+	div.Changes = changes(d.logged, next, demand, div.Level, in.Weight)
+	d.over, d.logged, div.Over = next, next, next
+	d.level, d.at, d.rank = div.Level, now, div.Rank
 	return div
 }
 
+// marginal returns the demand of the most urgent rank that asks for more than is left of the
+// capacity, and what is left for it. If there is none, it returns that of the least urgent rank.
+func marginal(sum Report, capacity Rate) (demand Demand, left Rate) {
+	left = capacity
+	for i, d := range sum.Demands {
+		demand = d
+		if d.Asked > left || i == len(sum.Demands)-1 {
+			break
+		}
+		left -= d.Asked
+	}
+	return demand, left
+}
+
 // estimate returns the capacity for what the routers that were heard of are asked for now.
 func (d *Divider) estimate(now time.Time, in Input, admitted Rate) Rate {
 	if in.Capacity > 0 {
@@ -171,8 +198,8 @@
 
 // observeShortage begins a shortage at once and ends it after shortageEnd without one, if no more
 // is asked for than can be done, or after heldEnd.
-func (d *Divider) observeShortage(now time.Time, in Input, sum Report, capacity Rate) {
-	short, calm := sum.Short, !sum.Short
+func (d *Divider) observeShortage(now time.Time, in Input, reported, overloaded bool) {
+	short, calm := reported, !reported
 	if in.Tolerated > 0 {
 		short, calm = in.Wait >= in.Tolerated, in.Wait < time.Duration(calmWait*float64(in.Tolerated))
 	}
@@ -182,7 +209,7 @@
 	if short || !calm {
 		d.shortAt = now
 	}
-	if short || !calm || sum.Asked > capacity {
+	if short || !calm || overloaded {
 		d.calmAt = now
 	}
 	if now.Sub(d.calmAt) >= shortageEnd || now.Sub(d.shortAt) >= heldEnd {
@@ -205,9 +232,9 @@
 	return next + (d.level-next)*f
 }
 
-// claimsOf returns the claims of the teams that a report names, in its order. Those that it does
+// claimsOf returns the claims of the teams that a demand names, in its order. Those that it does
 // not name come last, as a group of teams that ask for the same each.
-func claimsOf(sum Report, weight func(wire.TeamID) float64) []Claim {
+func claimsOf(sum Demand, weight func(wire.TeamID) float64) []Claim {
 	claims := make([]Claim, 0, len(sum.Teams)+1)
 	named := Rate(0)
 	for _, t := range sum.Teams {
@@ -220,11 +247,10 @@
 	return claims
 }
 
-// divide returns the teams over their share. If no team is within its share, none is over it:
-// there is nobody to protect.
-func (d *Divider) divide(level Rate, sum Report, claims []Claim) (over Over) {
-	within := slices.ContainsFunc(claims, func(c Claim) bool { return c.Rate <= Rate(c.Weight)*level })
-	if !within || level <= 0 {
+// divide returns the teams over their share. A team that asks alone is not: there is nobody to
+// protect.
+func (d *Divider) divide(level Rate, sum Demand, claims []Claim) (over Over) {
+	if sum.Count < 2 || level <= 0 {
 		return nil
 	}
 	for i, t := range sum.Teams {
@@ -249,7 +275,7 @@
 }
 
 // changes compares two results of divide.
-func changes(before, after Over, sum Report, level Rate, weight func(wire.TeamID) float64) (cs []Change) {
+func changes(before, after Over, sum Demand, level Rate, weight func(wire.TeamID) float64) (cs []Change) {
 	add := func(id wire.TeamID, over bool) {
 		c := Change{Team: id, Over: over}
 		if i := slices.IndexFunc(sum.Teams, func(t TeamRate) bool { return t.Team == id }); i >= 0 {
--- a/core/share/maxmin_test.go
+++ b/core/share/maxmin_test.go
@@ -99,7 +99,7 @@
 				Capacity: capacity, Coverage: 1, Reports: reports,
 			}).Over
 			for i := range meters { // known to the others at the next decision
-				reports[i] = meters[i].Report(now, MaxReportTeams)
+				reports[i] = meters[i].Report(now, 0, MaxReportTeams)
 			}
 		}
 		for team := range crowd {
@@ -112,7 +112,7 @@
 			}
 			for due[team] += rate / 1000; due[team] >= 1; due[team]-- {
 				id := wire.TeamID(fmt.Sprint("team", team))
-				meters[(askedBy[team]+team)%routers].Ask(now, id, 1)
+				meters[(askedBy[team]+team)%routers].Ask(now, 0, id, 1)
 				askedBy[team]++
 				if admit(over[id], waiting, roomFor*capacity) {
 					waiting++
@@ -151,13 +151,17 @@
 }
 
 // reportOf returns a report of teams that ask for the given rates.
-func reportOf(teams map[wire.TeamID]Rate) (r Report) {
+func reportOf(teams map[wire.TeamID]Rate) Report {
+	return Report{Demands: []Demand{demandOf(0, teams)}}
+}
+
+func demandOf(rank int, teams map[wire.TeamID]Rate) Demand {
+	d := Demand{Rank: rank, Count: len(teams)}
 	for id, rate := range teams {
-		r.Teams = append(r.Teams, TeamRate{id, rate})
-		r.Asked += rate
+		d.Teams = append(d.Teams, TeamRate{id, rate})
+		d.Asked += rate
 	}
-	r.Count = len(r.Teams)
-	return r
+	return d
 }
 
 // short returns an input that shows a shortage at a service that does 100 a second.
@@ -182,7 +186,7 @@
 	}{
 		{"nobody asks", short(), nil},
 		{"one team alone", short(reportOf(map[wire.TeamID]Rate{"a": 300})), nil},
-		{"all ask for more", short(reportOf(map[wire.TeamID]Rate{"a": 300, "b": 200})), nil},
+		{"all ask for more", short(reportOf(map[wire.TeamID]Rate{"a": 300, "b": 200})), []wire.TeamID{"a", "b"}},
 		{"enough for all", short(reportOf(map[wire.TeamID]Rate{"a": 80, "b": 10})), nil},
 		{"one asks for more", short(reportOf(map[wire.TeamID]Rate{"a": 150, "b": 10})), []wire.TeamID{"a"}},
 		{"within the margin", short(reportOf(map[wire.TeamID]Rate{"a": 95, "b": 10})), nil},
@@ -190,7 +194,7 @@
 		{"split among reports", short(reportOf(map[wire.TeamID]Rate{"a": 60, "b": 5}), reportOf(map[wire.TeamID]Rate{"a": 60, "c": 5})), []wire.TeamID{"a"}},
 		{"no shortage", Input{Wait: time.Second / 4, Tolerated: time.Second / 2, Capacity: 100, Coverage: 1, Reports: []Report{reportOf(map[wire.TeamID]Rate{"a": 150, "b": 10})}}, nil},
 		{"a tenth of the routers", Input{Wait: time.Second, Tolerated: time.Second, Capacity: 100, Coverage: 0.1, Reports: []Report{reportOf(map[wire.TeamID]Rate{"a": 15, "b": 1})}}, []wire.TeamID{"a"}},
-		{"a service without a queue", Input{Coverage: 1, Reports: []Report{{Asked: 160, Admitted: 100, Count: 2, Short: true, Teams: []TeamRate{{"a", 150}, {"b", 10}}}}}, []wire.TeamID{"a"}},
+		{"a service without a queue", Input{Coverage: 1, Reports: []Report{{Admitted: 100, Short: true, Demands: []Demand{demandOf(0, map[wire.TeamID]Rate{"a": 150, "b": 10})}}}}, []wire.TeamID{"a"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var d Divider
@@ -287,7 +291,7 @@
 	var d Divider
 	admitted := Rate(100)
 	for i := range 25 {
-		r := Report{Asked: 160, Admitted: admitted, Count: 2, Short: true, Teams: []TeamRate{{"a", 150}, {"b", 10}}}
+		r := Report{Admitted: admitted, Short: true, Demands: []Demand{demandOf(0, map[wire.TeamID]Rate{"a": 150, "b": 10})}}
 		div := d.Update(start.Add(time.Duration(i)*120*time.Millisecond), Input{Coverage: 1, Reports: []Report{r}})
 		assertOver(t, div, "a")
 		assert.Assert(t, div.Capacity > 70, "capacity %v after %d reports", div.Capacity, i)
@@ -301,25 +305,31 @@
 	good := reportOf(map[wire.TeamID]Rate{"a": 50, "b": 20})
 	for _, tc := range []struct {
 		name  string
-		wrong Report
+		wrong Demand
 	}{
-		{"negative", Report{Asked: 10, Count: 1, Teams: []TeamRate{{"b", -500}}}},
-		{"not a number", Report{Asked: 10, Count: 1, Teams: []TeamRate{{"b", Rate(math.NaN())}}}},
-		{"infinite", Report{Asked: Rate(math.Inf(1)), Count: 1, Teams: []TeamRate{{"b", Rate(math.Inf(1))}}}},
-		{"more than the total", Report{Asked: 10, Count: 1, Teams: []TeamRate{{"b", 500}}}},
-		{"more teams than counted", Report{Asked: 500, Count: 0, Teams: []TeamRate{{"b", 500}}}},
-		{"too many teams", Report{Asked: 500, Count: 100, Teams: slices.Repeat([]TeamRate{{"b", 5}}, 100)}},
-		{"impossible count", Report{Asked: 500, Count: 1 << 30}},
-		{"negative total", Report{Asked: -5}},
+		{"negative", Demand{Asked: 10, Count: 1, Teams: []TeamRate{{"b", -500}}}},
+		{"not a number", Demand{Asked: 10, Count: 1, Teams: []TeamRate{{"b", Rate(math.NaN())}}}},
+		{"infinite", Demand{Asked: Rate(math.Inf(1)), Count: 1, Teams: []TeamRate{{"b", Rate(math.Inf(1))}}}},
+		{"more than the total", Demand{Asked: 10, Count: 1, Teams: []TeamRate{{"b", 500}}}},
+		{"more teams than counted", Demand{Asked: 500, Count: 0, Teams: []TeamRate{{"b", 500}}}},
+		{"too many teams", Demand{Asked: 500, Count: 100, Teams: slices.Repeat([]TeamRate{{"b", 5}}, 100)}},
+		{"impossible count", Demand{Asked: 500, Count: 1 << 30}},
+		{"negative total", Demand{Asked: -5}},
+		{"no such rank", Demand{Rank: Ranks, Asked: 500, Count: 1}},
+		{"negative rank", Demand{Rank: -1, Asked: 500, Count: 1}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			assert.Assert(t, !tc.wrong.IsValid())
+			wrong := Report{Demands: []Demand{tc.wrong}}
+			assert.Assert(t, !wrong.IsValid())
 			var d Divider
-			div := d.Update(start, short(good, tc.wrong))
+			div := d.Update(start, short(good, wrong))
 			assertOver(t, div)
-			assert.Equal(t, div.Asked.Asked, Rate(70))
+			assert.Equal(t, div.Asked, Rate(70))
 		})
 	}
+	t.Run("a rank twice", func(t *testing.T) {
+		assert.Assert(t, !(&Report{Demands: []Demand{{Asked: 1, Count: 1}, {Asked: 1, Count: 1}}}).IsValid())
+	})
 }
 
 // TestMeter guards against a meter that grows with the number of teams, that counts work that
@@ -327,32 +337,70 @@
 func TestMeter(t *testing.T) {
 	var m Meter
 	for i := range 2 * maxTeams {
-		m.Ask(start, wire.TeamID(fmt.Sprint("t", i)), 1)
+		m.Ask(start, 3, wire.TeamID(fmt.Sprint("t", i)), 1)
 	}
 	for range 50 {
-		m.Ask(start, "t1", 1)
+		m.Ask(start, 3, "t1", 1)
 	}
 	for _, wrong := range []float64{0, -1, math.NaN(), math.Inf(1)} {
-		m.Ask(start, "t2", wrong)
+		m.Ask(start, 3, "t2", wrong)
+	}
+	report := func(now time.Time) Demand {
+		t.Helper()
+		r := m.Report(now, 3, MaxReportTeams)
+		assert.Assert(t, r.IsValid())
+		if len(r.Demands) == 0 {
+			return Demand{}
+		}
+		return r.Demands[0]
 	}
-	r := m.Report(start, MaxReportTeams)
-	assert.Assert(t, r.IsValid())
-	assert.Equal(t, r.Count, maxTeams)
-	assert.Equal(t, len(r.Teams), MaxReportTeams)
-	assert.DeepEqual(t, r.Teams[0], TeamRate{"t1", 51})
-	assert.Equal(t, r.Asked, Rate(2*maxTeams+50))
+	d := report(start)
+	assert.Equal(t, d.Rank, 3)
+	assert.Equal(t, d.Count, maxTeams)
+	assert.Equal(t, len(d.Teams), MaxReportTeams)
+	assert.DeepEqual(t, d.Teams[0], TeamRate{"t1", 51})
+	assert.Equal(t, d.Asked, Rate(2*maxTeams+50))
+	assert.Equal(t, len(m.Report(start, 0, MaxReportTeams).Demands[0].Teams), 0, "teams of another rank")
+
+	assert.Equal(t, report(start.Add(-time.Hour)).Teams[0].Rate, Rate(51), "after the clock was set back")
+	assert.Equal(t, report(start.Add(time.Minute)).Count, 0)
+	m.Ask(start.Add(time.Minute), 3, "late", 1)
+	assert.Equal(t, report(start.Add(time.Minute)).Teams[0].Team, wire.TeamID("late"))
+	m.Ask(start.Add(time.Minute), -7, "low", 1)
+	m.Ask(start.Add(time.Minute), 70, "high", 1)
+	ranks := m.Report(start.Add(time.Minute), 0, 1).Demands
+	assert.Equal(t, ranks[0].Teams[0].Team, wire.TeamID("low"))
+	assert.Equal(t, ranks[2].Rank, Ranks-1)
+}
 
-	past := m.Report(start.Add(-time.Hour), 1)
-	assert.Equal(t, past.Teams[0].Rate, Rate(51), "after the clock was set back")
-	assert.Equal(t, m.Report(start.Add(time.Minute), 1).Count, 0)
-	m.Ask(start.Add(time.Minute), "late", 1)
-	assert.Equal(t, m.Report(start.Add(time.Minute), 1).Teams[0].Team, wire.TeamID("late"))
+// TestRanks guards against a team that is turned away in the rank that is short because it asks
+// for much in another.
+func TestRanks(t *testing.T) {
+	urgent := demandOf(0, map[wire.TeamID]Rate{"a": 70, "b": 10})
+	for _, tc := range []struct {
+		name string
+		ds   []Demand
+		rank int
+		over []wire.TeamID
+	}{
+		{"the least urgent is short", []Demand{urgent, demandOf(4, map[wire.TeamID]Rate{"a": 5, "b": 80, "c": 4})}, 4, []wire.TeamID{"b"}},
+		{"the middle is short", []Demand{urgent, demandOf(3, map[wire.TeamID]Rate{"a": 5, "c": 60}), demandOf(4, map[wire.TeamID]Rate{"b": 80})}, 3, []wire.TeamID{"c"}},
+		{"the most urgent is short", []Demand{demandOf(0, map[wire.TeamID]Rate{"a": 140, "b": 10}), demandOf(4, map[wire.TeamID]Rate{"b": 80})}, 0, []wire.TeamID{"a"}},
+		{"room for all", []Demand{urgent, demandOf(4, map[wire.TeamID]Rate{"b": 10})}, 4, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var d Divider
+			div := d.Update(start, short(Report{Demands: tc.ds}))
+			assertOver(t, div, tc.over...)
+			assert.Equal(t, div.Rank, tc.rank)
+		})
+	}
 }
 
 // TestOldReport guards against the last report of a router that has ended counting in full.
 func TestOldReport(t *testing.T) {
 	r := reportOf(map[wire.TeamID]Rate{"a": 100})
 	old := r.Aged(time.Second)
-	assert.Assert(t, old.IsValid() && old.Teams[0].Rate < 37 && old.Asked < 37, "%v", old)
-	assert.Equal(t, r.Teams[0].Rate, Rate(100), "the report itself")
+	assert.Assert(t, old.IsValid() && old.Demands[0].Teams[0].Rate < 37 && old.Asked() < 37, "%v", old)
+	assert.Equal(t, r.Demands[0].Teams[0].Rate, Rate(100), "the report itself")
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -185,7 +185,9 @@
 			qs: qs, id: id, q: batch.New[*pieceWork](*calls), jobs: map[*job]struct{}{},
 			upstreams: map[wire.UpstreamID]fleet.Upstream{}, calls: map[wire.UpstreamID][]*stageCall{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
-		sq.q.SetOverShare(func(now time.Time, team wire.TeamID) float64 { return qs.s.overShare(now, id.Service, team) })
+		sq.q.SetOverShare(func(now time.Time, rank int, team wire.TeamID) float64 {
+			return qs.s.overShareIn(now, id.Service, rank, team)
+		})
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
 		sq.freeTimer = time.AfterFunc(time.Hour, sq.flushFrees)
 		qs.byID[id] = sq
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -59,17 +59,24 @@
 
 	// Only update uses the fields below.
 	divider share.Divider
+	rank    int             // of the last division
 	metered map[string]bool // teams whose metrics aren't 0
 }
 
 // publishedShares is the outcome of one update. It is not changed after it was published.
 type publishedShares struct {
 	at   time.Time
-	over map[fleet.ServiceID]share.Over
+	over map[fleet.ServiceID]rankShares
 	// reports holds what this router tells its peers, by service.
 	reports map[fleet.ServiceID]share.Report
 }
 
+// rankShares holds the teams whose requests of one rank ask for more than their share.
+type rankShares struct {
+	rank int
+	over share.Over
+}
+
 func newTeamShares(s *Server) *teamShares {
 	ts := &teamShares{s: s, labels: proc.NewLabelLimiter(share.MaxReportTeams), services: map[fleet.ServiceID]*serviceShares{}}
 	ts.on.Store(s.cfg.Shares)
@@ -90,21 +97,36 @@
 }
 
 // overShare returns by what ratio a team asks for more than its share of a service that is
-// short of room: 0.5 if it asks for half as much again. It is 0 if the team is within its share,
-// if the service has room, or if shares are off. It takes no lock.
+// short of room: 0.5 if it asks for half as much again. The share is one of what more urgent
+// requests leave to the most urgent rank that can't be served in full. The result is 0 if the
+// team is within its share, if the service has room, or if shares are off. It takes no lock.
 func (s *Server) overShare(now time.Time, svc fleet.ServiceID, team wire.TeamID) float64 {
-	p := s.shares.published.Load()
-	over := p.over[svc]
-	if len(over) == 0 || now.Sub(p.at) > maxOverAge || !s.shares.on.Load() {
+	return s.shares.current(now, svc).over[team]
+}
+
+// overShareIn is overShare for requests of a rank. It is 0 for the other ranks: more urgent
+// requests are served in full, less urgent ones get what these leave.
+func (s *Server) overShareIn(now time.Time, svc fleet.ServiceID, rank int, team wire.TeamID) float64 {
+	rs := s.shares.current(now, svc)
+	if rs.rank != rank {
 		return 0
 	}
-	return over[team]
+	return rs.over[team]
+}
+
+// current returns what was published of a service, unless it is too old.
+func (ts *teamShares) current(now time.Time, svc fleet.ServiceID) rankShares {
+	p := ts.published.Load()
+	if len(p.over) == 0 || now.Sub(p.at) > maxOverAge || !ts.on.Load() {
+		return rankShares{}
+	}
+	return p.over[svc]
 }
 
-// recordDemand records that a team asks a service for work, served or not.
-func (s *Server) recordDemand(now time.Time, svc fleet.ServiceID, team wire.TeamID, work float64) {
+// recordDemand records that requests of a team and rank ask a service for work, served or not.
+func (s *Server) recordDemand(now time.Time, svc fleet.ServiceID, rank int, team wire.TeamID, work float64) {
 	if s.shares.on.Load() {
-		s.shares.service(svc).Ask(now, team, work)
+		s.shares.service(svc).Ask(now, rank, team, work)
 	}
 }
 
@@ -144,7 +166,7 @@
 	}
 	now := time.Now()
 	for id, work := range x.work() {
-		x.s.recordDemand(now, id, x.teamID(), work)
+		x.s.recordDemand(now, id, x.rank, x.teamID(), work)
 	}
 }
 
@@ -221,10 +243,10 @@
 	maps.DeleteFunc(ts.services, func(id fleet.ServiceID, _ *serviceShares) bool { return cfg.Service(id) == nil })
 	services := maps.Clone(ts.services)
 	ts.mu.Unlock()
-	p := &publishedShares{at: now, over: map[fleet.ServiceID]share.Over{}, reports: map[fleet.ServiceID]share.Report{}}
+	p := &publishedShares{at: now, over: map[fleet.ServiceID]rankShares{}, reports: map[fleet.ServiceID]share.Report{}}
 	names := min(max(maxNames/ts.s.peers.routerCount(now), minNames), share.MaxReportTeams)
 	for id, ss := range services {
-		own := ss.Report(now, names)
+		own := ss.Report(now, ss.rank, names)
 		at := ss.shortAt.Load()
 		own.Short = at != nil && now.Sub(*at) < shortageMemory
 		in := share.Input{Wait: waits[id].wait, Tolerated: waits[id].tolerated, Capacity: waits[id].capacity}
@@ -232,8 +254,8 @@
 		in.Reports = append(reports, own)
 		in.Coverage = ts.s.peers.coverage(now)
 		d := ss.divider.Update(now, in)
-		if len(d.Over) > 0 {
-			p.over[id] = d.Over
+		if ss.rank = d.Rank; len(d.Over) > 0 {
+			p.over[id] = rankShares{d.Rank, d.Over}
 		}
 		if d.Short || own.Short || in.Tolerated > 0 && in.Wait >= time.Duration(reportFraction*float64(in.Tolerated)) {
 			p.reports[id] = own
@@ -253,21 +275,21 @@
 		if c.Over {
 			msg, direction = "team over its share", "over"
 		}
-		ts.s.log.Info(msg, "service", id, "team", c.Team, "demand", float64(c.Demand), "share", float64(c.Share), "capacity", float64(d.Capacity),
-			"asked", float64(d.Asked.Asked), "teams", d.Asked.Count, "wait_ms", in.Wait.Milliseconds(), "tolerated_ms", in.Tolerated.Milliseconds(),
+		ts.s.log.Info(msg, "service", id, "rank", d.Rank, "team", c.Team, "demand", float64(c.Demand), "share", float64(c.Share), "capacity", float64(d.Capacity),
+			"asked", float64(d.Asked), "rank_asked", float64(d.Demand.Asked), "teams", d.Demand.Count, "wait_ms", in.Wait.Milliseconds(), "tolerated_ms", in.Tolerated.Milliseconds(),
 			"reports", len(in.Reports), "oldest_ms", oldest.Milliseconds())
 		ts.s.incCounter("team_shares", "service", string(id), "change", direction)
 	}
 }
 
-// meter sets the metrics of a service that is short, and those of its last teams to 0 when it no
+// meter sets the metrics of the rank at which a service is short, and those of its last teams to 0 when it no
 // longer is.
 func (ts *teamShares) meter(id fleet.ServiceID, ss *serviceShares, d share.Division) {
 	type figures struct{ demand, share float64 }
 	byLabel := map[string]figures{}
 	if d.Short {
 		named := share.Rate(0)
-		for _, t := range d.Asked.Teams {
+		for _, t := range d.Demand.Teams {
 			label := ts.labels.Value(string(t.Team))
 			f := byLabel[label]
 			f.demand += float64(t.Rate)
@@ -275,7 +297,7 @@
 			byLabel[label] = f
 			named += t.Rate
 		}
-		rest := float64(max(d.Asked.Asked-named, 0))
+		rest := float64(max(d.Demand.Asked-named, 0))
 		f := byLabel[proc.Other]
 		byLabel[proc.Other] = figures{f.demand + rest, f.share + rest}
 	}
--- a/entry/teams_test.go
+++ b/entry/teams_test.go
@@ -54,11 +54,11 @@
 		m.Loads["archive"] = Load{Waiting: waiting, Rate: 220}
 	}
 	if len(demand) > 0 {
-		r := share.Report{Teams: demand, Count: len(demand)}
+		r := share.Demand{Teams: demand, Count: len(demand)}
 		for _, d := range demand {
 			r.Asked += d.Rate
 		}
-		m.TeamDemands = map[fleet.ServiceID]share.Report{"archive": r}
+		m.TeamDemands = map[fleet.ServiceID]share.Report{"archive": {Demands: []share.Demand{r}}}
 	}
 	c.peers.mu.Lock()
 	defer c.peers.mu.Unlock()
@@ -67,7 +67,7 @@
 
 // ask records that a team asks the archive for the given work per second until the next step.
 func (c *crowd) ask(team wire.TeamID, rate float64) {
-	c.recordDemand(c.now, "archive", team, rate*heartbeatInterval.Seconds())
+	c.recordDemand(c.now, "archive", 0, team, rate*heartbeatInterval.Seconds())
 }
 
 func (c *crowd) step() {
@@ -80,6 +80,8 @@
 	c.t.Helper()
 	over := c.overShare(c.now, "archive", team)
 	c.logOut.flush()
+	assert.Equal(c.t, c.overShareIn(c.now, "archive", 0, team), over)
+	assert.Equal(c.t, c.overShareIn(c.now, "archive", 1, team), 0.0)
 	assert.Equal(c.t, over > 0, want, "team %s is over its share by %v; log:\n%s", team, over, c.log)
 }
 
@@ -205,7 +207,7 @@
 			c.hear("r2", waiting)
 			for i := range 800 {
 				c.ask(wire.TeamID(fmt.Sprint("team", i)), 0.01)
-				c.recordDemand(c.now, "desk", "folders", 1)
+				c.recordDemand(c.now, "desk", 0, "folders", 1)
 				c.shares.service("desk").Admit(c.now, 1)
 			}
 			c.step()
@@ -215,11 +217,11 @@
 	assert.Equal(t, len(play(10)), 0)
 	reports := play(queueLength)
 	assert.Equal(t, len(reports), 1)
-	assert.Equal(t, len(reports["archive"].Teams), share.MaxReportTeams)
+	assert.Equal(t, len(reports["archive"].Demands[0].Teams), share.MaxReportTeams)
 	seeds := make([]wire.Address, 300)
 	c.seedList.Store(&seeds)
-	assert.Equal(t, len(play(queueLength)["archive"].Teams), minNames)
-	assert.Equal(t, reports["archive"].Count, 800)
+	assert.Equal(t, len(play(queueLength)["archive"].Demands[0].Teams), minNames)
+	assert.Equal(t, reports["archive"].Demands[0].Count, 800)
 	c.recordShortage(c.now, "desk")
 	assert.Assert(t, func() bool { r := play(queueLength); return len(r) == 1 }(), "the shortage of the desk is over")
 	c.recordShortage(c.now, "desk")
@@ -295,7 +297,7 @@
 	for i := range 400 {
 		over[wire.TeamID(fmt.Sprint("team", i))] = 0.5
 	}
-	c.shares.published.Store(&publishedShares{at: c.now, over: map[fleet.ServiceID]share.Over{"archive": over}})
+	c.shares.published.Store(&publishedShares{at: c.now, over: map[fleet.ServiceID]rankShares{"archive": {over: over}}})
 	b.ReportAllocs()
 	for b.Loop() {
 		c.overShare(c.now, "archive", "team7")
@@ -311,6 +313,6 @@
 	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		c.recordDemand(c.now, "archive", teams[i%len(teams)], 1)
+		c.recordDemand(c.now, "archive", 0, teams[i%len(teams)], 1)
 	}
 }
