entry: test that demand reaches peers and that settings have shares

TestSharesBetweenRouters starts three routers, one of them without shares: the last one holds a team to its share that sends by the first only, and the one in between holds nobody.

--- a/entry/teams_test.go
+++ b/entry/teams_test.go
@@ -316,3 +316,32 @@
 		c.recordDemand(c.now, "archive", 0, teams[i%len(teams)], 1)
 	}
 }
+
+// TestSharesBetweenRouters guards against demand that is measured but does not reach the peers,
+// or that a router without shares can't pass on.
+func TestSharesBetweenRouters(t *testing.T) {
+	r := newRig(t)
+	var seeds []wire.Address
+	var nodes []*node
+	for i := range 3 {
+		cfg := r.settings(fmt.Sprint("r", i), seeds...)
+		cfg.Shares = i != 1
+		seeds = append(seeds, cfg.Peers)
+		nodes = append(nodes, r.start(cfg))
+	}
+	for _, n := range nodes {
+		r.waitForUpstreams(n, 0)
+	}
+	here, there := nodes[0], nodes[2]
+	r.waitFor("the last router holds the team that sends by the first to its share", func() bool {
+		now := time.Now()
+		here.recordDemand(now, "desk", 0, "large", 10)
+		here.recordShortage(now, "desk")
+		there.recordDemand(now, "desk", 0, "small", 0.1)
+		there.shares.service("desk").Admit(now, 1)
+		return there.overShare(now, "desk", "large") > 0
+	})
+	assert.Equal(t, there.overShare(time.Now(), "desk", "small"), 0.0)
+	assert.Equal(t, nodes[1].overShare(time.Now(), "desk", "large"), 0.0)
+	r.waitFor("the shortage is over", func() bool { return there.overShare(time.Now(), "desk", "large") == 0 })
+}
