--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -50,6 +51,8 @@
 	// urgent ones that can still be on time: enough that nothing is passed over for as long as
 	// there is a shortage.
 	agedShare = 0.05
+	// goldenRatio spreads its multiples modulo 1 evenly, in whatever order pieces arrive.
+	goldenRatio = 0.6180339887498949
 	// maxPollInterval limits the time until Next should be called again.
 	maxPollInterval = 50 * time.Millisecond
 )
@@ -66,10 +69,13 @@
 	Late     bool              // whether the piece yields to all that can be made before their aim
 	Resumed  bool              // whether the piece is for a stream that its caller takes up again
 	Ages     bool              // whether the piece may go first when it has waited for half of its time
+	Team     wire.TeamID       // team of the request, empty if it has none
 
 	queuedAt time.Time
 	seq      uint64
-	first    bool // whether the piece goes before all others in the next call
+	first    bool      // whether the piece goes before all others in the next call
+	over     bool      // whether it exceeds its team's share, as of the last sortWaiting
+	turn     time.Time // aim by which it is ordered, as of the last sortWaiting
 }
 
 // hasPriority reports whether the piece may go before all others, within ResumedShare.
@@ -100,6 +106,7 @@
 	made         float64 // pieces per second that calls made lately, as of madeAt
 	madeAt       time.Time
 	backlogSince time.Time // when the waiting pieces began to be more than the upstreams' next calls take, zero if they aren't
+	overShare    func(time.Time, int, wire.TeamID) float64
 }
 
 // upstream is what the queue knows about one upstream.
@@ -138,6 +145,12 @@
 // SetCalls replaces the description of the service's calls.
 func (q *Queue[T]) SetCalls(c fleet.StageCalls) { q.calls = c }
 
+// SetOverShare sets the function that says by what ratio a team's requests of a rank ask for more
+// than their share of the service, 0 if they don't. Without it, none do.
+func (q *Queue[T]) SetOverShare(ratio func(now time.Time, rank int, team wire.TeamID) float64) {
+	q.overShare = ratio
+}
+
 // SetUpstreams replaces the upstreams that take calls. Upstreams that remain keep
 // their state, and so do those that come back while a call is in flight.
 func (q *Queue[T]) SetUpstreams(us []fleet.Upstream) {
@@ -409,33 +422,110 @@
 	}
 }
 
-// sortWaiting orders the waiting pieces for u: first those that markFirst marks, then those
-// that it can make before their aim and that don't yield, by aim, then the others, by rank,
-// aim and age.
+// Classes of waiting pieces, in the order in which they are made.
+const (
+	classFirst  = iota // marked by markFirst
+	classOnTime        // can be made before their aim and don't yield
+	classLate
+)
+
+// sortWaiting orders the waiting pieces for u by class, those that can be on time by aim, and
+// the late ones by rank, aim and age. If not all of a class can be on time, pieces that exceed
+// the share of their team come after the others of the same rank.
 func (q *Queue[T]) sortWaiting(now time.Time, u *upstream) {
 	q.markFirst(now)
 	end := now.Add(q.callTime(u, min(len(q.waiting), q.calls.MaxBatch)))
 	class := func(p *Piece[T]) int {
 		if p.first {
-			return 0
+			return classFirst
 		}
 		if p.Late || end.After(p.Aim) {
-			return 2
+			return classLate
 		}
-		return 1
+		return classOnTime
+	}
+	anyOver := q.markOver(now)
+	q.sortByTurn(class)
+	if anyOver && !q.allOnTime(now, u, class) {
+		q.delayOver(class)
+		q.sortByTurn(class)
+	}
+}
+
+// sortByTurn orders the waiting pieces by class and turn.
+func (q *Queue[T]) sortByTurn(class func(*Piece[T]) int) {
+	overLast := func(a, b *Piece[T]) int {
+		switch {
+		case a.over == b.over:
+			return 0
+		case a.over:
+			return 1
+		}
+		return -1
 	}
 	slices.SortFunc(q.waiting, func(a, b *Piece[T]) int {
 		aClass, bClass := class(a), class(b)
-		if aClass != bClass {
+		switch {
+		case aClass != bClass:
 			return aClass - bClass
+		case aClass == classLate:
+			return cmp.Or(cmp.Compare(a.Rank, b.Rank), overLast(a, b), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
 		}
-		if aClass == 2 {
-			return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
-		}
-		return cmp.Or(a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
+		return cmp.Or(a.turn.Compare(b.turn), overLast(a, b), a.Aim.Compare(b.Aim), cmp.Compare(a.seq, b.seq))
 	})
 }
 
+// markOver marks, of the pieces of a team over its share, the part by which it exceeds it, sets
+// each piece's turn to its aim, and reports whether it marked any. Streams that are taken up again
+// have a share of their own.
+func (q *Queue[T]) markOver(now time.Time) (marked bool) {
+	for _, p := range q.waiting {
+		p.turn = p.Aim
+		p.over = false
+		if q.overShare != nil && !p.Resumed {
+			_, draw := math.Modf(float64(p.seq) * goldenRatio)
+			p.over = share.Exceeds(q.overShare(now, p.Rank, p.Team), draw)
+			marked = marked || p.over
+		}
+	}
+	return marked
+}
+
+// allOnTime reports whether the pieces that can be on time all are, in the order of their aims
+// and if the upstreams in use are as fast as u.
+func (q *Queue[T]) allOnTime(now time.Time, u *upstream, class func(*Piece[T]) int) bool {
+	available := 0
+	for _, other := range q.upstreams {
+		if !now.Before(other.backoffUntil) {
+			available++
+		}
+	}
+	perRound := max(q.calls.MaxBatch*available, 1)
+	round := q.callTime(u, q.calls.MaxBatch)
+	for i, p := range q.waiting {
+		if class(p) == classOnTime && now.Add(time.Duration(i/perRound+1)*round).After(p.Aim) {
+			return false
+		}
+	}
+	return true
+}
+
+// delayOver moves the turn of the marked pieces behind the last of the others of the same rank that
+// can be on time. Pieces of other ranks keep their turns.
+func (q *Queue[T]) delayOver(class func(*Piece[T]) int) {
+	last := make(map[int]time.Time)
+	for _, p := range q.waiting {
+		if class(p) == classOnTime && !p.over && p.Aim.After(last[p.Rank]) {
+			last[p.Rank] = p.Aim
+		}
+	}
+	for _, p := range q.waiting {
+		if p.over && last[p.Rank].After(p.turn) {
+			p.turn = last[p.Rank]
+		}
+	}
+}
+
 // removeExpired removes and returns the pieces that can't be made before their deadline.
 func (q *Queue[T]) removeExpired(now time.Time) (expired []Piece[T]) {
 	minTime := q.calls.ExpectedTime(1)
--- a/entry/beat.go
+++ b/entry/beat.go
@@ -110,6 +110,7 @@
 		next.Loads[id] = l
 	}
 	next.Shards = dividedOnly(owned)
+	next.TeamDemands = p.s.shares.reports(now)
 	blocks := p.s.strikes.Blocks(now) // reads all crashes of two minutes
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -19,6 +19,7 @@
 	"hornbeamcove.example/core/gossip"
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -64,6 +65,8 @@
 	// Brief says that Address, Centre and CPU are left out, because the receiver knows the run. A
 	// sender whose Version is left out too tells its name alone.
 	Brief bool
+	// TeamDemands tells what the router's callers ask of the services that are short of room.
+	TeamDemands map[fleet.ServiceID]share.Packed
 }
 
 // Load is a router's share of the outstanding work for a stage service, or for one queue of
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -53,6 +53,7 @@
 	Late    bool              // whether the pieces yield to all that can be made before their aim
 	Resumed bool              // whether the pieces are for a stream that its caller takes up again
 	Bound   time.Duration     // queueing time beyond which less urgent orders give way, 0 if none do
+	Team    wire.TeamID       // team of the request, empty from routers that don't tell it
 }
 
 // Made answers an Order with a handle for each piece, or with the reason of a failure.
@@ -191,6 +192,9 @@
 			qs: qs, id: id, q: batch.New[*pieceWork](*calls), jobs: map[*job]struct{}{},
 			upstreams: map[wire.UpstreamID]fleet.Upstream{}, calls: map[wire.UpstreamID][]*stageCall{}, pendingFrees: map[wire.UpstreamID][]fleet.Handle{},
 		}
+		sq.q.SetOverShare(func(now time.Time, rank int, team wire.TeamID) float64 {
+			return qs.s.overShareIn(now, id.Service, rank, team)
+		})
 		sq.pollTimer = time.AfterFunc(time.Hour, sq.poll)
 		sq.freeTimer = time.AfterFunc(time.Hour, sq.flushFrees)
 		qs.byID[id] = sq
@@ -334,7 +338,7 @@
 	o := &j.order
 	return batch.Piece[*pieceWork]{
 		Value: &pieceWork{job: j, piece: i, queued: true}, Centre: o.Centre, Size: o.Size, Moved: o.Moved, Rank: o.Rank,
-		Aim: j.aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed, Ages: o.Bound > 0,
+		Aim: j.aim, Deadline: j.deadline, Late: o.Late, Resumed: o.Resumed, Ages: o.Bound > 0, Team: o.Team,
 	}
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -87,6 +87,7 @@
 	forecastErrors admit.ForecastErrors
 	shedding       shedding
 	lag            lagMonitor
+	shares         *teamShares
 
 	seedList atomic.Pointer[[]wire.Address] // seeds, as last reloaded
 	loadsOn  atomic.Bool                    // Settings.Loads, as last reloaded
@@ -156,6 +157,7 @@
 	s.lastArrival.Store(&processStart)
 	s.queues = newStageQueues(s)
 	s.peers = newPeers(s)
+	s.shares = newTeamShares(s)
 	s.origins.s = s
 	s.callerServer = &http.Server{
 		Handler: http.HandlerFunc(s.serveCaller), ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout,
@@ -269,6 +271,7 @@
 		s.spawn("watch "+a.String(), func() error { return s.watch(ctx, store, a) })
 	}
 	s.spawn("peers", func() error { return s.peers.run(ctx) })
+	s.spawn("team shares", func() error { return s.shares.run(ctx) })
 	s.spawn("lag", func() error { return s.watchLag(ctx) })
 	s.spawn("sweep", func() error { return s.sweepIdleConns(ctx) })
 	s.spawn("peer listener", func() error { return s.servePeers(l.peers) })
@@ -342,8 +345,8 @@
 	}
 }
 
-// reload applies the settings that may change while the router runs: the seeds, and whether
-// requests are shed by cost and upstreams are chosen by what they tell.
+// reload applies the settings that may change while the router runs: the seeds, and the switches
+// for hard load.
 // Invalid settings are logged and change nothing.
 func (s *Server) reload(signal string) {
 	if s.path == "" {
@@ -359,10 +362,14 @@
 	if changed {
 		s.seedList.Store(&next.Seeds)
 	}
+	if next.Shares != s.shares.on.Load() {
+		s.shares.set(next.Shares)
+		changed = true
+	}
 	changed = s.shedding.on.Swap(next.Shed) != next.Shed || changed
 	changed = s.loadsOn.Swap(next.Loads) != next.Loads || changed
 	if changed || signal != "" {
-		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "shed", next.Shed, "loads", next.Loads)
+		s.log.Info("settings reloaded", "signal", signal, "changed", changed, "seeds", next.Seeds, "shed", next.Shed, "shares", next.Shares, "loads", next.Loads)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -36,7 +36,8 @@
 	Loads   bool    `toml:"loads"`   // whether choices go by the load and pace that upstreams tell
 	Level   string  `toml:"level"`   // log level, "info" if empty
 
-	Shed bool `toml:"shed"` // when there is too little room, turn away what costs callers least
+	Shed   bool `toml:"shed"`   // when there is too little room, turn away what costs callers least
+	Shares bool `toml:"shares"` // whether services that are short of room are divided among teams
 }
 
 // LoadSettings reads and validates the settings file at path.
