entry: plan the stages of a request by the holder alone

The engine was planned by the load of the moment, half a second or more before the request reaches it, so that the engine chosen in the end was more often in another data centre than the stage results.

--- a/core/pace/upstream.go
+++ b/core/pace/upstream.go
@@ -176,13 +176,6 @@
 	}
 }
 
-// Later returns what is known for a request that reaches the upstream only after its present
-// pace has passed.
-func (k Known) Later() Known {
-	k.paceTrust = 0
-	return k
-}
-
 // passing returns the expected pace as a factor of the usual time: the last figure, which
 // loses weight against the mean of the service with its age.
 func (k Known) passing(usual float64) float64 {
--- a/entry/load.go
+++ b/entry/load.go
@@ -100,9 +100,10 @@
 }
 
 // pace returns what is known about the service of the request. The service is nil if choices
-// don't go by what upstreams tell: the settings say so, or the upstreams don't tell their load.
+// don't go by what upstreams tell: the settings say so, the upstreams don't tell their load, or
+// the stages are still to run, after which the load is another.
 func (x *exchange) pace() (svc *pace.Service, m pace.Means) {
-	if !x.s.loadsOn.Load() {
+	if !x.s.loadsOn.Load() || x.planning {
 		return nil, m
 	}
 	svc = x.s.paces.get(x.svc.ID)
@@ -115,7 +116,7 @@
 
 // estimateLoads returns the load of each upstream and how far it includes the requests of other
 // routers. Without a service it is that of the router's own requests.
-func (x *exchange) estimateLoads(svc *pace.Service, states []targetStatus, m pace.Means) (loads []pace.Load, confidence float64) {
+func estimateLoads(svc *pace.Service, states []targetStatus, m pace.Means) (loads []pace.Load, confidence float64) {
 	loads = make([]pace.Load, len(states))
 	if svc == nil {
 		for i := range states {
@@ -127,9 +128,6 @@
 	for i := range states {
 		known[i] = states[i].load
 		known[i].Failing = states[i].penalty > failingPenalty
-		if x.planning {
-			known[i] = known[i].Later()
-		}
 	}
 	return loads, pace.Estimate(known, loads, m)
 }
@@ -137,7 +135,7 @@
 // penalizeAway makes engines outside the data centre that has the stage results less preferable:
 // they fetch the results from there.
 func (x *exchange) penalizeAway(es []route.Engine, usable []*target) {
-	if x.resultsCentre == "" || x.planning {
+	if x.resultsCentre == "" {
 		return
 	}
 	for i, t := range usable {
--- a/entry/place.go
+++ b/entry/place.go
@@ -97,7 +97,7 @@
 		x.choiceReason = choiceExcluded
 		return ejected[int(randomFraction()*float64(len(ejected)))], false
 	}
-	loads, confidence := x.estimateLoads(svc, states, means)
+	loads, confidence := estimateLoads(svc, states, means)
 	var i int
 	var reason route.Reason
 	if x.route.Engine {
