entry: let one router divide a service, told by the others

Reports of demand were part of the heartbeat, which tells of all routers: with three services short, that of 41 routers grew from 5,837 to 29,658 bytes.

The router with the highest rendezvous hash divides a service now. The others report to it by Peer.Share, every 120 ms in a shortage and every 960 ms otherwise, and the answer is its last division: 433 and 284 bytes with 16 teams. Heartbeats have one flag more. It alone logs the changes. Each router keeps what it measured, so the next one has all reports 120 ms after they know that the first is gone.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -17,7 +17,6 @@
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/shard"
-	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -57,8 +56,7 @@
 	Loads   map[fleet.ServiceID]Load // stage work of the router, by service
 	Shards  map[shard.ID]Load        // queues of divided services that the router owns
 	CPU     float64                  // processor share of its host in cores, 0 if unknown
-	// TeamDemands tells what the router's callers ask of the services that are short of room.
-	TeamDemands map[fleet.ServiceID]share.Report
+	Shares  bool                     // whether the router divides services among teams
 }
 
 // Load is a router's share of the outstanding work for a stage service, or for one queue of
@@ -292,7 +290,7 @@
 	b.From.Leaving = p.s.draining.Load()
 	b.From.Loads = loads
 	b.From.Shards = dividedOnly(owned)
-	b.From.TeamDemands = p.s.shares.reports(now)
+	b.From.Shares = p.s.shares.on.Load()
 	for _, m := range p.members {
 		if age := now.Sub(m.seenAt); age < memberTimeout {
 			m.Member.Age = age
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -12,6 +12,7 @@
 	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/proc"
+	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/wire"
 )
@@ -24,19 +25,21 @@
 	// minTolerated is the shortest wait that counts as a shortage, for routes without time to spare.
 	minTolerated = 10 * time.Millisecond
 	// reportFraction is the fraction of the tolerated wait from which routers report the demand
-	// of teams, so that the reports are known when a shortage begins.
+	// of teams at every heartbeat interval, so that the reports are known when a shortage begins.
+	// Otherwise they report every idleReports intervals.
 	reportFraction = 0.5
+	idleReports    = 8
 	// shortageMemory is the time for which a request that was turned away for want of room shows
 	// that a service without a queue is short. It covers two heartbeats.
 	shortageMemory = 2 * heartbeatInterval
 	// maxNames is the number of teams that all routers together name for a service, and minNames
-	// that which each may name however many routers there are. Heartbeats tell of all routers, so
-	// their size would grow with the routers times the teams. A team that only some routers name
-	// counts with what these are asked for, so it may be taken for smaller than it is.
-	maxNames = 256
-	minNames = 2
-	// maxOverAge is the age from which the teams over their shares are no longer known, because
-	// their computation was suspended.
+	// that which each may name however many routers there are. It bounds what the router that
+	// divides the service reads. A team that only some routers name counts with what these are
+	// asked for, so it may be taken for smaller than it is.
+	maxNames = 1024
+	minNames = 4
+	// maxOverAge is the age from which reports and the teams over their shares are no longer known,
+	// because a router is lost or was suspended.
 	maxOverAge = ownerTimeout
 )
 
@@ -55,26 +58,48 @@
 // serviceShares is the state of one service.
 type serviceShares struct {
 	share.Meter
-	shortAt atomic.Pointer[time.Time] // last request turned away for want of room, nil if there was none
+	shortAt atomic.Pointer[time.Time]  // last request turned away for want of room, nil if there was none
+	shares  atomic.Pointer[rankShares] // last division, here or at another router; nil before
+	asking  atomic.Bool                // whether a report is on its way
+
+	mu       sync.Mutex
+	received map[wire.HostID]receivedReport // of other routers, if this one divides the service
 
 	// Only update uses the fields below.
 	divider share.Divider
-	rank    int             // of the last division
 	metered map[string]bool // teams whose metrics aren't 0
 }
 
-// publishedShares is the outcome of one update. It is not changed after it was published.
-type publishedShares struct {
+// receivedReport is a report of a router and when it came.
+type receivedReport struct {
+	share.Report
+	boot int64
 	at   time.Time
-	over map[fleet.ServiceID]rankShares
-	// reports holds what this router tells its peers, by service.
-	reports map[fleet.ServiceID]share.Report
 }
 
+// publishedShares holds the last division of each service that is short. It is not changed after
+// it was published.
+type publishedShares map[fleet.ServiceID]*rankShares
+
 // rankShares holds the teams whose requests of one rank ask for more than their share.
 type rankShares struct {
-	rank int
-	over share.Over
+	ShareAnswer
+	at time.Time
+}
+
+// ShareReport tells the router that divides a service what the callers of another ask of it.
+type ShareReport struct {
+	From    wire.HostID
+	Boot    int64 // as in Member
+	Service fleet.ServiceID
+	Demand  share.Report
+}
+
+// ShareAnswer answers a ShareReport with the last division of the service.
+type ShareAnswer struct {
+	Short bool       // whether the service is short of room
+	Rank  int        // rank of the requests that Over is about
+	Over  share.Over // teams that ask for more than their share
 }
 
 func newTeamShares(s *Server) *teamShares {
@@ -101,26 +126,26 @@
 // requests leave to the most urgent rank that can't be served in full. The result is 0 if the
 // team is within its share, if the service has room, or if shares are off. It takes no lock.
 func (s *Server) overShare(now time.Time, svc fleet.ServiceID, team wire.TeamID) float64 {
-	return s.shares.current(now, svc).over[team]
+	return s.shares.current(now, svc).Over[team]
 }
 
 // overShareIn is overShare for requests of a rank. It is 0 for the other ranks: more urgent
 // requests are served in full, less urgent ones get what these leave.
 func (s *Server) overShareIn(now time.Time, svc fleet.ServiceID, rank int, team wire.TeamID) float64 {
-	rs := s.shares.current(now, svc)
-	if rs.rank != rank {
+	a := s.shares.current(now, svc)
+	if a.Rank != rank {
 		return 0
 	}
-	return rs.over[team]
+	return a.Over[team]
 }
 
 // current returns what was published of a service, unless it is too old.
-func (ts *teamShares) current(now time.Time, svc fleet.ServiceID) rankShares {
-	p := ts.published.Load()
-	if len(p.over) == 0 || now.Sub(p.at) > maxOverAge || !ts.on.Load() {
-		return rankShares{}
+func (ts *teamShares) current(now time.Time, svc fleet.ServiceID) ShareAnswer {
+	rs := (*ts.published.Load())[svc]
+	if rs == nil || now.Sub(rs.at) > maxOverAge || !ts.on.Load() {
+		return ShareAnswer{}
 	}
-	return p.over[svc]
+	return rs.ShareAnswer
 }
 
 // recordDemand records that requests of a team and rank ask a service for work, served or not.
@@ -144,7 +169,7 @@
 	defer ts.mu.Unlock()
 	ss := ts.services[id]
 	if ss == nil {
-		ss = &serviceShares{metered: map[string]bool{}}
+		ss = &serviceShares{metered: map[string]bool{}, received: map[wire.HostID]receivedReport{}}
 		ts.services[id] = ss
 	}
 	return ss
@@ -216,11 +241,11 @@
 func (ts *teamShares) run(ctx context.Context) error {
 	tick := ts.s.clock.Subscribe(heartbeatInterval, "shares")
 	defer tick.Close()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-tick.C:
 			if ts.on.Load() {
-				ts.update(time.Now())
+				ts.update(ctx, time.Now(), n%idleReports == 0)
 			}
 		case <-ctx.Done():
 			return ctx.Err()
@@ -228,9 +253,10 @@
 	}
 }
 
-// update decides anew which teams are over their shares, and publishes it together with the
-// reports for the peers.
-func (ts *teamShares) update(now time.Time) {
+// update divides the services of which this router is in charge, and reports the demand of its
+// callers to the routers that are in charge of the others: for services that are short of room
+// or nearly so, or for all.
+func (ts *teamShares) update(ctx context.Context, now time.Time, reportAll bool) {
 	cfg := ts.s.view.Load().Config
 	if cfg == nil {
 		return
@@ -243,29 +269,117 @@
 	maps.DeleteFunc(ts.services, func(id fleet.ServiceID, _ *serviceShares) bool { return cfg.Service(id) == nil })
 	services := maps.Clone(ts.services)
 	ts.mu.Unlock()
-	p := &publishedShares{at: now, over: map[fleet.ServiceID]rankShares{}, reports: map[fleet.ServiceID]share.Report{}}
+	candidates := ts.s.peers.shareCandidates(now)
 	names := min(max(maxNames/ts.s.peers.routerCount(now), minNames), share.MaxReportTeams)
+	p := publishedShares{}
 	for id, ss := range services {
-		own := ss.Report(now, ss.rank, names)
+		last := ss.shares.Load()
+		if last == nil || now.Sub(last.at) > maxOverAge {
+			last = &rankShares{}
+		}
+		own := ss.Report(now, last.Rank, names)
 		at := ss.shortAt.Load()
 		own.Short = at != nil && now.Sub(*at) < shortageMemory
-		in := share.Input{Wait: waits[id].wait, Tolerated: waits[id].tolerated, Capacity: waits[id].capacity}
-		reports, oldest := ts.s.peers.teamReports(now, id)
-		in.Reports = append(reports, own)
-		in.Coverage = ts.s.peers.coverage(now)
-		d := ss.divider.Update(now, in)
-		if ss.rank = d.Rank; len(d.Over) > 0 {
-			p.over[id] = rankShares{d.Rank, d.Over}
+		w := waits[id]
+		owner := route.Owner(string(id), candidates)
+		if owner != ts.s.cfg.Name && len(ss.metered) > 0 {
+			ss.divider = share.Divider{}
+			ts.meter(id, ss, share.Division{}) // the gauges are those of the owner from now on
+		}
+		if owner == ts.s.cfg.Name {
+			last = ts.divide(now, id, ss, own, w)
+		} else if last.Short || own.Short || reportAll || w.tolerated > 0 && w.wait >= time.Duration(reportFraction*float64(w.tolerated)) {
+			ts.report(ctx, owner, id, ss, own)
 		}
-		if d.Short || own.Short || in.Tolerated > 0 && in.Wait >= time.Duration(reportFraction*float64(in.Tolerated)) {
-			p.reports[id] = own
+		if last.Short {
+			p[id] = last
 		}
-		ts.logChanges(id, in, d, oldest)
-		ts.meter(id, ss, d)
 	}
 	if ts.on.Load() {
-		ts.published.Store(p)
+		ts.published.Store(&p)
+	}
+}
+
+// divide divides a service by the reports of all routers and that of this one.
+func (ts *teamShares) divide(now time.Time, id fleet.ServiceID, ss *serviceShares, own share.Report, w serviceWait) *rankShares {
+	in := share.Input{Wait: w.wait, Tolerated: w.tolerated, Capacity: w.capacity, Coverage: ts.s.peers.coverage(now)}
+	reports, oldest := ss.reports(now)
+	in.Reports = append(reports, own)
+	d := ss.divider.Update(now, in)
+	rs := &rankShares{ShareAnswer{d.Short, d.Rank, d.Over}, now}
+	ss.shares.Store(rs)
+	ts.logChanges(id, in, d, oldest)
+	ts.meter(id, ss, d)
+	return rs
+}
+
+// report tells the router that divides a service of this router's demand and takes over its last
+// division. It does nothing while the last report is on its way.
+func (ts *teamShares) report(ctx context.Context, owner wire.HostID, id fleet.ServiceID, ss *serviceShares, own share.Report) {
+	if !ss.asking.CompareAndSwap(false, true) {
+		return
+	}
+	ts.s.background.Go(func() {
+		defer ss.asking.Store(false)
+		// The context ends the wait, and not the call's own timeout, which closes the connection
+		// that orders use too.
+		ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+		defer cancel()
+		a := new(ShareAnswer) // still written to after the call was abandoned
+		r := ShareReport{ts.s.cfg.Name, ts.s.peers.self.Boot, id, own}
+		if err := ts.s.callOwner(ctx, owner, "Peer.Share", r, a, 2*heartbeatTimeout); err != nil {
+			ts.s.log.Debug("demand of teams not reported", "service", id, "owner", owner, "err", err)
+			ts.s.incCounter("team_reports_failed")
+			return
+		}
+		ss.shares.Store(&rankShares{*a, time.Now()})
+	})
+}
+
+// Share records the report of another router and answers with the last division.
+func (p *Peer) Share(r ShareReport, a *ShareAnswer) error {
+	*a = p.s.shares.receive(time.Now(), r)
+	return nil
+}
+
+// receive is Peer.Share. Reports of unknown routers or services, impossible ones and those of an
+// earlier run of a router are ignored.
+func (ts *teamShares) receive(now time.Time, r ShareReport) (a ShareAnswer) {
+	cfg := ts.s.view.Load().Config
+	if _, known := ts.s.peers.address(r.From); !known || !ts.on.Load() || cfg == nil || cfg.Service(r.Service) == nil {
+		return a
+	}
+	if !r.Demand.IsValid() {
+		ts.s.incCounter("team_reports_ignored")
+		return a
+	}
+	ss := ts.service(r.Service)
+	ss.mu.Lock()
+	if old, ok := ss.received[r.From]; !ok || r.Boot >= old.boot && !now.Before(old.at) || now.Sub(old.at) > maxOverAge {
+		ss.received[r.From] = receivedReport{r.Demand, r.Boot, now}
+	}
+	ss.mu.Unlock()
+	if rs := ss.shares.Load(); rs != nil && now.Sub(rs.at) <= maxOverAge {
+		a = rs.ShareAnswer // its rank is of use without a shortage too
+	}
+	return a
+}
+
+// reports returns the reports of the other routers, as of now, and the age of the oldest. It
+// forgets those of routers that are silent.
+func (ss *serviceShares) reports(now time.Time) (reports []share.Report, oldest time.Duration) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	for from, r := range ss.received {
+		age := now.Sub(r.at)
+		if age > maxOverAge {
+			delete(ss.received, from)
+			continue
+		}
+		oldest = max(oldest, age)
+		reports = append(reports, r.Aged(age))
 	}
+	return reports, oldest
 }
 
 // logChanges logs and counts the teams that have gone over their share or are back within it.
@@ -317,29 +431,17 @@
 	}
 }
 
-// reports returns what this router tells its peers of the demand of its callers: for services
-// that are short of room or nearly so.
-func (ts *teamShares) reports(now time.Time) map[fleet.ServiceID]share.Report {
-	p := ts.published.Load()
-	if now.Sub(p.at) > maxOverAge {
-		return nil
-	}
-	return p.reports
-}
-
-// teamReports returns what live peers report of a service, as of now, and the age of the oldest
-// report.
-func (p *peers) teamReports(now time.Time, svc fleet.ServiceID) (reports []share.Report, oldest time.Duration) {
+// shareCandidates returns the routers that may divide services among teams.
+func (p *peers) shareCandidates(now time.Time) []wire.HostID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, m := range p.members {
-		if r, ok := m.TeamDemands[svc]; ok && m.isAlive(now) {
-			age := now.Sub(m.seenAt)
-			oldest = max(oldest, age)
-			reports = append(reports, r.Aged(age))
+	names := []wire.HostID{p.self.Name}
+	for n, m := range p.members {
+		if m.Shares && !m.Leaving && m.isAlive(now) {
+			names = append(names, n)
 		}
 	}
-	return reports, oldest
+	return names
 }
 
 // coverage returns the fraction of the routers that were heard of lately, this one included.
