--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -51,7 +51,8 @@
 	// urgent ones that can still be on time: enough that nothing is passed over for as long as
 	// there is a shortage.
 	agedShare = 0.05
-	// goldenRatio spreads its multiples modulo 1 evenly, in whatever order pieces arrive.
+	// goldenRatio spreads its multiples modulo 1 evenly. Pieces that are pushed together have the same
+	// one, since a request needs all of them.
 	goldenRatio = 0.6180339887498949
 	// maxPollInterval limits the time until Next should be called again.
 	maxPollInterval = 50 * time.Millisecond
@@ -73,6 +74,7 @@
 
 	queuedAt time.Time
 	seq      uint64
+	push     uint64    // number of the call to Push
 	first    bool      // whether the piece goes before all others in the next call
 	over     bool      // whether it exceeds its team's share, as of the last sortWaiting
 	turn     time.Time // aim by which it is ordered, as of the last sortWaiting
@@ -95,6 +97,7 @@
 	// departed holds the upstreams that take no more calls but still have some in flight.
 	departed map[wire.UpstreamID]*upstream
 	lastSeq  uint64
+	lastPush uint64
 	late     int                   // waiting pieces that yield to the others
 	resumed  int                   // waiting pieces that have priority
 	byRank   [fleet.RankLevels]int // waiting pieces that don't yield
@@ -183,10 +186,11 @@
 	if len(q.waiting)+len(ps) > maxPieces {
 		return false
 	}
+	q.lastPush++
 	for _, p := range ps {
 		p.queuedAt = now
 		q.lastSeq++
-		p.seq = q.lastSeq
+		p.seq, p.push = q.lastSeq, q.lastPush
 		q.waiting = append(q.waiting, &p)
 		q.count(&p, 1)
 	}
@@ -483,7 +487,7 @@
 		p.turn = p.Aim
 		p.over = false
 		if q.overShare != nil && !p.Resumed {
-			_, draw := math.Modf(float64(p.seq) * goldenRatio)
+			_, draw := math.Modf(float64(p.push) * goldenRatio)
 			p.over = share.Exceeds(q.overShare(now, p.Rank, p.Team), draw)
 			marked = marked || p.over
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -19,7 +19,6 @@
 	"hornbeamcove.example/core/gossip"
 	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/shard"
-	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
@@ -59,14 +58,13 @@
 	Loads   map[fleet.ServiceID]Load // stage work of the router, by service
 	Shards  map[shard.ID]Load        // queues of divided services that the router owns
 	CPU     float64                  // processor share of its host in cores, 0 if unknown
+	Shares  bool                     // whether the router divides services among teams
 	// Version numbers the content, the fields above without Age. It is zero from builds that
 	// do not number it.
 	Version gossip.Version
 	// Brief says that Address, Centre and CPU are left out, because the receiver knows the run. A
 	// sender whose Version is left out too tells its name alone.
 	Brief bool
-	// TeamDemands tells what the router's callers ask of the services that are short of room.
-	TeamDemands map[fleet.ServiceID]share.Packed
 }
 
 // Load is a router's share of the outstanding work for a stage service, or for one queue of
--- a/entry/shed.go
+++ b/entry/shed.go
@@ -10,6 +10,7 @@
 	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/share"
 	"hornbeamcove.example/core/shed"
 )
 
@@ -312,7 +313,8 @@
 	now       time.Time
 	shortages map[fleet.ServiceID]shortage
 	pieces    map[fleet.ServiceID]int
-	draw      float64
+	draw      float64 // random, of the request
+	shareDraw float64 // as draw, for whether the request exceeds its team's share
 	work      float64 // seconds of stage work
 	size      shed.Size
 	// The fields below say for which service the request yields, if it does.
@@ -323,7 +325,7 @@
 
 // newVerdict returns the verdict on a request that has arrived, and counts it as asked.
 func (x *exchange) newVerdict(now time.Time, backlogs map[fleet.ServiceID]admit.Backlog, owned map[shard.ID]Load) *verdict {
-	v := &verdict{x: x, now: now, shortages: map[fleet.ServiceID]shortage{}, pieces: map[fleet.ServiceID]int{}, draw: randomFraction()}
+	v := &verdict{x: x, now: now, shortages: map[fleet.ServiceID]shortage{}, pieces: map[fleet.ServiceID]int{}, draw: randomFraction(), shareDraw: randomFraction()}
 	cfg := x.s.view.Load().Config
 	for i, st := range x.route.Stages {
 		n := x.spec.PieceCount(i)
@@ -377,7 +379,7 @@
 	groups := map[fleet.ServiceID]shed.Group{}
 	for id := range v.pieces {
 		groups[id] = group
-		if x.team != nil && x.s.overShare(v.now, id, x.team.ID) > 0 {
+		if x.team != nil && share.Exceeds(x.s.overShareIn(v.now, id, x.rank, x.team.ID), v.shareDraw) {
 			groups[id] = shed.OverShare
 		}
 	}
