--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -11,6 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/pace"
+	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
 )
 
@@ -51,7 +54,15 @@
 	cfg.Loads = loads
 	r.n = r.start(cfg)
 	r.waitForUpstreams(r.n, len(paces))
-	r.served("prime", 20)
+	r.waitFor("all upstreams have told their load", func() bool {
+		r.served("prime", 1)
+		for _, u := range r.n.Dump(time.Now()).Upstreams {
+			if u.Told == nil {
+				return false
+			}
+		}
+		return true
+	})
 	return r
 }
 
@@ -123,6 +134,39 @@
 	})
 }
 
+// TestHeardLoad guards against a late answer of an upstream before its restart that counts for the
+// one after it, or brings the old one back.
+func TestHeardLoad(t *testing.T) {
+	ts := &targets{byID: map[wire.UpstreamID]*target{}}
+	old, now := fleet.Upstream{ID: "i-1", Born: 1}, time.Now()
+	ts.heardLoad(now, old, pace.Report{Running: 3, Slots: 8})
+	assert.Equal(t, len(ts.byID), 0)
+	tg := ts.get(fleet.Upstream{ID: "i-1", Born: 2})
+	ts.heardLoad(now, old, pace.Report{Running: 3, Slots: 8})
+	assert.Assert(t, tg.dump(now).Told == nil && ts.byID["i-1"] == tg)
+	ts.heardLoad(now, tg.Upstream, pace.Report{Running: 3, Slots: 8})
+	assert.Equal(t, tg.dump(now).Told.Running, 3)
+}
+
+// TestProbeFails guards against a request to an upstream that was down when it was probed, and
+// against probes of it one after the other.
+func TestProbeFails(t *testing.T) {
+	r := newRig(t)
+	s, err := New(r.settings("r1"), "", r.log)
+	assert.NilError(t, err)
+	ln, err := listenTCP("127.0.0.1:0")
+	assert.NilError(t, err)
+	tg := s.targets.get(fleet.Upstream{ID: "i-1", Address: wire.Address(ln.Addr().String())})
+	_ = ln.Close()
+	assert.Assert(t, tg.mayProbe(time.Now()) && !tg.mayProbe(time.Now()), "one at a time")
+	s.sendProbe(tg, site.HealthPath)
+	now := time.Now()
+	assert.Assert(t, tg.status(now, &fleet.Service{}, 1).ejected)
+	assert.Assert(t, !tg.mayProbe(now))
+	tg.coldUntil = time.Time{}
+	assert.Assert(t, tg.mayProbe(now.Add(time.Second)))
+}
+
 // TestReloadLoads guards against a setting that takes effect only after a restart.
 func TestReloadLoads(t *testing.T) {
 	data, err := os.ReadFile("../examples/entry.toml")
