core/gossip: compare with heartbeats of the state of the moment

Before, each heartbeat and answer told the sender's state of that moment; the play of the full heartbeat in TestBytes told that of the last tick and so was too slow.

--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -48,13 +48,14 @@
 
 // router is one router of a played fleet.
 type router struct {
-	name    string
-	seed    string
-	known   map[string]*record // itself included
-	sorted  []*record          // known in the order of names, nil if a run was added since
-	set     uint64             // hash of their runs
-	told    map[string]*Neighbour
-	oldKind bool // of a build without digests
+	name      string
+	seed      string
+	updatedAt time.Duration      // when its own content was last brought up to date
+	known     map[string]*record // itself included
+	sorted    []*record          // known in the order of names, nil if a run was added since
+	set       uint64             // hash of their runs
+	told      map[string]*Neighbour
+	oldKind   bool // of a build without digests
 }
 
 // fleet plays routers that exchange heartbeats on links that lose some.
@@ -201,6 +202,9 @@
 func (f *fleet) time() time.Time { return time.Unix(1e9, 0).Add(f.now) }
 
 func (f *fleet) compose(r *router, to string, call bool) (m message) {
+	if f.full || r.known[r.name].Version.Seq == 0 { // before, each heartbeat told the current state
+		r.update(f)
+	}
 	r.known[r.name].seenAt = f.now
 	ring, versions := r.ring(), r.versions()
 	n := r.told[to]
