--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -48,14 +48,13 @@
 
 // router is one router of a played fleet.
 type router struct {
-	name      string
-	seed      string
-	updatedAt time.Duration      // when its own content was last brought up to date
-	known     map[string]*record // itself included
-	sorted    []*record          // known in the order of names, nil if a run was added since
-	set       uint64             // hash of their runs
-	told      map[string]*Neighbour
-	oldKind   bool // of a build without digests
+	name    string
+	seed    string
+	known   map[string]*record // itself included
+	sorted  []*record          // known in the order of names, nil if a run was added since
+	set     uint64             // hash of their runs
+	told    map[string]*Neighbour
+	oldKind bool // of a build without digests
 }
 
 // fleet plays routers that exchange heartbeats on links that lose some.
