--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -201,6 +201,9 @@
 func (f *fleet) time() time.Time { return time.Unix(1e9, 0).Add(f.now) }
 
 func (f *fleet) compose(r *router, to string, call bool) (m message) {
+	if f.full || r.known[r.name].Version.Seq == 0 { // before, each heartbeat told the current state
+		r.update(f)
+	}
 	r.known[r.name].seenAt = f.now
 	ring, versions := r.ring(), r.versions()
 	n := r.told[to]
