cove, entry: explain where a request would go now, and why

Operators could not see why a request is refused or where it would go without sending it. POST /explain at the admin listener of hbentry takes a request line with headers and answers with the route, the team and its rank, the forecast of each stage, pressure and shares, each upstream as the choice sees it, and the choice or the refusal. cove explain prints it.

The same code decides as for requests: admit is divided into match, planStages and what records, and an exchange that explains records nothing.

--- a/core/pace/part.go
+++ b/core/pace/part.go
@@ -62,6 +62,11 @@
 	if n, ok := d.counts[key]; ok || len(d.counts) < maxDemand {
 		d.counts[key] = n + 1
 	}
+	return d.holdersOf(key, engines)
+}
+
+// holdersOf returns how many engines should hold the parts of a prompt with the given key.
+func (d *demand) holdersOf(key uint64, engines int) int {
 	n := d.counts[key]
 	if n < minDemand {
 		return 1
--- a/core/pace/service.go
+++ b/core/pace/service.go
@@ -151,6 +151,13 @@
 	return s.demand.holders(now, key, n)
 }
 
+// HoldersOf is Holders for a prompt that is not sent, and is not recorded.
+func (s *Service) HoldersOf(key uint64, n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.demand.holdersOf(key, n)
+}
+
 // mix combines two hashes.
 func mix(a, b uint64) uint64 {
 	const odd = 0x9e3779b97f4a7c15 // golden ratio, as in Fibonacci hashing
--- a/core/shed/mix.go
+++ b/core/shed/mix.go
@@ -123,11 +123,24 @@
 
 // Classify returns the size of a request that needs the given work, and counts it.
 func (m *MeanWork) Classify(work float64) Size {
+	m.Record(work)
+	return m.SizeOf(work)
+}
+
+// Record counts the work of a request.
+func (m *MeanWork) Record(work float64) {
 	if m.mean == 0 {
 		m.mean = work
 	}
 	m.mean += sizeWeight * (work - m.mean)
+}
+
+// SizeOf returns the size of a request that needs the given work. The first one is Big, as is any that
+// needs the mean.
+func (m *MeanWork) SizeOf(work float64) Size {
 	switch {
+	case m.mean == 0:
+		return Big
 	case work < m.mean/2:
 		return Small
 	case work < m.mean:
--- a/cove/client.go
+++ b/cove/client.go
@@ -72,7 +72,9 @@
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Authorization", "Bearer "+c.credential)
+	if c.credential != "" {
+		req.Header.Set("Authorization", "Bearer "+c.credential)
+	}
 	resp, err := c.http.Do(req)
 	var ue *url.Error
 	if errors.As(err, &ue) {
--- a/cove/flags.go
+++ b/cove/flags.go
@@ -92,24 +92,26 @@
 // credential returns the operator's credential, from a file or the environment. No
 // flag takes it, since other users of the host can see a process's arguments.
 func (o *options) credential() (s string, err error) {
-	if o.credentialFile == "" {
-		s = os.Getenv(credentialEnv)
-	} else if s, err = readCredential(o.credentialFile); err != nil {
+	if s, err = readSecret(o.credentialFile, credentialEnv); err != nil {
 		return "", exitErrorf(ExitUsage, "read credential: %w", err)
 	}
-	if s = strings.TrimSpace(s); s == "" {
+	if s == "" {
 		return "", exitErrorf(ExitUsage, "no credential: set -credential-file or %s", credentialEnv)
 	}
 	return s, nil
 }
 
-// readCredential returns the first maxCredentialSize bytes of a file.
-func readCredential(name string) (string, error) {
+// readSecret returns the first maxCredentialSize bytes of a file without the space around them, or
+// the value of an environment variable if name is empty.
+func readSecret(name, env string) (s string, err error) {
+	if name == "" {
+		return strings.TrimSpace(os.Getenv(env)), nil
+	}
 	f, err := os.Open(name)
 	if err != nil {
 		return "", err
 	}
 	defer func() { _ = f.Close() }()
 	data, err := io.ReadAll(io.LimitReader(f, maxCredentialSize))
-	return string(data), err
+	return strings.TrimSpace(string(data)), err
 }
--- a/cove/run.go
+++ b/cove/run.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,6 +43,7 @@
   cove refusals -since 15m     # who was refused what
   cove check change.json       # what would this ticket change
   cove drain palermo           # wait until a data centre has no work
+  cove explain request.txt     # where would hbentry send this request now
 
 Each flag below can be set by an environment variable too: COVE_ROUTER,
 COVE_CREDENTIAL_FILE, COVE_O and COVE_TIMEOUT.
@@ -94,7 +96,7 @@
 	}
 	root.Subcommands = []*ffcli.Command{
 		a.checkCommand(usage), a.listCommand(usage), a.dumpCommand(usage),
-		a.accountsCommand(usage, refusals), a.accountsCommand(usage, costs), a.drainCommand(usage),
+		a.accountsCommand(usage, refusals), a.accountsCommand(usage, costs), a.drainCommand(usage), a.explainCommand(usage),
 	}
 	return root
 }
@@ -107,9 +109,19 @@
 	return fs
 }
 
-// command returns a subcommand that takes the positional arguments in argNames. It
-// creates the clients and calls exec with a timeout, which -timeout overrides.
+// command returns a subcommand that takes the positional arguments in argNames, of which those in
+// brackets may be left out. It creates the clients with the operator's credential and calls exec
+// with a timeout, which -timeout overrides.
 func (a *app) command(fs *flag.FlagSet, argNames []string, timeout time.Duration, short, long string, exec func(context.Context, []string) error) *ffcli.Command {
+	return a.commandWith(a.credential, fs, argNames, timeout, short, long, exec)
+}
+
+// commandWith is command for processes that want the credential that the given function returns.
+func (a *app) commandWith(credential func() (string, error), fs *flag.FlagSet, argNames []string, timeout time.Duration, short, long string, exec func(context.Context, []string) error) *ffcli.Command {
+	required := slices.IndexFunc(argNames, func(n string) bool { return strings.HasPrefix(n, "[") })
+	if required < 0 {
+		required = len(argNames)
+	}
 	usageLine := strings.TrimSpace(fmt.Sprintf("cove %s [flags] %s", fs.Name(), strings.Join(argNames, " ")))
 	return &ffcli.Command{
 		Name: fs.Name(), ShortUsage: usageLine, ShortHelp: short, LongHelp: long, FlagSet: fs,
@@ -118,10 +130,10 @@
 			if err != nil {
 				return err
 			}
-			if len(got) != len(argNames) {
+			if len(got) < required || len(got) > len(argNames) {
 				return exitErrorf(ExitUsage, "got %d arguments, want %d: %s", len(got), len(argNames), usageLine)
 			}
-			if err = a.createClients(); err != nil {
+			if err = a.createClients(credential); err != nil {
 				return err
 			}
 			if a.timeout > 0 {
@@ -159,11 +171,11 @@
 }
 
 // createClients creates a client for each router address; no connection is opened yet.
-func (a *app) createClients() error {
+func (a *app) createClients(credentialOf func() (string, error)) error {
 	if len(a.routers) == 0 {
 		return exitErrorf(ExitUsage, "no router: set -router or COVE_ROUTER")
 	}
-	credential, err := a.credential()
+	credential, err := credentialOf()
 	if err != nil {
 		return err
 	}
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -53,7 +53,7 @@
 	Age     int64 `json:"age"`  // milliseconds since it was told
 }
 
-// adminHandler serves the metrics and the state dump.
+// adminHandler serves the metrics, the state dump and explanations.
 func (s *Server) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -71,6 +71,7 @@
 			s.log.Debug("could not write state dump", "err", err)
 		}
 	})
+	mux.HandleFunc("POST /explain", s.serveExplain)
 	return mux
 }
 
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -72,50 +72,71 @@
 	return loads
 }
 
-// admitStages returns a refusal if the stages of the request can't run in time.
-// Otherwise it counts the pieces of the request as unqueued.
-func (x *exchange) admitStages() *refusal {
-	if len(x.route.Stages) == 0 {
-		return nil
-	}
-	now := time.Now()
+// stagePlan is what the admission expects of the stages of a request, and its decision.
+type stagePlan struct {
+	admit.Decision
+	forecast      admit.Forecast
+	forecastError time.Duration
+	backlogs      map[fleet.ServiceID]admit.Backlog
+	verdict       *verdict // nil unless requests are shed by cost
+}
+
+// planStages forecasts the stages of the request and decides whether they can run in time.
+func (x *exchange) planStages(now time.Time) (p stagePlan) {
 	owned := x.s.queues.ownedLoads(now)
 	own := x.s.stageLoads(owned)
 	services := x.s.queues.layout.Load().services
-	backlogs := map[fleet.ServiceID]admit.Backlog{}
+	p.backlogs = map[fleet.ServiceID]admit.Backlog{}
 	for _, st := range x.route.Stages {
-		if _, ok := backlogs[st.Service]; !ok && len(services[st.Service]) > 0 {
-			backlogs[st.Service] = x.s.peers.backlog(now, services[st.Service], own[st.Service], owned)
+		if _, ok := p.backlogs[st.Service]; !ok && len(services[st.Service]) > 0 {
+			p.backlogs[st.Service] = x.s.peers.backlog(now, services[st.Service], own[st.Service], owned)
 		}
 	}
-	cfg := x.view.Config
-	seen := func(id fleet.ServiceID) admit.Backlog { return backlogs[id] }
+	cfg, firstEvent := x.view.Config, x.s.expectedFirstEvent(x.route)
+	seen := func(id fleet.ServiceID) admit.Backlog { return p.backlogs[id] }
 	var others admit.Yielding = admit.FixedCut{Config: cfg, Route: x.route, FirstEventTime: x.s.expectedFirstEvent}
-	var v *verdict
 	if x.s.shedding.on.Load() {
-		v = x.newVerdict(now, backlogs, owned)
-		seen, others = v.backlog, v
+		p.verdict = x.newVerdict(now, p.backlogs, owned)
+		seen, others = p.verdict.backlog, p.verdict
 	}
-	forecast := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), seen)
-	forecastError := x.s.forecastErrors.Expected(x.route.ID)
-	decision := admit.Decide(x.route, forecast, x.remaining(), forecastError, others)
-	if v != nil && decision.Reason == admit.ReasonLate {
-		v.sheds(shed.Late)
+	p.forecast = admit.Predict(cfg, x.route, &x.spec, firstEvent, seen)
+	p.forecastError = x.s.forecastErrors.Expected(x.route.ID)
+	p.Decision = admit.Decide(x.route, p.forecast, x.remaining(), p.forecastError, others)
+	if p.verdict != nil && p.Reason == admit.ReasonLate {
+		p.verdict.sheds(shed.Late)
 	}
-	if x.spec.Resumed && !decision.OK {
-		first := admit.Predict(cfg, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id].BehindResumed() })
+	if x.spec.Resumed && !p.OK {
+		first := admit.Predict(cfg, x.route, &x.spec, firstEvent, func(id fleet.ServiceID) admit.Backlog { return p.backlogs[id].BehindResumed() })
 		// forecastError comes from new requests, behind whose backlog the stream does not wait.
-		decision.OK = admit.DecideResumed(first, x.remaining(), 0) || admit.DecideResumed(forecast, x.remaining(), forecastError)
+		p.OK = admit.DecideResumed(first, x.remaining(), 0) || admit.DecideResumed(p.forecast, x.remaining(), p.forecastError)
+	}
+	return p
+}
+
+// planLate returns the forecast of the request behind all others, and whether its stages can run
+// so before its caller leaves.
+func (x *exchange) planLate(p stagePlan) (f admit.Forecast, ok bool) {
+	f = admit.Predict(x.view.Config, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return p.backlogs[id].BehindAll() })
+	return f, admit.DecideLate(f, x.patience(), p.forecastError)
+}
+
+// admitStages returns a refusal if the stages of the request can't run in time.
+// Otherwise it counts the pieces of the request as unqueued.
+func (x *exchange) admitStages() *refusal {
+	if len(x.route.Stages) == 0 {
+		return nil
 	}
-	if !decision.OK && x.admitLate(forecastError, backlogs) {
+	p := x.planStages(time.Now())
+	if !p.OK && x.admitLate(p) {
 		x.late = true
-		if decision.Reason == admit.ReasonShed {
-			v.count("delayed")
+		if p.Reason == admit.ReasonShed {
+			p.verdict.count("delayed")
 		}
-	} else if !decision.OK {
-		logger := x.s.log.With("request", x.spec.ID, "reason", decision.Reason, "wait_ms", decision.Wait.Milliseconds(),
-			"total_ms", forecast.Total.Milliseconds(), "error_ms", forecastError.Milliseconds(), "aim_ms", x.route.TargetLatency.Milliseconds(), "retry_ms", decision.RetryAfter.Milliseconds())
-		if decision.Reason == admit.ReasonShed {
+	} else if !p.OK {
+		logger := x.s.log.With("request", x.spec.ID, "reason", p.Reason, "wait_ms", p.Wait.Milliseconds(),
+			"total_ms", p.forecast.Total.Milliseconds(), "error_ms", p.forecastError.Milliseconds(), "aim_ms", x.route.TargetLatency.Milliseconds(), "retry_ms", p.RetryAfter.Milliseconds())
+		if p.Reason == admit.ReasonShed {
+			v := p.verdict
 			sh := v.shortages[v.service]
 			logger.Info("request shed", "service", v.service, "rank", x.rank, "group", v.group.String(), "size", v.size.String(), "work_ms", int64(1000*v.work),
 				"fraction", v.fraction, "level_age_ms", sh.levelAge.Milliseconds(), "lasted_ms", sh.lasted.Milliseconds(), "bound_ms", sh.Bound[fleet.RankLevel(x.rank)].Milliseconds())
@@ -123,10 +144,10 @@
 		} else {
 			logger.Info("stages would be late")
 		}
-		return &refusal{http.StatusServiceUnavailable, "stages: " + decision.Reason, admit.RetryDelay(decision.RetryAfter, decision.Spare, x.remaining(), randomFraction())}
+		return &refusal{http.StatusServiceUnavailable, "stages: " + p.Reason, admit.RetryDelay(p.RetryAfter, p.Spare, x.remaining(), randomFraction())}
 	}
 	if !x.late {
-		x.stageForecast = forecast.StageTime
+		x.stageForecast = p.forecast.StageTime
 	}
 	x.unqueuedByStage = make([]int, len(x.route.Stages))
 	for i, st := range x.route.Stages {
@@ -138,12 +159,12 @@
 
 // admitLate reports whether the stages of a request that would miss its target can run
 // behind all others before its caller leaves.
-func (x *exchange) admitLate(forecastError time.Duration, backlogs map[fleet.ServiceID]admit.Backlog) bool {
-	f := admit.Predict(x.view.Config, x.route, &x.spec, x.s.expectedFirstEvent(x.route), func(id fleet.ServiceID) admit.Backlog { return backlogs[id].BehindAll() })
-	if !admit.DecideLate(f, x.patience(), forecastError) {
+func (x *exchange) admitLate(p stagePlan) bool {
+	f, ok := x.planLate(p)
+	if !ok {
 		return false
 	}
-	x.s.log.Info("admitted late", "request", x.spec.ID, "total_ms", f.Total.Milliseconds(), "error_ms", forecastError.Milliseconds(),
+	x.s.log.Info("admitted late", "request", x.spec.ID, "total_ms", f.Total.Milliseconds(), "error_ms", p.forecastError.Milliseconds(),
 		"aim_ms", x.route.TargetLatency.Milliseconds(), "patience_ms", x.patience().Milliseconds())
 	x.s.incCounter("admitted_late")
 	return true
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -81,6 +81,7 @@
 	dropReplacement  func()            // releases the answer of attemptElsewhere
 	onSend           func()            // called when an attempt is sent; may be nil
 	hedging          bool              // whether upstreams that may be silent are left out
+	explaining       bool              // whether nothing is recorded, since the request is not sent
 	replacement      *bufferedResponse // answer of attemptElsewhere, unless it is a stream
 }
 
@@ -272,9 +273,8 @@
 	return "timeout"
 }
 
-// admit matches a request to a route, authorizes it, reads its body and checks that its
-// stages can run in time. It returns the refusal, or nil if the request is admitted.
-func (x *exchange) admit(ctx context.Context) *refusal {
+// match reads the headers of the request and matches it to a route. It returns a refusal if that fails.
+func (x *exchange) match() *refusal {
 	var err error
 	if x.spec, err = platform.ParseRequest(x.r.Header); err != nil {
 		x.detail = err.Error()
@@ -292,6 +292,16 @@
 		return x.deny(http.StatusNotFound, "no route")
 	}
 	x.setDeadline()
+	return nil
+}
+
+// admit matches a request to a route, authorizes it, reads its body and checks that its
+// stages can run in time. It returns the refusal, or nil if the request is admitted.
+func (x *exchange) admit(ctx context.Context) *refusal {
+	if f := x.match(); f != nil {
+		return f
+	}
+	cfg := x.view.Config
 	if f := x.stopRefusal(x.expectedDuration()); f != nil {
 		return f
 	}
@@ -344,6 +354,12 @@
 	return &refusal{status: status, reason: reason}
 }
 
+// Reasons for refusing a request for which no upstream was found.
+const (
+	reasonLimited  = "upstreams limited" // all take no more within the limits that they name
+	reasonNoTarget = "no upstream"
+)
+
 // reasonMalformed is the reason for refusing a request with a header that can't be read.
 const reasonMalformed = "malformed header"
 
--- a/entry/load.go
+++ b/entry/load.go
@@ -154,8 +154,13 @@
 	if svc == nil {
 		return route.Demand{}
 	}
-	if x.holders == 0 {
-		x.holders = svc.Holders(now, route.PromptKey(x.sharedSegmentIDs()...), engines)
+	key := route.PromptKey(x.sharedSegmentIDs()...)
+	switch {
+	case x.holders != 0:
+	case x.explaining:
+		x.holders = svc.HoldersOf(key, engines)
+	default:
+		x.holders = svc.Holders(now, key, engines)
 	}
 	d := route.Demand{Holders: x.holders, Confidence: confidence, Draw: randomFraction()}
 	if m.Work > 0 {
--- a/entry/shed.go
+++ b/entry/shed.go
@@ -334,12 +334,15 @@
 	}
 	x.s.shedding.mu.Lock()
 	for id, n := range v.pieces {
-		if svc := x.s.shedding.service(cfg, id); svc != nil && n > 0 {
+		if svc := x.s.shedding.service(cfg, id); svc != nil && n > 0 && !x.explaining {
 			svc.asked.Record(now, x.rank, n)
 		}
 	}
 	if mean := x.s.shedding.routes[x.route.ID]; mean != nil {
-		v.size = mean.Classify(v.work)
+		if !x.explaining {
+			mean.Record(v.work)
+		}
+		v.size = mean.SizeOf(v.work)
 	}
 	x.s.shedding.mu.Unlock()
 	owners := map[fleet.ServiceID]bool{}
@@ -392,7 +395,9 @@
 			continue
 		}
 		c := shed.Class{Group: groups[id], Size: v.size}
-		svc.mix.Record(v.now, x.rank, c, float64(n))
+		if !x.explaining {
+			svc.mix.Record(v.now, x.rank, c, float64(n))
+		}
 		fraction := sh.level[fleet.RankLevel(x.rank)]
 		if svc.mix.Sheds(x.rank, c, fraction, v.draw) && (!yields || fraction > v.fraction) {
 			yields, v.service, v.group, v.fraction = true, id, c.Group, fraction
--- a/entry/unary.go
+++ b/entry/unary.go
@@ -275,9 +275,9 @@
 	case !x.mayHaveRun() && outOfTime:
 		x.refuse(refusal{http.StatusServiceUnavailable, x.timeoutReason(), 0})
 	case !x.mayHaveRun() && x.limitWait > 0:
-		x.refuse(refusal{http.StatusServiceUnavailable, "upstreams limited", min(x.limitWait, maxLimitWait)})
+		x.refuse(refusal{http.StatusServiceUnavailable, reasonLimited, min(x.limitWait, maxLimitWait)})
 	case !x.mayHaveRun():
-		x.refuse(refusal{http.StatusServiceUnavailable, "no upstream", retryAfterNoUpstream})
+		x.refuse(refusal{http.StatusServiceUnavailable, reasonNoTarget, retryAfterNoUpstream})
 	case outOfTime:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: x.timeoutReason()})
 	default:
