core/share, entry: ignore divisions with impossible ratios

A damaged answer of the router that divides a service could have a negative or infinite ratio, by which all requests of a team would be turned away.

--- a/core/share/maxmin.go
+++ b/core/share/maxmin.go
@@ -91,6 +91,16 @@
 // does so: 0.5 is half as much again as its share. It is not changed after it was returned.
 type Over map[wire.TeamID]float64
 
+// IsValid reports whether the ratios can be right, as Report.IsValid does.
+func (o Over) IsValid() bool {
+	for _, ratio := range o {
+		if !Rate(ratio).valid() {
+			return false
+		}
+	}
+	return true
+}
+
 // Exceeds reports whether a request of a team counts to the part of the team's demand that exceeds
 // its share. ratio is that of Over, draw a number in [0, 1) that is spread evenly over the team's
 // requests. With all requests of such teams taken alike, one that asks for a tenth more would lose
@@ -123,8 +133,9 @@
 // Divider divides a service that is short of room among the teams that ask for its work. What the
 // more urgent ranks leave to the rank that can't be served in full is divided by weighted max-min
 // shares. It answers bursts of one team that make a service short for all: a team that asks for
-// less than its share does not pay for them, and what such teams leave is divided among the others. Without a shortage no team is over its share. It is not safe for
-// concurrent use. The zero value has seen no shortage.
+// less than its share does not pay for them, and what such teams leave is divided among the
+// others. Without a shortage no team is over its share. It is not safe for concurrent use. The
+// zero value has seen no shortage.
 type Divider struct {
 	short    bool
 	shortAt  time.Time // last time at which the service was short
--- a/core/share/maxmin_test.go
+++ b/core/share/maxmin_test.go
@@ -327,6 +327,9 @@
 			assert.Equal(t, div.Asked, Rate(70))
 		})
 	}
+	for _, ratio := range []float64{-1, math.NaN(), math.Inf(1)} {
+		assert.Assert(t, !Over{"a": 1, "b": ratio}.IsValid(), "ratio %v", ratio)
+	}
 	t.Run("a rank twice", func(t *testing.T) {
 		assert.Assert(t, !(&Report{Demands: []Demand{{Asked: 1, Count: 1}, {Asked: 1, Count: 1}}}).IsValid())
 	})
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -19,8 +19,8 @@
 
 const (
 	// toleratedFraction is the fraction of the shortest queueing time that a route of a service
-	// has to spare which counts as a shortage of the service. All routers know of a shortage
-	// two heartbeats later, while the queue may go on growing as fast as it is drained.
+	// has to spare which counts as a shortage of the service. All routers know the shares two
+	// heartbeat intervals later, while the queue may go on growing as fast as it is drained.
 	toleratedFraction = 0.5
 	// minTolerated is the shortest wait that counts as a shortage, for routes without time to spare.
 	minTolerated = 10 * time.Millisecond
@@ -332,6 +332,10 @@
 			ts.s.incCounter("team_reports_failed")
 			return
 		}
+		if !a.Over.IsValid() {
+			ts.s.incCounter("team_reports_ignored")
+			return
+		}
 		ss.shares.Store(&rankShares{*a, time.Now()})
 	})
 }
