core/admit, entry: bound queues by the slack without the forecast's error

With the usual error of the forecast taken off, the bound of a route with little slack fell to half of a call, which full calls exceed at all times. The level then turned less urgent requests away without a shortage, since no rank is turned away less than a more urgent one. The late check of admit.Decide counts the error already.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -198,21 +198,19 @@
 // QueueBounds returns by fleet.RankLevel how much work may be ahead of a new request at a service,
 // as the time that it takes there, with which the requests of all routes that use it are on time,
 // also if they wait as long in each of their stages; 0 for ranks that no such route has. The time
-// until a request reaches the service counts in full: the work is done meanwhile. forecastError is
-// as in Decide. No wait is taken to be below minSlackFraction of a route's slack or half of a full
-// call, since pieces wait that long for the end of a call however little there is to do.
-func QueueBounds(cfg *fleet.Config, id fleet.ServiceID, firstEventTime, forecastError func(*fleet.Route) time.Duration) (bounds [fleet.RankLevels]time.Duration) {
+// until a request reaches the service counts in full: the work is done meanwhile. No wait is taken
+// to be below a full call, since pieces wait that long for the end of the calls before them
+// however little there is to do. firstEventTime is as in Decide.
+func QueueBounds(cfg *fleet.Config, id fleet.ServiceID, firstEventTime func(*fleet.Route) time.Duration) (bounds [fleet.RankLevels]time.Duration) {
 	calls := cfg.Service(id).StageCalls
-	floor := max(calls.ExpectedTime(calls.MaxBatch)/2, time.Millisecond)
+	fullCall := max(calls.ExpectedTime(calls.MaxBatch), time.Millisecond)
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		begin, depth, ok := reach(cfg, r, id)
 		if !ok {
 			continue
 		}
-		slack := Slack(cfg, r, firstEventTime(r))
-		wait := slack - time.Duration((1-maxTargetFraction)*float64(r.TargetLatency)) - forecastError(r)
-		wait = max(max(wait, time.Duration(minSlackFraction*float64(slack)))/time.Duration(depth), floor)
+		wait := max(Slack(cfg, r, firstEventTime(r))/time.Duration(depth), fullCall)
 		for _, rank := range cfg.RanksOf(r) {
 			if b := &bounds[fleet.RankLevel(rank)]; *b == 0 || begin+wait < *b {
 				*b = begin + wait
--- a/entry/shed.go
+++ b/entry/shed.go
@@ -212,7 +212,7 @@
 		return sh // an earlier configuration has it
 	}
 	if now.Sub(svc.boundAt) > boundInterval {
-		svc.bounds = admit.QueueBounds(cfg, id, s.expectedFirstEvent, func(r *fleet.Route) time.Duration { return s.forecastErrors.Expected(r.ID) })
+		svc.bounds = admit.QueueBounds(cfg, id, s.expectedFirstEvent)
 		svc.boundAt = now
 	}
 	sh.Bound = svc.bounds
