core/share, entry: hold the least urgent ranks to shares, too

Meters counted ranks from 9 on as 9, but overShareIn compared the rank of the division with that of the request. Teams and routes with many ranks have up to 16 and more pairs, so requests of rank 10 and above were never over their team's share. Count as many ranks as the other counts by rank do, and compare the counted rank.

TestShareOfRanks fails at rank 12 before the change.

--- a/core/share/demand.go
+++ b/core/share/demand.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -52,10 +53,7 @@
 }
 
 // Ranks is the number of ranks of requests, from 0, the most urgent.
-const Ranks = 10
-
-// clampRank returns the nearest rank to r.
-func clampRank(r int) int { return min(max(r, 0), Ranks-1) }
+const Ranks = fleet.RankLevels
 
 // Meter measures the work that teams ask of one service. It is safe for concurrent use. The
 // zero value has measured nothing.
@@ -79,7 +77,7 @@
 	if !(work > 0) || work > maxCost {
 		return
 	}
-	id := rankedTeam{clampRank(rank), team}
+	id := rankedTeam{fleet.RankLevel(rank), team}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.asked[id.rank].add(now, work)
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -133,7 +133,7 @@
 // requests are served in full, less urgent ones get what these leave.
 func (s *Server) overShareIn(now time.Time, svc fleet.ServiceID, rank int, team wire.TeamID) float64 {
 	a := s.shares.current(now, svc)
-	if a.Rank != rank {
+	if a.Rank != fleet.RankLevel(rank) {
 		return 0
 	}
 	return a.Over[team]
--- a/entry/teams_test.go
+++ b/entry/teams_test.go
@@ -113,6 +113,24 @@
 	}
 }
 
+// TestShareOfRanks guards against shares that are ignored for the least urgent ranks: teams and
+// routes with many ranks have more pairs of them than are counted apart.
+func TestShareOfRanks(t *testing.T) {
+	for _, rank := range []int{0, 9, 12, fleet.RankLevels - 1, fleet.RankLevels + 4} {
+		t.Run(fmt.Sprint(rank), func(t *testing.T) {
+			c := newCrowd(t, 2)
+			for range 20 {
+				c.hear("r2", queueLength)
+				c.recordDemand(c.now, "archive", rank, "large", 2.4*heartbeatInterval.Seconds())
+				c.recordDemand(c.now, "archive", rank, "small", 0.05*heartbeatInterval.Seconds())
+				c.step()
+			}
+			assert.Assert(t, c.overShareIn(c.now, "archive", rank, "large") > 0)
+			assert.Equal(t, c.overShareIn(c.now, "archive", rank, "small"), 0.0)
+		})
+	}
+}
+
 // TestRouterAlone guards against a router that hears no peer and takes the whole capacity of a
 // service as that of its own callers, and against one that holds teams to shares without need.
 func TestRouterAlone(t *testing.T) {
