entry: read a peer's demand once, not for each request

With the setting shed, each request that needs stage services decoded the demand of every live router for every service, while it held the mutex of the peers. Keep what was read with the router's record, and read it again when the router tells another.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -135,8 +135,42 @@
 	// endedAt is when the router's address refused a connection, zero if it did not.
 	endedAt time.Time
 	inRing  bool // whether it is in the ring
+	// demands holds the reports of Loads that were read. Each request that needs a stage service
+	// goes by those of all routers.
+	demands map[fleet.ServiceID]readDemand
+}
+
+// readDemand is a Demand and its content, which is not changed. ok is false if it is malformed.
+type readDemand struct {
+	Demand
+	report demandReport
+	ok     bool
+}
+
+// demand returns the report of the demand for a service, and false if there is none. The caller
+// holds the mutex of peers.
+func (m *peerRecord) demand(id fleet.ServiceID) (demandReport, bool) {
+	told := m.Loads[id].Demand
+	if told == "" {
+		delete(m.demands, id)
+		return demandReport{}, false
+	}
+	d, ok := m.demands[id]
+	if !ok || d.Demand != told {
+		if m.demands == nil || len(m.demands) >= maxReadDemands {
+			m.demands = map[fleet.ServiceID]readDemand{}
+		}
+		d.Demand = told
+		d.report, d.ok = told.decode()
+		m.demands[id] = d
+	}
+	return d.report, d.ok
 }
 
+// maxReadDemands limits the services of a router whose demand is kept as read. Most of more belong
+// to replaced configurations.
+const maxReadDemands = 256
+
 // isAlive reports whether the router was heard of recently enough to own queues, and has not
 // refused a connection since.
 func (m *peerRecord) isAlive(now time.Time) bool {
@@ -538,7 +572,7 @@
 			continue
 		}
 		l := m.Loads[id]
-		d, ok := l.Demand.decode()
+		d, ok := m.demand(id)
 		if !ok && l.Coming+l.Waiting > 0 {
 			d.pending = []int{l.Coming + l.Waiting}
 		}
--- a/entry/shed_test.go
+++ b/entry/shed_test.go
@@ -54,6 +54,13 @@
 		hear("r4", Member{Loads: map[fleet.ServiceID]Load{"archive": {Coming: 5, Waiting: 7, Rate: 100}}})
 		assertShortage(t, now, 600, 33)
 	})
+	t.Run("a router that reports another demand", func(t *testing.T) {
+		now = now.Add(time.Millisecond)
+		hear("r3", Member{Loads: map[fleet.ServiceID]Load{"archive": {Demand: (&demandReport{owner: true, levels: []int{0, 0, 400}, pending: []int{2}}).encode()}}})
+		assertShortage(t, now, 400, 35)
+		hear("r4", Member{Loads: map[fleet.ServiceID]Load{"archive": {Waiting: 1, Demand: "\x01\xff"}}})
+		assertShortage(t, now, 400, 24)
+	})
 	t.Run("nothing is heard any more", func(t *testing.T) { assertShortage(t, now.Add(ownerTimeout), 0, 0) })
 }
 
