entry: follow no redirection of a probe

The client of probes followed redirections, as net/http does by default. An upstream that redirects its health check had the router send a request to any address, which no caller sent. TestProbeRedirected fails before the change.

--- a/entry/load.go
+++ b/entry/load.go
@@ -50,7 +50,8 @@
 }
 
 func newProbeClient() *http.Client {
-	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Timeout: probeTimeout, CheckRedirect: noRedirect, Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdleTimeout,
 		ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10, MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}}
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -167,6 +168,24 @@
 	assert.Assert(t, tg.mayProbe(now.Add(time.Second)))
 }
 
+// TestProbeRedirected guards against a probe that follows a redirection and so sends a request that
+// nobody asked for.
+func TestProbeRedirected(t *testing.T) {
+	r := newRig(t)
+	s, err := New(r.settings("r1"), "", r.log)
+	assert.NilError(t, err)
+	var followed atomic.Bool
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != site.HealthPath {
+			followed.Store(true)
+		}
+		http.Redirect(w, r, "/work", http.StatusTemporaryRedirect)
+	}))
+	t.Cleanup(up.Close)
+	s.sendProbe(s.targets.get(fleet.Upstream{ID: "i-1", Address: wire.Address(up.Listener.Addr().String())}), site.HealthPath)
+	assert.Assert(t, !followed.Load())
+}
+
 // TestReloadLoads guards against a setting that takes effect only after a restart.
 func TestReloadLoads(t *testing.T) {
 	data, err := os.ReadFile("../examples/entry.toml")
