entry: prefer a router's own state to copies of former builds

A router of a former build passes a member on without the fields it doesn't know. Such a copy, heard later, replaced the versioned record of the same run: the router divided no services any more and reported no demand, so that all that waits there counted as most urgent, until it was heard of again. Ignore these copies for half of ownerTimeout after the run was heard of; a router that only they tell of stays known.

TestCopyOfFormerBuild fails before the change.

--- a/entry/beat_test.go
+++ b/entry/beat_test.go
@@ -14,6 +14,7 @@
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/gossip"
+	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 )
 
@@ -200,6 +201,37 @@
 	}
 }
 
+// TestCopyOfFormerBuild guards against what a router tells that is lost because a router of a former
+// build passes it on without the fields that it doesn't know, and against a router that is taken for
+// lost because only such routers pass it on.
+func TestCopyOfFormerBuild(t *testing.T) {
+	r1, r2 := newBeatServer(t, "r1"), newBeatServer(t, "r2")
+	r2.shares.on.Store(true)
+	now := time.Now()
+	for range 3 {
+		now = now.Add(heartbeatInterval)
+		exchangeBeats(t, now, r2, r1)
+	}
+	hear := func(coming int) {
+		var b Beat
+		recode(t, formerBeat{
+			From:    formerMember{Name: "r3", Address: "127.0.0.1:3", Boot: 3},
+			Members: []formerMember{{Name: "r2", Address: "127.0.0.1:1", Boot: r2.peers.self.Boot, Age: time.Millisecond, Loads: map[fleet.ServiceID]Load{"archive": {Coming: coming}}}},
+		}, &b)
+		r1.peers.mergeHeartbeat(now, b)
+	}
+	now = now.Add(heartbeatInterval)
+	hear(1)
+	assert.Assert(t, r1.peers.known("r2").Shares)
+	assert.Assert(t, slices.Contains(r1.peers.shareCandidates(now), "r2"))
+	for i := range 20 {
+		now = now.Add(heartbeatInterval)
+		hear(i)
+		assert.Assert(t, slices.ContainsFunc(r1.peers.ownerCandidates(now), func(r shard.Router) bool { return r.Name == "r2" }))
+	}
+	assert.Equal(t, r1.peers.known("r2").Loads["archive"].Coming, 19)
+}
+
 // TestCrashesInBeats guards against crashes that are told again and again, and against those that
 // a neighbour misses because a heartbeat was lost or its former run was told.
 func TestCrashesInBeats(t *testing.T) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -406,6 +406,8 @@
 		}
 	case m.Boot == old.Boot && !at.After(old.seenAt):
 		return
+	case m.Boot == old.Boot && old.Version.Seq > 0 && at.Sub(old.seenAt) < ownerTimeout/2:
+		return // passed on by a former build, which leaves out Version, Shares and Load.Demand
 	}
 	started := m.Boot != old.Boot || m.Name != old.Name
 	if started {
