core/batch: read the rate of a queue only if orders may give way

Yielders read the slowdowns of all upstreams for each order before it looked whether the order has a bound, which none has without the setting shed.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -684,8 +684,11 @@
 // first, and among them the last to be pushed, so that what has waited longest stays. It returns
 // none if p would miss its aim all the same.
 func (q *Queue[T]) Yielders(now time.Time, p Piece[T], n int, bound time.Duration, mayYield func(T) bool) (ps []Piece[T], count int) {
+	if bound <= 0 || p.Late {
+		return nil, 0
+	}
 	rate := q.Rate(now)
-	if bound <= 0 || rate <= 0 || p.Late || float64(len(q.waiting)-q.late)/rate <= bound.Seconds() {
+	if rate <= 0 || float64(len(q.waiting)-q.late)/rate <= bound.Seconds() {
 		return nil, 0
 	}
 	d, _ := q.Estimate(now, n, p.Aim)
