core/fleet, entry: believe no length that the request's bound rules out

The refusal of streams that would be late takes the time after the first event from the caller's estimate of the length. An estimate above the request's own bound on its output had streams refused that would have ended in time.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -304,3 +304,12 @@
 		})
 	}
 }
+
+// TestLikelyTokens guards against requests that are refused as too long for a length that their own
+// upper bound rules out.
+func TestLikelyTokens(t *testing.T) {
+	for _, tc := range []struct{ expected, most, want wire.Tokens }{{0, 50, 0}, {40, 50, 40}, {400, 50, 50}, {400, 0, 400}} {
+		s := RequestSpec{ExpectedTokens: tc.expected, MaxOutputTokens: tc.most}
+		assert.Equal(t, s.LikelyTokens(), tc.want)
+	}
+}
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -40,6 +40,15 @@
 	return s.PieceCounts[stage]
 }
 
+// LikelyTokens returns the caller's estimate of the generated tokens, at most their upper bound, and 0
+// if it gave no estimate.
+func (s *RequestSpec) LikelyTokens() wire.Tokens {
+	if s.MaxOutputTokens > 0 {
+		return min(s.ExpectedTokens, s.MaxOutputTokens)
+	}
+	return s.ExpectedTokens
+}
+
 // SharedSegments returns the prompt segments that other requests may share: all
 // but the last.
 func (s *RequestSpec) SharedSegments() []PromptSegment {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -125,13 +125,13 @@
 	}
 	b := admit.Begin{Elapsed: st.elapsed(), Awaited: st.patience(), Deadline: st.remaining(), First: st.s.expectedFirstEvent(st.route)}
 	if !st.spec.Resumed {
-		b.Rest = st.s.streamTimes.Rest(st.route.ID, st.spec.ExpectedTokens)
+		b.Rest = st.s.streamTimes.Rest(st.route.ID, st.spec.LikelyTokens())
 	}
 	if !b.IsLate() {
 		return nil
 	}
 	st.s.log.Info("stream would be late", "request", st.spec.ID, "waited_ms", b.Elapsed.Milliseconds(), "awaited_ms", b.Awaited.Milliseconds(),
-		"left_ms", b.Deadline.Milliseconds(), "first_ms", b.First.Milliseconds(), "rest_ms", b.Rest.Milliseconds(), "tokens", st.spec.ExpectedTokens)
+		"left_ms", b.Deadline.Milliseconds(), "first_ms", b.First.Milliseconds(), "rest_ms", b.Rest.Milliseconds(), "tokens", st.spec.LikelyTokens())
 	return &refusal{status: http.StatusServiceUnavailable, reason: "stream would be late"}
 }
 
