entry: refuse streams that would be late only with the setting shed

A refused heartbeat ends the live member at an address only, and numbers of heartbeats that no sound peer can tell are ignored.

--- a/entry/beat.go
+++ b/entry/beat.go
@@ -14,6 +14,10 @@
 // crashes are told again. One may be recorded while that heartbeat is composed.
 const strikeOverlap = time.Second
 
+// maxSeqAhead is how far the number of a member's heartbeat may be ahead of the one known. A larger step
+// comes from a damaged message; a member that was silent for so long is told anew.
+const maxSeqAhead = 255
+
 // A heartbeat is either a call to a neighbour or the answer to one.
 type beatKind bool
 
@@ -82,7 +86,7 @@
 		st = &neighbourState{boot: b.From.Boot, begun: now.Sub(p.startAt)}
 		p.told[b.From.Name] = st
 	}
-	if b.Heard > st.begun { // earlier heartbeats left out what the former run knew
+	if b.Heard > st.begun && b.Heard <= now.Sub(p.startAt) { // earlier heartbeats left out what the former run knew
 		st.acked = max(st.acked, b.Heard)
 	}
 	st.stamp = max(st.stamp, b.Stamp)
@@ -191,7 +195,7 @@
 			continue
 		}
 		m := ring.records[place]
-		if m == p.own || m.Version.Seq == 0 || f.Seqs[i] <= m.Version.Seq {
+		if m == p.own || m.Version.Seq == 0 || f.Seqs[i] <= m.Version.Seq || f.Seqs[i]-m.Version.Seq > maxSeqAhead {
 			continue
 		}
 		m.Version.Seq = f.Seqs[i]
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -441,7 +441,7 @@
 	p.mu.Lock()
 	var name wire.HostID
 	for n, m := range p.members {
-		if m.Address == addr {
+		if m.Address == addr && m.isAlive(now) { // a former member may have had the address
 			name = n
 		}
 	}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -327,8 +327,8 @@
 // minYieldRetry is the shortest delay after which the caller of a request that gave way retries.
 const minYieldRetry = 200 * time.Millisecond
 
-// mayGiveWay reports whether a job that waits may be ended for a more urgent one: no piece of its
-// request has been begun.
+// mayGiveWay reports whether a job that waits may be ended for a more urgent one: none of its own
+// pieces has been begun. Another stage of its request may have been, at this queue or another.
 func (j *job) mayGiveWay() bool {
 	return j.reason == "" && !j.begun && len(j.order.Inputs) == 0 && j.order.Bound > 0
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -117,10 +117,10 @@
 	return false, st.giveUpStream(ctx)
 }
 
-// lateRefusal returns the refusal of a stream that would be run in vain, see admit.Begin, or nil. Of a
-// stream that its caller takes up it is not known how much is left.
+// lateRefusal returns the refusal of a stream that would be run in vain, see admit.Begin, or nil. Only
+// the setting shed asks for it. Of a stream that its caller takes up it is not known how much is left.
 func (st *streamExchange) lateRefusal() *refusal {
-	if st.headerSent {
+	if st.headerSent || !st.s.shedding.on.Load() {
 		return nil
 	}
 	b := admit.Begin{Elapsed: st.elapsed(), Awaited: st.patience(), Deadline: st.remaining(), First: st.s.expectedFirstEvent(st.route)}
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -74,7 +74,10 @@
 	r := newRig(t)
 	r.addReplica("e-1", "engine")
 	archive := r.addReplica("a-1", "archive")
-	n := r.startRouter(2)
+	cfg := r.settings("r1")
+	cfg.Shed = true
+	n := r.start(cfg)
+	r.waitForUpstreams(n, 2)
 	send := func(target, tokens, deadline string, status int, body string) call {
 		c := post(planHost, target, "x")
 		c.header = http.Header{site.HeaderLengthHint: {tokens}, site.HeaderDeadline: {deadline}, "Piece-Count": {"1"}, "Piece-Key": {"k"}}
