--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -435,7 +435,7 @@
 	}
 }
 
-// authorize sets the rank and the team of the request. It refuses a request without a
+// authorize sets the team and the rank of the request; a team's rank, if it HasRank, goes before that of the route. It refuses a request without a
 // valid API key unless the route is anonymous or no teams are configured.
 func (x *exchange) authorize(cfg *fleet.Config) *refusal {
 	if key := platform.APIKey(x.r.Header); key != "" {
--- a/entry/load.go
+++ b/entry/load.go
@@ -30,7 +30,7 @@
 	// centre counts for.
 	awayPenalty = 2
 	// keptShare is the part of the shared tokens that the engine which a prompt prefers is taken to
-	// hold. About half of all prompt tokens were found kept on played days.
+	// hold: another prompt may have displaced them since.
 	keptShare = 0.5
 	// failingPenalty is the penalty, in requests, above which what an upstream tells doesn't
 	// place it below the mean. One failure counts for more for several seconds.
