--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -435,8 +435,9 @@
 	}
 }
 
-// authorize sets the team and the rank of the request; a team's rank, if it HasRank, goes before that of the route. It refuses a request without a
-// valid API key unless the route is anonymous or no teams are configured.
+// authorize sets the team and the rank of the request. The rank of a team, if it HasRank, goes before
+// that of the route. A request without a valid API key is refused unless the route is anonymous or no
+// teams are configured.
 func (x *exchange) authorize(cfg *fleet.Config) *refusal {
 	if key := platform.APIKey(x.r.Header); key != "" {
 		x.team = cfg.Team(key)
