entry, core/fleet: compute a request's work and prompt key once

With the setting shares, the work of each request was computed at its arrival and again at its admission; the key of its prompt was computed twice in each choice of an engine. The tokens that a request is expected to generate were worked out in two places, which RequestSpec.OutputTokens now serves. Besides: a state of explanations that does not occur is no longer named, the settings for hard load stand together, and two comments are reworded. No behaviour changes.

--- a/core/admin/explain.go
+++ b/core/admin/explain.go
@@ -59,7 +59,7 @@
 }
 
 // Target is an upstream as the choice sees it. State is usable, cold, silent, ejected, leaving,
-// limited, region (not allowed for the request) or out.
+// limited, or region if the request may not run there.
 type Target struct {
 	Upstream wire.UpstreamID       `json:"upstream"`
 	Centre   wire.DataCentreID     `json:"centre"`
--- a/core/admit/begin.go
+++ b/core/admit/begin.go
@@ -20,7 +20,7 @@
 // hopeless is the part of a mean time below which few streams remain.
 const hopeless = 0.5
 
-// IsLate reports whether the stream would be run in vain: its caller leaves before the first event, or
+// IsLate reports whether a run of the stream would be of no use: its caller leaves before the first event, or
 // its deadline passes before the last one. It takes half of the mean times, since means refuse half of
 // those that would be in time. A stream that has more time left than it has waited is not late,
 // whatever the means say: they come from streams that were sent, and would otherwise not be corrected.
--- a/core/fleet/need.go
+++ b/core/fleet/need.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -40,6 +41,10 @@
 	return s.PieceCounts[stage]
 }
 
+// OutputTokens returns the caller's estimate of the generated tokens, or their upper bound if it gave
+// none.
+func (s *RequestSpec) OutputTokens() wire.Tokens { return cmp.Or(s.ExpectedTokens, s.MaxOutputTokens) }
+
 // LikelyTokens returns the caller's estimate of the generated tokens, at most their upper bound, and 0
 // if it gave no estimate.
 func (s *RequestSpec) LikelyTokens() wire.Tokens {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -43,6 +43,8 @@
 	planning      bool
 	resultsCentre wire.DataCentreID
 
+	asked map[fleet.ServiceID]float64 // work that recordDemand has recorded, by service
+
 	late            bool // whether its stages yield to those of requests that can be on time
 	unqueuedMu      sync.Mutex
 	unqueuedByStage []int // by stage: pieces that have not reached the stage's queue
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -12,6 +12,7 @@
 	"hornbeamcove.example/core/admin"
 	"hornbeamcove.example/core/crash"
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/platform"
 )
 
 // serveExplain answers with the admin.Explanation of the request whose line and headers are the body.
@@ -43,7 +44,7 @@
 	x.deadline = x.start.Add(defaultTimeout)
 	e := admin.Explanation{
 		ResponseInfo: admin.ResponseInfo{Process: s.cfg.Name, At: now.UTC()},
-		Config:       x.view.version(), ConfigAge: x.view.age(0).Milliseconds(),
+		Config:       x.view.version(), ConfigAge: x.view.age(platform.AreaOperatorSettings).Milliseconds(),
 	}
 	f := x.match()
 	if f == nil {
--- a/entry/load.go
+++ b/entry/load.go
@@ -149,13 +149,12 @@
 // rounded rounds a number for the log to hundredths.
 func rounded(f float64) float64 { return math.Round(100*f) / 100 }
 
-// demand returns the demand for the shared parts of the prompt, for which it counts the request
-// once.
-func (x *exchange) demand(now time.Time, svc *pace.Service, m pace.Means, engines int, confidence float64) route.Demand {
+// demand returns the demand for the shared parts of the prompt, whose key is given. It counts the
+// request for them once.
+func (x *exchange) demand(now time.Time, key uint64, svc *pace.Service, m pace.Means, engines int, confidence float64) route.Demand {
 	if svc == nil {
 		return route.Demand{}
 	}
-	key := route.PromptKey(x.sharedSegmentIDs()...)
 	switch {
 	case x.holders != 0:
 	case x.explaining:
@@ -185,11 +184,7 @@
 			parts[i] = pace.Part{ID: p.ID, Tokens: p.Tokens}
 		}
 		unread = svc.Unread(time.Now(), t.ID, x.spec.PromptTokens, parts)
-		output := x.spec.ExpectedTokens
-		if output == 0 {
-			output = x.spec.MaxOutputTokens
-		}
-		w = pace.Tokens(unread, output)
+		w = pace.Tokens(unread, x.spec.OutputTokens())
 	}
 	svc.Sent(w)
 	return w, unread
--- a/entry/place.go
+++ b/entry/place.go
@@ -100,7 +100,8 @@
 	var i int
 	var reason route.Reason
 	if x.route.Engine {
-		i, reason = x.chooseEngine(usable, states, loads, x.demand(now, svc, means, len(usable), confidence))
+		key := route.PromptKey(x.sharedSegmentIDs()...)
+		i, reason = x.chooseEngine(key, usable, states, loads, x.demand(now, key, svc, means, len(usable), confidence))
 	} else {
 		i, reason = x.leastLoaded(usable, states, loads, confidence)
 	}
@@ -110,7 +111,7 @@
 
 // chooseEngine returns the index of the engine that prompts with the same shared segments
 // prefer, because its prefix cache may hold them, unless its load is too high.
-func (x *exchange) chooseEngine(usable []*target, states []targetStatus, loads []pace.Load, d route.Demand) (int, route.Reason) {
+func (x *exchange) chooseEngine(key uint64, usable []*target, states []targetStatus, loads []pace.Load, d route.Demand) (int, route.Reason) {
 	es := make([]route.Engine, len(usable))
 	for i, t := range usable {
 		es[i] = route.Engine{Upstream: t.ID, Load: loads[i].Requests, Factor: loads[i].Factor, Penalty: states[i].penalty}
@@ -119,7 +120,7 @@
 		x.penalizeAway(es, usable)
 	}
 	x.setWeights(es, usable)
-	return route.PickHolder(route.PromptKey(x.sharedSegmentIDs()...), es, d)
+	return route.PickHolder(key, es, d)
 }
 
 // sharedSegmentIDs returns the IDs of the prompt segments that other requests may share.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,11 +33,11 @@
 	Stop    float64 `toml:"stop"`    // time from SIGTERM to SIGKILL in seconds
 	Retries float64 `toml:"retries"` // retries of all routers, as a ratio of first attempts
 	Slack   float64 `toml:"slack"`   // retries of all routers in any period on top of that ratio
-	Loads   bool    `toml:"loads"`   // whether choices go by the load and pace that upstreams tell
 	Level   string  `toml:"level"`   // log level, "info" if empty
 
 	Shed   bool `toml:"shed"`   // when there is too little room, turn away what costs callers least
 	Shares bool `toml:"shares"` // whether services that are short of room are divided among teams
+	Loads  bool `toml:"loads"`  // whether choices go by the load and pace that upstreams tell
 }
 
 // LoadSettings reads and validates the settings file at path.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -117,7 +117,7 @@
 	return false, st.giveUpStream(ctx)
 }
 
-// lateRefusal returns the refusal of a stream that would be run in vain, see admit.Begin, or nil. Only
+// lateRefusal returns the refusal of a stream whose run would be of no use, see admit.Begin, or nil. Only
 // the setting shed asks for it. Of a stream that its caller takes up it is not known how much is left.
 func (st *streamExchange) lateRefusal() *refusal {
 	if st.headerSent || !st.s.shedding.on.Load() {
--- a/entry/teams.go
+++ b/entry/teams.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -190,7 +189,8 @@
 		return
 	}
 	now := time.Now()
-	for id, work := range x.workByService() {
+	x.asked = x.workByService()
+	for id, work := range x.asked {
 		x.s.recordDemand(now, id, x.rank, x.teamID(), work)
 	}
 }
@@ -201,7 +201,7 @@
 		return
 	}
 	now := time.Now()
-	for id, work := range x.workByService() {
+	for id, work := range x.asked {
 		x.s.shares.service(id).Admit(now, work)
 	}
 }
@@ -223,7 +223,7 @@
 		work[x.svc.ID]++
 		return work
 	}
-	tokens := x.spec.PromptTokens + cmp.Or(x.spec.ExpectedTokens, x.spec.MaxOutputTokens)
+	tokens := x.spec.PromptTokens + x.spec.OutputTokens()
 	for _, p := range x.spec.SharedSegments() {
 		tokens -= p.Tokens
 	}
