--- a/review/two/main.go
+++ b/review/6/standins/main.go
@@ -1,4 +1,4 @@
-// Command two plays the cases of the second review that can't be put as a day of the bench: it starts
+// Command standins plays the cases of the second review that can't be put as a day of the bench: it starts
 // the system's routers as processes, with stand-ins for the platform, the replicas and the clients, and
 // checks what these have seen.
 package main
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off GOFLAGS= go build -o target/review-2 review/two/*.go
+GOWORK=off GOFLAGS= go build -o target/review-2 review/6/standins/*.go
