entry: limit the heads of answers to stage calls and frees

Cause: the HTTP clients for stage calls and for calls that free results used the default of net/http, heads of up to 10 MB. A head of short fields takes over ten times its bytes once parsed: 131 MB for 10 MB of 7-byte lines, 1 MB for 64 KB (measured with http.ReadResponse). A call that is overdue reads on, so such heads add up.

Change: the clients' connections count the bytes and lines of each head while it is read, by framer.ResponseHead. A head may have 64 KB and 512 lines, and what it needs beyond 16 KB, with 200 bytes for each line, comes out of the memory for large answers, so that many heads at once are bounded too.

fakes/site plays heads of short fields, and calls that free results are answered without end too; the soak draws both.

--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -196,16 +196,9 @@
 // CheckResponse returns the error of a response whose end is ambiguous. The bytes must begin with
 // its whole head, which an HTTP parser has accepted.
 func CheckResponse(response []byte) error {
-	h := head{current: bytes.HasPrefix(response, []byte("HTTP/1.1 "))}
-	for line := range bytes.Lines(response) {
-		switch line = bytes.TrimRight(line, "\r\n"); {
-		case len(line) == 0:
-			return h.check()
-		case !isFolded(line): // a parser must accept folded headers of responses
-			h.addField(line)
-		}
-	}
-	return h.check()
+	var r ResponseHead
+	r.Scan(response)
+	return r.Err()
 }
 
 // endHead determines how the body of the request ends.
--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -98,6 +99,41 @@
 	}
 }
 
+// TestResponseHead guards against a response with an ambiguous end that is accepted, against one
+// that is rejected for the text of its body, and against a head whose size is miscounted, however
+// its bytes arrive.
+func TestResponseHead(t *testing.T) {
+	const early = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+	for _, tc := range []struct {
+		name, head, body string
+		lines            int
+		err              error
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "hello", 3, nil},
+		{"chunks", "HTTP/1.1 200 OK\r\n" + chunked, "0\r\n\r\n", 3, nil},
+		{"neither", "HTTP/1.1 200 OK\n\n", "Transfer-Encoding: chunked\nContent-Length: 5\n", 2, nil},
+		{"folded header", "HTTP/1.1 200 OK\r\nOther: a\r\n Content-Length: 5\r\n" + chunked, "", 5, nil},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", "", 2, nil},
+		{"both", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + chunked, "", 4, ErrBothLengths},
+		{"both, the coding folded", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding:\r\n chunked\r\n\r\n", "", 5, ErrBothLengths},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + chunked, "", 3, ErrVersion},
+		{"informational", early + "HTTP/1.1  100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "1\n2\n", 7, nil},
+		{"informational, both", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n" + chunked + "HTTP/1.1 200 OK\r\n\r\n", "", 6, ErrBothLengths},
+		{"empty status line", "\r\n", "HTTP/1.1 200 OK\r\n\r\n", 1, nil},
+	} {
+		for _, size := range []int{1, 2, 7, len(tc.head) + len(tc.body)} {
+			var r ResponseHead
+			n := 0
+			for part := range slices.Chunk([]byte(tc.head+tc.body), size) {
+				n += r.Scan(part)
+			}
+			assert.ErrorIs(t, r.Err(), tc.err, "%s, %d bytes at a time", tc.name, size)
+			assert.Assert(t, r.Ended(), "%s, %d bytes at a time", tc.name, size)
+			assert.DeepEqual(t, []int{n, r.Bytes, r.Lines}, []int{len(tc.head), len(tc.head), tc.lines})
+		}
+	}
+}
+
 // FuzzRequests guards against a server that finds the end of a request that was passed on at
 // another place.
 func FuzzRequests(f *testing.F) {
--- /dev/null
+++ b/entry/heads_test.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/limit"
+)
+
+// shortFields returns n header fields that differ.
+func shortFields(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String()
+}
+
+// TestEndlessStageHead guards against a router that runs out of memory because an upstream answers
+// a stage call, or a call that frees results, with a head without end.
+func TestEndlessStageHead(t *testing.T) {
+	for _, path := range []string{"/stage-run", "/stage-free"} {
+		for name, line := range map[string]string{"fields": shortFields(1000), "one field": strings.Repeat("x", 8000)} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				r := newRig(t)
+				read := make(chan int, 10)
+				r.addRawReplica("a-1", "archive", func(c net.Conn, q *http.Request) {
+					if q.URL.Path != path {
+						body := `{"items":[{"handle":"` + c.LocalAddr().String() + `/1"}]}`
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+						return
+					}
+					_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+					n, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nOther: ")
+					for k := 0; err == nil && n < 64<<20; n += k {
+						k, err = io.WriteString(c, line)
+					}
+					read <- n
+				})
+				n := r.startRouter(1)
+				m := n.queues.makePieces(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: time.Second})
+				if path == "/stage-free" {
+					assert.Equal(t, m.Reason, "")
+					n.queues.free(Freed{Service: "archive", Handles: m.Handles})
+				}
+				bytes := <-read
+				assert.Assert(t, bytes <= 2<<20, "%d bytes were read", bytes)
+				r.waitFor("the memory is given back", func() bool { return n.heldAnswers.Used() == 0 })
+			})
+		}
+	}
+}
+
+// pipeClient returns a client whose connections lead to serve, one goroutine each.
+func pipeClient(heads *limit.Bytes, serve func(c net.Conn, br *bufio.Reader)) *http.Client {
+	return newUpstreamClient(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			serve(far, bufio.NewReader(far))
+		}()
+		return near, nil
+	}}, heads)
+}
+
+// TestHeadsTogether guards against many heads, each within its limit, that take more memory than
+// all may take together, and against memory that is not given back.
+func TestHeadsTogether(t *testing.T) {
+	const fields, heads = 500, 8
+	bound := limit.NewBytes(heads * fields * headLineBytes)
+	end := make(chan struct{})
+	c := pipeClient(bound, func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+shortFields(fields))
+			<-end
+		}
+	})
+	errs := make(chan error, 2*heads)
+	for range 2 * heads {
+		go func() {
+			_, err := c.Get("http://upstream/")
+			errs <- err
+		}()
+	}
+	for range heads - 1 { // the others have taken their memory or wait for the end of their head
+		assert.ErrorIs(t, <-errs, errNoMemory)
+	}
+	assert.Assert(t, bound.Used() > 0)
+	close(end)
+	for range heads + 1 {
+		assert.Assert(t, <-errs != nil)
+	}
+	assert.Equal(t, bound.Used(), int64(0))
+}
+
+// TestHeadsOneByOne guards against an answer on a kept connection that is refused for the size of
+// those before it, and against a head whose size is counted with its body.
+func TestHeadsOneByOne(t *testing.T) {
+	bound := limit.NewBytes(1 << 20)
+	dials := 0
+	c := pipeClient(bound, func(c net.Conn, br *bufio.Reader) {
+		dials++
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			body := strings.Repeat("\n", 100<<10)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 103 Early Hints\r\n%s\r\nHTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", shortFields(200), shortFields(200), len(body), body)
+		}
+	})
+	for range 4 {
+		resp, err := c.Get("http://upstream/")
+		assert.NilError(t, err)
+		assert.Assert(t, bound.Used() > 0)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), 100<<10)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, bound.Used(), int64(0))
+	}
+	assert.Equal(t, dials, 1)
+}
+
+// TestHeadLimits guards against a head over the limits that is accepted, and against one within
+// them that is refused.
+func TestHeadLimits(t *testing.T) {
+	const status, length = "HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"
+	for _, tc := range []struct {
+		name, head string
+		err        error
+	}{
+		{"small", status + length, nil},
+		{"most fields", status + shortFields(maxResponseHeadLines-3) + length, nil},
+		{"too many fields", status + shortFields(maxResponseHeadLines-2) + length, errHeadTooLarge},
+		{"most bytes", status + "A: " + strings.Repeat("x", maxResponseHeadBytes-len(status)-len("A: \r\n")-len(length)) + "\r\n" + length, nil},
+		{"too many bytes", status + "A: " + strings.Repeat("x", maxResponseHeadBytes-len(status)-len("A: \r\n")-len(length)+1) + "\r\n" + length, errHeadTooLarge},
+		{"too many informational heads", strings.Repeat("HTTP/1.1 100 Continue\r\n"+shortFields(maxResponseHeadLines/4)+"\r\n", 4) + status + length, errHeadTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := pipeClient(limit.NewBytes(1<<20), func(c net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(c, tc.head)
+				}
+			})
+			resp, err := c.Get("http://upstream/")
+			assert.Assert(t, errors.Is(err, tc.err), "%v", err)
+			if tc.err == nil {
+				assert.NilError(t, err)
+				assert.NilError(t, resp.Body.Close())
+			}
+		})
+	}
+}
--- a/entry/held.go
+++ b/entry/held.go
@@ -12,31 +12,52 @@
 	// Few are larger.
 	freeHeldBytes = 16 << 10
 	// bodyShare and answerShare are the parts of the memory in which larger bodies of requests
-	// and larger answers are held at a time: 1/bodyShare and 1/answerShare.
+	// and larger answers, with their heads, are held at a time: 1/bodyShare and 1/answerShare.
 	bodyShare   = 4
 	answerShare = 8
 )
 
 var errNoMemory = errors.New("too many large bodies are held")
 
-// held is a body or an event in memory. What exceeds freeHeldBytes is taken from a bound that all
-// share, unless that is nil.
-type held struct {
-	data  []byte
+// heldShare is the memory of one body, event or head. What exceeds freeHeldBytes is taken from a bound
+// that all share, unless that is nil.
+type heldShare struct {
 	bound *limit.Bytes
 	taken int64
 }
 
+// grow takes memory for n bytes in all, and reports whether there is enough.
+func (s *heldShare) grow(n int) bool {
+	if more := int64(n) - freeHeldBytes - s.taken; more > 0 && s.bound != nil {
+		if !s.bound.Take(more) {
+			return false
+		}
+		s.taken += more
+	}
+	return true
+}
+
+// release gives the memory back.
+func (s *heldShare) release() {
+	if s.bound != nil {
+		s.bound.Give(s.taken)
+	}
+	s.taken = 0
+}
+
+// held is a body or an event in memory.
+type held struct {
+	heldShare
+	data []byte
+}
+
 // grow makes room for n bytes in all, and reports whether there is enough memory.
 func (h *held) grow(n int) bool {
 	if n <= cap(h.data) {
 		return true
 	}
-	if more := int64(n) - freeHeldBytes - h.taken; more > 0 && h.bound != nil {
-		if !h.bound.Take(more) {
-			return false
-		}
-		h.taken += more
+	if !h.heldShare.grow(n) {
+		return false
 	}
 	h.data = append(make([]byte, 0, n), h.data...)
 	return true
@@ -45,10 +66,7 @@
 // release gives the memory back.
 func (h *held) release() {
 	h.data = nil
-	if h.bound != nil {
-		h.bound.Give(h.taken)
-	}
-	h.taken = 0
+	h.heldShare.release()
 }
 
 // minRead is the size of the first read of a body of unknown size.
@@ -63,7 +81,7 @@
 	if size >= 0 && size < int64(maxBytes) {
 		most = int(size) + 1
 	}
-	h = &held{bound: bound}
+	h = &held{heldShare: heldShare{bound: bound}}
 	for n := min(most, freeHeldBytes); ; n = min(2*n, most) {
 		if size < 0 && len(h.data) == 0 {
 			n = minRead
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -105,8 +105,8 @@
 func newStageQueues(s *Server) *stageQueues {
 	qs := &stageQueues{
 		s:          s,
-		callClient: &http.Client{Transport: &http.Transport{DialContext: dialAbortable, DisableKeepAlives: true, DisableCompression: true}},
-		freeClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: defaultIdleTimeout}},
+		callClient: newUpstreamClient(&http.Transport{DialContext: dialAbortable, DisableKeepAlives: true}, s.heldAnswers),
+		freeClient: newUpstreamClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: defaultIdleTimeout}, s.heldAnswers),
 		byID:       map[shard.ID]*stageQueue{},
 	}
 	qs.layout.Store(&layout{})
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -309,7 +309,7 @@
 			go func() {
 				defer c.Close()
 				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil && q.Header.Get("Request-Id") != "" {
+				if err == nil && (q.Header.Get("Request-Id") != "" || q.Method == http.MethodPost) { // a stage call has no id
 					answer(c, q)
 				}
 			}()
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -145,7 +145,7 @@
 }
 
 func newAnswer(t *target, rp *response, bound *limit.Bytes, began time.Time) *answer {
-	return &answer{target: t, resp: rp, events: &eventReader{r: bufio.NewReader(rp.resp.Body), event: held{bound: bound}}, began: began}
+	return &answer{target: t, resp: rp, events: &eventReader{r: bufio.NewReader(rp.resp.Body), event: held{heldShare: heldShare{bound: bound}}}, began: began}
 }
 
 // attemptElsewhere makes one attempt while another one is silent, and reports whether its first
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -57,6 +57,7 @@
 	PauseBeforeHead                 // pauses for the replica's Pause before the head of the answer, then goes on
 	CutUnframed                     // answers without a length and resets the connection after a part of the answer; in a stream after two events
 	OddStatus                       // answers with a status that HTTP doesn't have
+	EndlessFields                   // like EndlessHead, in short fields, which take most memory for their bytes
 	PauseWithin                     // pauses for the replica's Pause in the middle of the answer or, in a stream, after two events, then goes on
 )
 
@@ -65,6 +66,11 @@
 	return a == Reject || a == RepeatRefusal || a == RepeatBareRefusal || a == RepeatGone || a == EndlessRefusal
 }
 
+// endless reports whether a replica answers by a until the connection is closed.
+func (a Action) endless() bool {
+	return a == Endless || a == EndlessHead || a == EndlessFields || a == EndlessRefusal
+}
+
 const (
 	defaultDowntime = 300 * time.Millisecond
 	// strayWait is the longest wait for the next request before a stray answer is sent.
@@ -97,6 +103,7 @@
 	ServiceTime         time.Duration                // duration of a request or a stage call, or pause before each event of a stream
 	Events              int                          // number of events of a stream; 0 for a plain service
 	Act                 func(r *http.Request) Action // nil serves all requests
+	FreeAct             func(r *http.Request) Action // of calls that free results, for which only the endless actions apply; nil serves them
 	// EventTime, if set, returns the pause before each event of a stream instead of ServiceTime.
 	EventTime func(r *http.Request) time.Duration
 	// PublicAddr, if set, maps the listen address to the address that is registered, for
@@ -496,6 +503,11 @@
 		return
 	case "/stage-free":
 		p.stageFree(r)
+		if p.FreeAct != nil {
+			if act := p.FreeAct(r); act.endless() {
+				p.endless(w, r, act)
+			}
+		}
 		return
 	case HealthPath:
 		w.Header().Set("Instance-Id", p.ID)
@@ -656,11 +668,11 @@
 			return
 		}
 	}
-	switch act {
-	case BothLengths, OldChunks:
+	switch {
+	case act == BothLengths || act == OldChunks:
 		p.ambiguous(w, r, act)
 		return
-	case Endless, EndlessHead, EndlessRefusal:
+	case act.endless():
 		p.endless(w, r, act)
 		return
 	}
@@ -878,10 +890,13 @@
 		return
 	}
 	defer c.Close()
-	head := p.head(r.Header.Get("Request-Id"))
+	head, block := p.head(r.Header.Get("Request-Id")), strings.Repeat("x", 64<<10)
+	next := func() string { return block }
 	switch {
 	case act == EndlessHead:
 		head += "Other: "
+	case act == EndlessFields:
+		next = shortFields()
 	case act == EndlessRefusal:
 		head = strings.Replace(head, "200 OK", "503 Service Unavailable", 1) + "Not-Executed: 1\r\n\r\n"
 	case p.Events > 0:
@@ -890,13 +905,28 @@
 		head += "\r\n"
 	}
 	_, err = rw.WriteString(head)
-	for block := strings.Repeat("x", 64<<10); err == nil; {
-		if _, err = rw.WriteString(block); err == nil {
+	for err == nil {
+		if _, err = rw.WriteString(next()); err == nil {
 			err = rw.Flush()
 		}
 	}
 }
 
+// shortFields returns a function that returns a block of header fields, each time others.
+func shortFields() func() string {
+	n := 0
+	return func() string {
+		var b strings.Builder
+		for range fieldsPerBlock {
+			n++
+			b.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
+		}
+		return b.String()
+	}
+}
+
+const fieldsPerBlock = 10_000
+
 // Event returns the n-th event of the stream that answers a request target.
 func Event(target string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, target, n)
@@ -1012,13 +1042,14 @@
 		return
 	}
 	act := p.action(r)
+	if act.endless() {
+		p.endless(w, r, act)
+		return
+	}
 	switch act {
 	case Reject:
 		p.reject(w, r, http.StatusServiceUnavailable)
 		return
-	case Endless, EndlessHead, EndlessRefusal:
-		p.endless(w, r, act)
-		return
 	case Crash, CrashLater:
 		p.crash()
 		panic(http.ErrAbortHandler)
--- a/soak/run.go
+++ b/soak/run.go
@@ -202,6 +202,14 @@
 // addReplica starts the i-th replica of a service behind a proxy, whose address the replica
 // publishes. work is the time that a request takes or, in a stream of the given number of
 // events, the time between events. version is that of its software, v1 if empty.
+// draw returns how the replica handles its next request.
+func (rp *replica) draw() site.Action {
+	if rand.IntN(100) < int(rp.actionPercent.Load()) {
+		return site.Action(rp.action.Load())
+	}
+	return site.Serve
+}
+
 func (r *Run) addReplica(service, version string, i int, work time.Duration, events int) error {
 	rp := &replica{}
 	rp.Replica = &site.Replica{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Version: version, TagEvents: events > 0, Centre: centres[i%len(centres)], ServiceTime: work, Events: events, Downtime: crashDowntime}
@@ -219,11 +227,9 @@
 		if events > 0 && r.badParts.in(req.Header.Get(site.HeaderParts)) {
 			return []site.Action{site.Crash, site.CrashLater}[rand.IntN(2)]
 		}
-		if rand.IntN(100) < int(rp.actionPercent.Load()) {
-			return site.Action(rp.action.Load())
-		}
-		return site.Serve
+		return rp.draw()
 	}
+	rp.FreeAct = func(*http.Request) site.Action { return rp.draw() }
 	rp.EventTime = func(req *http.Request) time.Duration {
 		if strings.Contains(req.URL.Path, longPath) {
 			return longEventTime
