entry: count the heads of all answers together

Cause: a limit on the bytes of one head is no limit on memory. A head of short fields takes 1 MB for its 64 KB, and no bound held for the sum of heads, while the sum of bodies had one (heldAnswers).

Change: connections for requests and probes count heads as those for stage calls do: 64 KB, 512 lines, and the memory beyond 16 KB is taken from that of large answers until the answer ends. framer.ResponseHead replaces CheckResponse and its copy of the head; its tests are kept, at several sizes of the parts in which a head arrives.

--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -193,14 +193,6 @@
 	return nil
 }
 
-// CheckResponse returns the error of a response whose end is ambiguous. The bytes must begin with
-// its whole head, which an HTTP parser has accepted.
-func CheckResponse(response []byte) error {
-	var r ResponseHead
-	r.Scan(response)
-	return r.Err()
-}
-
 // endHead determines how the body of the request ends.
 func (r *Requests) endHead() error {
 	switch err := r.head.check(); {
--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -79,26 +79,6 @@
 	}
 }
 
-// TestCheckResponse guards against a response with an ambiguous end that is accepted, and against
-// one that is rejected for the text of its body.
-func TestCheckResponse(t *testing.T) {
-	for _, tc := range []struct {
-		name, text string
-		err        error
-	}{
-		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", nil},
-		{"chunks", "HTTP/1.1 200 OK\r\n" + chunked + "0\r\n\r\n", nil},
-		{"neither", "HTTP/1.1 200 OK\n\nTransfer-Encoding: chunked\nContent-Length: 5\n", nil},
-		{"folded header", "HTTP/1.1 200 OK\r\nOther: a\r\n Content-Length: 5\r\n" + chunked, nil},
-		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", nil},
-		{"both", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + chunked, ErrBothLengths},
-		{"both, the coding folded", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding:\r\n chunked\r\n\r\n", ErrBothLengths},
-		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + chunked, ErrVersion},
-	} {
-		assert.ErrorIs(t, CheckResponse([]byte(tc.text)), tc.err, tc.name)
-	}
-}
-
 // TestResponseHead guards against a response with an ambiguous end that is accepted, against one
 // that is rejected for the text of its body, and against a head whose size is miscounted, however
 // its bytes arrive.
--- a/entry/conn.go
+++ b/entry/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,7 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"hornbeamcove.example/core/framer"
+	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/pace"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
@@ -58,9 +57,6 @@
 	// maxConnRequests limits the requests that are sent on one connection, since a hash of each
 	// id is kept.
 	maxConnRequests = 256
-	// maxResponseHeadBytes limits the head of a response, which an upstream in trouble may
-	// send without end.
-	maxResponseHeadBytes = 64 << 10
 )
 
 var dialer = net.Dialer{
@@ -95,6 +91,7 @@
 type upstreamConn struct {
 	net.Conn
 	limit     *limitedReader // below r
+	heads     *headMeter     // of the responses
 	r         *bufio.Reader
 	w         *bufio.Writer
 	expires   time.Time // end of the time in which it may be reused
@@ -133,6 +130,12 @@
 	_ = c.Close()
 }
 
+// Close implements net.Conn.
+func (c *upstreamConn) Close() error {
+	c.heads.release()
+	return c.Conn.Close()
+}
+
 // setAbort lets the next close of a TCP connection reset it and drop what was not delivered.
 func setAbort(nc net.Conn) {
 	if tcp, ok := nc.(*net.TCPConn); ok {
@@ -164,17 +167,18 @@
 	}
 }
 
-// dialUpstream opens a connection to an upstream. The error is a *sendError.
-func dialUpstream(ctx context.Context, addr wire.Address) (*upstreamConn, error) {
+// dialUpstream opens a connection to an upstream. The heads of its responses take their memory from
+// heads, unless that is nil. The error is a *sendError.
+func dialUpstream(ctx context.Context, addr wire.Address, heads *limit.Bytes) (*upstreamConn, error) {
 	nc, err := dialer.DialContext(ctx, "tcp", string(addr))
 	if err != nil {
 		return nil, &sendError{err: err}
 	}
-	return newUpstreamConn(nc), nil
+	return newUpstreamConn(nc, heads), nil
 }
 
-func newUpstreamConn(nc net.Conn) *upstreamConn {
-	c := &upstreamConn{Conn: nc, w: bufio.NewWriterSize(nc, connBufferSize)}
+func newUpstreamConn(nc net.Conn, heads *limit.Bytes) *upstreamConn {
+	c := &upstreamConn{Conn: nc, w: bufio.NewWriterSize(nc, connBufferSize), heads: newHeadMeter(heads)}
 	c.limit = &limitedReader{r: readerFunc(c.read), left: math.MaxInt64}
 	c.r = bufio.NewReaderSize(c.limit, connBufferSize)
 	return c
@@ -186,10 +190,9 @@
 
 // limitedReader reads at most left bytes from r and then fails with errResponseTooLarge.
 type limitedReader struct {
-	r      io.Reader
-	left   int64
-	copies bool   // whether copied receives what is read
-	copied []byte // begin of the response
+	r     io.Reader
+	left  int64
+	heads *headMeter // follows what is read, nil unless a head is
 }
 
 func (l *limitedReader) Read(p []byte) (int, error) {
@@ -198,8 +201,10 @@
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
-	if l.copies {
-		l.copied = append(l.copied, p[:n]...)
+	if l.heads != nil {
+		if e := l.heads.scan(p[:n]); e != nil {
+			return 0, e
+		}
 	}
 	return n, err
 }
@@ -262,12 +267,15 @@
 
 const maxStatus = 599
 
-// readHead reads the head of a response, which may be of maxResponseHeadBytes, and leaves its body
-// unread.
+// readHead reads the head of a response, within the limits of headMeter, and leaves its body unread.
 func (c *upstreamConn) readHead(req *http.Request) (resp *http.Response, err error) {
+	c.heads.reset()
+	c.limit.heads = c.heads
+	defer func() { c.limit.heads = nil }()
 	buffered, _ := c.r.Peek(c.r.Buffered())
-	c.limit.left, c.limit.copies, c.limit.copied = maxResponseHeadBytes, true, bytes.Clone(buffered)
-	defer func() { c.limit.left, c.limit.copies, c.limit.copied = math.MaxInt64, false, nil }()
+	if err = c.heads.scan(buffered); err != nil {
+		return nil, err
+	}
 	if resp, err = http.ReadResponse(c.r, req); err != nil {
 		return nil, err
 	}
@@ -278,7 +286,7 @@
 		resp.Body = &unframedBody{resp.Body, c.Conn}
 	}
 	// net/http deletes the length of a response that has both.
-	return resp, framer.CheckResponse(c.limit.copied)
+	return resp, c.heads.check()
 }
 
 // stillIdle reports whether nothing has arrived on an idle connection: neither
@@ -434,6 +442,7 @@
 	if rp.resp.Close || isUnframed(rp.resp) || c.r.Buffered() > 0 {
 		return false
 	}
+	c.heads.release()
 	c.idleSince = now
 	c.expires = now.Add(idleTimeout(rp.resp.Header.Get("Keep-Alive")))
 	return c.SetDeadline(time.Time{}) == nil
--- a/entry/heads.go
+++ b/entry/heads.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// maxResponseHeadLines limits the head of a response beside maxResponseHeadBytes. Servers
-	// customarily accept about a hundred fields.
+	// maxResponseHeadBytes and maxResponseHeadLines limit the head of a response, which an
+	// upstream in trouble may send without end. Servers customarily accept about a hundred
+	// fields.
+	maxResponseHeadBytes = 64 << 10
 	maxResponseHeadLines = 512
 	// headLineBytes is the memory that a line of a head takes in net/http beside its bytes: the
 	// entry in the map of fields, and the map's growth while the head is read.
@@ -66,6 +68,13 @@
 	return nil
 }
 
+// check returns the error of a head whose response has an ambiguous end.
+func (m *headMeter) check() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.head.Err()
+}
+
 // headConn is a connection of an http.Transport whose responses have limited heads.
 type headConn struct {
 	net.Conn
--- a/entry/heads_test.go
+++ b/entry/heads_test.go
@@ -161,3 +161,37 @@
 		})
 	}
 }
+
+// TestHeadMemoryOfAnswer guards against the memory of an answer's head that is not given back when
+// the answer ends, on a connection that is kept or not, and against one given back before.
+func TestHeadMemoryOfAnswer(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("connection kept %t", kept), func(t *testing.T) {
+			r := newRig(t)
+			begun, end := make(chan struct{}), make(chan struct{})
+			r.addRawReplica("i-1", "desk", func(c net.Conn, q *http.Request) {
+				connection := ""
+				if !kept {
+					connection = "Connection: close\r\n"
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: s\r\n%s%sContent-Length: 2\r\n\r\na", q.Header.Get("Request-Id"), connection, shortFields(400))
+				close(begun)
+				<-end
+				_, _ = io.WriteString(c, "b")
+				_, _ = io.Copy(io.Discard, c)
+			})
+			n := r.startRouter(1)
+			answered := make(chan *http.Response, 1)
+			go func() {
+				resp, _, _ := n.do(t, post(deskHost, "/once/1", "x"))
+				answered <- resp
+			}()
+			<-begun
+			r.waitFor("the head is counted", func() bool { return n.heldAnswers.Used() >= 400*headLineBytes-freeHeldBytes })
+			close(end)
+			resp := <-answered
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			r.waitFor("the memory is given back", func() bool { return n.heldAnswers.Used() == 0 })
+		})
+	}
+}
--- a/entry/load.go
+++ b/entry/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/limit"
 	"hornbeamcove.example/core/pace"
 	"hornbeamcove.example/core/route"
 	"hornbeamcove.example/core/wire"
@@ -49,12 +50,14 @@
 	probeClient *http.Client
 }
 
-func newProbeClient() *http.Client {
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Timeout: probeTimeout, CheckRedirect: noRedirect, Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdleTimeout,
-		ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10, MaxResponseHeaderBytes: maxResponseHeadBytes,
-	}}
+func newProbeClient(heads *limit.Bytes) *http.Client {
+	c := newUpstreamClient(&http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdleTimeout,
+		ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10,
+	}, heads)
+	c.Timeout = probeTimeout
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
 }
 
 // get returns what is known about a service.
--- a/entry/mixed_test.go
+++ b/entry/mixed_test.go
@@ -157,7 +157,7 @@
 	nc, err := net.Dial("tcp", ln.Addr().String())
 	assert.NilError(t, err)
 	defer nc.Close()
-	c := newUpstreamConn(nc)
+	c := newUpstreamConn(nc, nil)
 	far := <-accepted
 	_, err = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\npart")
 	assert.NilError(t, err)
--- a/entry/repeat_test.go
+++ b/entry/repeat_test.go
@@ -73,7 +73,7 @@
 			near, far := net.Pipe()
 			defer far.Close()
 			now := time.Now()
-			c := newUpstreamConn(near)
+			c := newUpstreamConn(near, nil)
 			for _, id := range tc.sent {
 				c.recordSent(id)
 			}
--- a/entry/send.go
+++ b/entry/send.go
@@ -204,7 +204,7 @@
 		if !clock.Sleep(ctx, crashProbeDelay) {
 			return
 		}
-		c, err := dialUpstream(ctx, t.Address)
+		c, err := dialUpstream(ctx, t.Address, nil)
 		if err == nil {
 			_ = c.Close()
 			return
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -306,7 +306,7 @@
 				_, _ = io.WriteString(far, answer[:cut])
 				_ = far.Close()
 			}()
-			_, err := newUpstreamConn(near).roundTrip(&upstreamRequest{method: "GET", target: "/", host: "h", id: "1"})
+			_, err := newUpstreamConn(near, nil).roundTrip(&upstreamRequest{method: "GET", target: "/", host: "h", id: "1"})
 			assert.Assert(t, err != nil, "cut after %q", answer[:cut])
 			_ = near.Close()
 		}
@@ -576,7 +576,7 @@
 				}
 				sent <- n
 			}()
-			c := newUpstreamConn(client)
+			c := newUpstreamConn(client, nil)
 			_, err := c.roundTrip(&upstreamRequest{method: http.MethodGet, target: "/", host: "h", header: http.Header{}, id: "q"})
 			assert.Assert(t, err != nil)
 			_ = client.Close()
--- a/entry/server.go
+++ b/entry/server.go
@@ -145,6 +145,7 @@
 	}
 	memory := int64(cfg.Memory * (1 << 20))
 	s.heldBodies, s.heldAnswers = limit.NewBytes(memory/bodyShare), limit.NewBytes(memory/answerShare)
+	s.targets.heads = s.heldAnswers
 	s.stopCtx, s.cancelStopCtx = context.WithCancel(context.Background())
 	s.unqueued.byService = map[fleet.ServiceID]Load{}
 	s.unqueued.byRank = map[fleet.ServiceID][fleet.RankLevels]int{}
@@ -152,7 +153,7 @@
 	s.latencies.byRoute = map[fleet.RouteID]time.Duration{}
 	s.seedList.Store(&cfg.Seeds)
 	s.loadsOn.Store(cfg.Loads)
-	s.paces.probeClient = newProbeClient()
+	s.paces.probeClient = newProbeClient(s.heldAnswers)
 	s.view.Store(&View{})
 	s.lastArrival.Store(&processStart)
 	s.queues = newStageQueues(s)
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -156,7 +156,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			near, far := tcpPair(t)
 			found := make(chan bool, 1)
-			c := newUpstreamConn(near)
+			c := newUpstreamConn(near, nil)
 			go func() { found <- c.awaitProgress() }()
 			for _, b := range []byte(tc.sent) {
 				_, err := far.Write([]byte{b})
@@ -507,7 +507,7 @@
 			s, err := New(r.settings("r1"), "", r.log)
 			assert.NilError(t, err)
 			tg := &target{}
-			c := newUpstreamConn(near)
+			c := newUpstreamConn(near, nil)
 			x := &exchange{s: s, view: s.view.Load(), route: &fleet.Route{}, svc: &fleet.Service{}, deadline: bootNow().Add(time.Minute)}
 			w := &silenceWatch{ctx: t.Context(), x: x, target: tg, conn: c}
 			if arrived {
--- a/entry/target.go
+++ b/entry/target.go
@@ -29,6 +29,7 @@
 type target struct {
 	fleet.Upstream
 
+	heads   *limit.Bytes // memory for the heads of responses, nil for any
 	heardAt atomic.Int64 // when bytes of any answer arrived last, in Unix nanoseconds
 
 	mu               sync.Mutex
@@ -115,6 +116,8 @@
 
 // targets holds the target of each upstream in use. It is safe for concurrent use.
 type targets struct {
+	heads *limit.Bytes // see target
+
 	mu   sync.Mutex
 	byID map[wire.UpstreamID]*target
 }
@@ -131,7 +134,7 @@
 	if t != nil {
 		t.closeIdle()
 	}
-	t = &target{Upstream: u}
+	t = &target{Upstream: u, heads: ts.heads}
 	ts.byID[u.ID] = t
 	return t
 }
@@ -214,7 +217,7 @@
 	}
 	t.openConns++
 	t.mu.Unlock()
-	c, err := dialUpstream(ctx, t.Address)
+	c, err := dialUpstream(ctx, t.Address, t.heads)
 	if err != nil {
 		t.mu.Lock()
 		t.openConns--
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -58,6 +58,7 @@
 	CutUnframed                     // answers without a length and resets the connection after a part of the answer; in a stream after two events
 	OddStatus                       // answers with a status that HTTP doesn't have
 	EndlessFields                   // like EndlessHead, in short fields, which take most memory for their bytes
+	StalledHead                     // answers with 60 kB of a head in short fields, then with nothing until the connection is closed
 	PauseWithin                     // pauses for the replica's Pause in the middle of the answer or, in a stream, after two events, then goes on
 )
 
@@ -68,7 +69,7 @@
 
 // endless reports whether a replica answers by a until the connection is closed.
 func (a Action) endless() bool {
-	return a == Endless || a == EndlessHead || a == EndlessFields || a == EndlessRefusal
+	return a == Endless || a == EndlessHead || a == EndlessFields || a == EndlessRefusal || a == StalledHead
 }
 
 const (
@@ -892,11 +893,15 @@
 	defer c.Close()
 	head, block := p.head(r.Header.Get("Request-Id")), strings.Repeat("x", 64<<10)
 	next := func() string { return block }
+	if act == EndlessFields || act == StalledHead {
+		next = shortFields()
+	}
 	switch {
 	case act == EndlessHead:
 		head += "Other: "
 	case act == EndlessFields:
-		next = shortFields()
+	case act == StalledHead:
+		head += next()[:stalledHeadBytes]
 	case act == EndlessRefusal:
 		head = strings.Replace(head, "200 OK", "503 Service Unavailable", 1) + "Not-Executed: 1\r\n\r\n"
 	case p.Events > 0:
@@ -904,7 +909,11 @@
 	default:
 		head += "\r\n"
 	}
-	_, err = rw.WriteString(head)
+	if _, err = rw.WriteString(head); act == StalledHead {
+		_ = rw.Flush()
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
 	for err == nil {
 		if _, err = rw.WriteString(next()); err == nil {
 			err = rw.Flush()
@@ -925,7 +934,10 @@
 	}
 }
 
-const fieldsPerBlock = 10_000
+const (
+	fieldsPerBlock   = 20_000
+	stalledHeadBytes = 60_000
+)
 
 // Event returns the n-th event of the stream that answers a request target.
 func Event(target string, n int) string {
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -28,8 +28,8 @@
 // answerSteps are what series of answers draw from. The replicas are in trouble, the routers and
 // what they owe to other requests are not.
 var answerSteps = []seriesStep{
-	{"answers without end", failAnswers(site.Endless, site.EndlessHead, site.EndlessFields, site.EndlessRefusal)},
-	{"answers without end", failAnswers(site.Endless, site.EndlessHead, site.EndlessFields, site.EndlessRefusal)},
+	{"answers without end", failAnswers(site.Endless, site.EndlessHead, site.EndlessFields, site.EndlessRefusal, site.StalledHead)},
+	{"answers without end", failAnswers(site.Endless, site.EndlessHead, site.EndlessFields, site.EndlessRefusal, site.StalledHead)},
 	{"refusals sent twice", failAnswers(site.RepeatRefusal, site.RepeatBareRefusal, site.RepeatGone)},
 	{"refusals sent twice", failAnswers(site.RepeatGone)},
 	{"answers with an ambiguous end", failAnswers(site.BothLengths, site.OldChunks)},
--- a/soak/answers_test.go
+++ b/soak/answers_test.go
@@ -27,9 +27,11 @@
 		{"refusals", "desk", requestKinds[:1], site.EndlessRefusal},
 		{"events", "engine", requestKinds[2:4], site.Endless},
 		{"fields of heads", "desk", requestKinds[:1], site.EndlessFields},
+		{"stalled heads", "desk", requestKinds[:1], site.StalledHead},
 		{"stage results", "archive", []requestKind{draftKind}, site.Endless},
 		{"heads of stage answers", "archive", []requestKind{draftKind}, site.EndlessHead},
 		{"fields of heads of stage answers", "archive", []requestKind{draftKind}, site.EndlessFields},
+		{"stalled heads of stage answers", "archive", []requestKind{draftKind}, site.StalledHead},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := &Run{Options: Options{Seed: 1, Routers: 1, Dir: t.TempDir(), Program: program}}
