entry, platform: don't follow redirects of upstreams and of the store

What callers saw: nothing that was reported. An upstream that answers a stage call with 307 took the call, with the request's id, key and inputs, to any address that its answer names, and what that address answered counted as the result. The same held for calls that free results and for reads of the store.

Cause: http.Client follows redirects by default. Only the client for probes had this switched off.

Change: all clients return a redirect as the answer, which then counts as one with an unexpected status.

--- a/entry/heads.go
+++ b/entry/heads.go
@@ -127,7 +127,8 @@
 }
 
 // newUpstreamClient returns a client for the router's own calls to upstreams. The heads of all
-// answers take their memory from heads.
+// answers take their memory from heads. A redirect is returned as the answer: following it would
+// take the call to an address that no configuration names.
 func newUpstreamClient(t *http.Transport, heads *limit.Bytes) *http.Client {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -138,5 +139,6 @@
 		return &headConn{nc, newHeadMeter(heads)}, nil
 	}
 	t.DisableCompression = true
-	return &http.Client{Transport: headTransport{t}}
+	lastResponse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: headTransport{t}, CheckRedirect: lastResponse}
 }
--- a/entry/heads_test.go
+++ b/entry/heads_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -195,3 +196,37 @@
 		})
 	}
 }
+
+// TestRedirectedCall guards against a stage call, or a call that frees results, that follows a
+// redirect to an address which is no upstream.
+func TestRedirectedCall(t *testing.T) {
+	for _, path := range []string{"/stage-run", "/stage-free"} {
+		t.Run(path, func(t *testing.T) {
+			r := newRig(t)
+			elsewhere := make(chan string, 10)
+			other := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) { elsewhere <- q.URL.Path }))
+			t.Cleanup(other.Close)
+			redirected := make(chan struct{}, 10)
+			r.addRawReplica("a-1", "archive", func(c net.Conn, q *http.Request) {
+				if q.URL.Path != path {
+					body := `{"items":[{"handle":"` + c.LocalAddr().String() + `/1"}]}`
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					return
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: %s%s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", other.URL, path)
+				redirected <- struct{}{}
+			})
+			n := r.startRouter(1)
+			m := n.queues.makePieces(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: time.Second})
+			if path == "/stage-free" {
+				assert.Equal(t, m.Reason, "")
+				n.queues.free(Freed{Service: "archive", Handles: m.Handles})
+			} else {
+				assert.Assert(t, m.Reason != "", "a redirect counts as made")
+			}
+			<-redirected
+			n.background.Wait()
+			assert.Equal(t, len(elsewhere), 0, "the call has followed the redirect")
+		})
+	}
+}
--- a/entry/load.go
+++ b/entry/load.go
@@ -56,7 +56,6 @@
 		ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10,
 	}, heads)
 	c.Timeout = probeTimeout
-	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
 }
 
