entry: let the queue of a dropped service follow its upstreams

Cause: stageQueues.update refreshed the queues of the services that the newest configuration lists. layout.divide kept the queue of a dropped service for the requests that still need it, but nothing told it of upstreams that drain, go, join, or are in a data centre that is taken out (EVAC). When the last upstream went, the service left the layout, and retain, which looked at services of the layout only, kept the queue and its upstreams for good. When the number of upstreams changed the division, the new queues were never made, so that all requests that needed them failed.

Change: the layout keeps the description of the calls of a dropped service, and update goes by the layout. retain ends all queues that the layout lacks; orders for a dropped service without upstreams fail at once.

--- /dev/null
+++ b/entry/dropped_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes/site"
+)
+
+// dropArchive publishes a configuration that has neither the archive service nor routes that need
+// it, and waits until a router has it.
+func (r *rig) dropArchive(n *node) {
+	r.t.Helper()
+	rs := slices.DeleteFunc(slices.Clone(routes), func(rt site.Route) bool { return len(rt.Stages) > 0 })
+	services := slices.DeleteFunc(slices.Clone(site.Services), func(s site.Service) bool { return s.Name == "archive" })
+	r.site.Store.PutJSON("op/config", site.Config(2, rs, services, apiKeys))
+	r.waitFor("the configuration is in force", func() bool { return n.view.Load().version() == 2 })
+}
+
+// startOrders places orders for a piece of the archive service each, and returns what was made.
+func (n *node) startOrders(count int) (made chan Made) {
+	made = make(chan Made, count)
+	for i := range count {
+		o := Order{Request: wire.RequestID(fmt.Sprint("q", i)), Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: waitTimeout, Left: waitTimeout}
+		go func() {
+			m, _, err := n.placeOrder(context.Background(), o)
+			if err != nil {
+				m.Reason = err.Error()
+			}
+			made <- m
+		}()
+	}
+	return made
+}
+
+// TestDroppedService guards against stage calls for requests that arrived before a service was
+// dropped from the configuration, which go to upstreams that leave later or are in a data centre
+// that is taken out, and not to those that join.
+func TestDroppedService(t *testing.T) {
+	const orders = 640
+	for name, leave := range map[string]func(r *rig, p *site.Replica){
+		"drains":          func(r *rig, p *site.Replica) { r.site.Store.PutJSON("servers/"+p.ID, p.Entry("draining")) },
+		"is gone":         func(r *rig, p *site.Replica) { r.site.Store.Delete("servers/" + p.ID) },
+		"data centre out": func(r *rig, p *site.Replica) { r.site.Store.PutJSON("op/evacuate/"+p.Centre, map[string]any{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			leaving := r.addArchives("a", 1, 50*time.Millisecond)[0]
+			r.addArchives("b", 1, 50*time.Millisecond)
+			n := r.startRouter(2)
+			made := n.startOrders(orders)
+			r.waitFor("the upstream is called", func() bool { return len(leaving.StageCalls()) > 0 })
+			r.dropArchive(n)
+			joining := r.addArchives("c", 1, 50*time.Millisecond)[0]
+			leave(r, leaving)
+			r.waitFor("the router knows", func() bool {
+				us := n.view.Load().Upstreams["archive"]
+				return len(us) == 2 && !slices.ContainsFunc(us, func(u fleet.Upstream) bool { return string(u.ID) == leaving.ID })
+			})
+			before := len(leaving.StageCalls())
+			assert.Assert(t, len(made) < orders/2, "too late to see anything")
+			for range orders {
+				assert.Equal(t, (<-made).Reason, "")
+			}
+			after := len(leaving.StageCalls())
+			assert.Assert(t, after <= before+1, "%d calls were sent after the upstream had left", after-before-1) // one was in flight
+			assert.Assert(t, len(joining.StageCalls()) > 0, "the upstream that joined got no call")
+		})
+	}
+}
+
+// TestDroppedServiceEnds guards against orders that wait until their deadline for a service that
+// was dropped and has no upstream left, and against a queue that is kept for it.
+func TestDroppedServiceEnds(t *testing.T) {
+	const orders = 640
+	r := newRig(t)
+	last := r.addArchives("a", 1, 50*time.Millisecond)[0]
+	n := r.startRouter(1)
+	made := n.startOrders(orders)
+	r.waitFor("the upstream is called", func() bool { return len(last.StageCalls()) > 0 })
+	r.dropArchive(n)
+	r.site.Store.Delete("servers/" + last.ID)
+	began := time.Now()
+	failed := 0
+	for range orders {
+		if m := <-made; m.Reason != "" {
+			assert.Equal(t, m.Reason, reasonNoUpstream)
+			failed++
+		}
+	}
+	assert.Assert(t, failed > 0, "too late to see anything")
+	assert.Assert(t, time.Since(began) < waitTimeout/2)
+	r.waitFor("the queue is gone", func() bool { return n.queues.find(shard.ID{Service: "archive"}) == nil })
+}
+
+// TestDroppedServiceDivided guards against requests that fail because a service that was dropped is
+// divided differently when some of its upstreams leave.
+func TestDroppedServiceDivided(t *testing.T) {
+	r, nodes, archives := dividedRig(t, 30*time.Millisecond)
+	made := nodes[0].startOrders(1600)
+	r.waitFor("the upstreams are called", func() bool { return len(archives[0].StageCalls()) > 0 })
+	for _, n := range nodes {
+		r.dropArchive(n)
+	}
+	for _, p := range archives[:2] {
+		r.site.Store.PutJSON("servers/"+p.ID, p.Entry("draining"))
+	}
+	for range cap(made) {
+		assert.Equal(t, (<-made).Reason, "")
+	}
+	assert.Assert(t, nodes[0].queues.find(shard.ID{Service: "archive"}) != nil, "the service was not divided differently")
+}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -154,34 +154,35 @@
 // needed reports whether the piece is still to be made. The caller holds the queue's mu.
 func (w *pieceWork) needed() bool { return w.reason == "" && w.handles[w.piece] == "" }
 
-// update applies the services and upstreams of a new snapshot.
+// update applies the services and upstreams of a new snapshot. The queues of services that the
+// configuration lacks follow their upstreams too, as long as requests may need them.
 func (qs *stageQueues) update(v *View) {
 	if v.Config == nil {
 		return
 	}
 	l := qs.redivide(v)
-	for i := range v.Config.Services {
-		svc := &v.Config.Services[i]
-		if svc.StageCalls == nil {
-			continue
-		}
-		for _, sh := range l.services[svc.ID] {
-			sq := qs.getOrCreate(sh.ID, svc.StageCalls)
-			sq.mu.Lock()
-			sq.q.SetCalls(*svc.StageCalls)
+	for id, shards := range l.services {
+		for _, sh := range shards {
 			us := slices.DeleteFunc(slices.Clone(sh.Upstreams), func(u fleet.Upstream) bool { return qs.s.notices.Leaving(time.Now(), u) })
-			sq.q.SetUpstreams(us)
-			clear(sq.upstreams)
-			for _, u := range us {
-				sq.upstreams[u.ID] = u
-			}
-			sq.dispatch()
-			sq.mu.Unlock()
+			qs.getOrCreate(sh.ID, l.calls[id]).update(*l.calls[id], us)
 		}
 	}
 	qs.retain(l)
 }
 
+// update replaces the description of the calls and the upstreams that take them.
+func (sq *stageQueue) update(calls fleet.StageCalls, us []fleet.Upstream) {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.q.SetCalls(calls)
+	sq.q.SetUpstreams(us)
+	clear(sq.upstreams)
+	for _, u := range us {
+		sq.upstreams[u.ID] = u
+	}
+	sq.dispatch()
+}
+
 // getOrCreate returns the queue with the given ID and creates it if there is none.
 func (qs *stageQueues) getOrCreate(id shard.ID, calls *fleet.StageCalls) *stageQueue {
 	qs.mu.Lock()
@@ -230,8 +231,8 @@
 	return qs.find(id)
 }
 
-// retire fails the jobs of a queue that is gone, so that their routers place them again.
-func (sq *stageQueue) retire() {
+// retire fails the jobs of a queue that is gone with the given reason.
+func (sq *stageQueue) retire(reason string) {
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
 	sq.pollTimer.Stop()
@@ -239,7 +240,7 @@
 	var jobs []*job
 	sq.q.Remove(func(w *pieceWork) bool { jobs = append(jobs, w.job); return true })
 	for _, j := range jobs {
-		sq.failJobLocked(j, reasonMoved)
+		sq.failJobLocked(j, reason)
 	}
 }
 
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -17,22 +17,27 @@
 // router sees them. It must not change after it is published.
 type layout struct {
 	services map[fleet.ServiceID][]shard.Shard
-	owners   map[shard.ID]wire.HostID
+	// calls describes the calls of each service, as the last configuration that lists it does.
+	calls  map[fleet.ServiceID]*fleet.StageCalls
+	owners map[shard.ID]wire.HostID
 }
 
 // divide returns the layout of a snapshot, without owners. A service that has upstreams
 // stays although the configuration lacks it, because requests that arrived before may still
 // need it.
 func (l layout) divide(v *View) layout {
-	next := layout{services: map[fleet.ServiceID][]shard.Shard{}}
+	next := layout{services: map[fleet.ServiceID][]shard.Shard{}, calls: map[fleet.ServiceID]*fleet.StageCalls{}}
+	add := func(id fleet.ServiceID, calls *fleet.StageCalls) {
+		next.services[id], next.calls[id] = shard.Divide(id, v.Upstreams[id]), calls
+	}
 	for i := range v.Config.Services {
 		if svc := &v.Config.Services[i]; svc.StageCalls != nil {
-			next.services[svc.ID] = shard.Divide(svc.ID, v.Upstreams[svc.ID])
+			add(svc.ID, svc.StageCalls)
 		}
 	}
-	for id := range l.services {
-		if us := v.Upstreams[id]; next.services[id] == nil && len(us) > 0 {
-			next.services[id] = shard.Divide(id, us)
+	for id, calls := range l.calls {
+		if next.calls[id] == nil && len(v.Upstreams[id]) > 0 {
+			add(id, calls)
 		}
 	}
 	return next
@@ -192,21 +197,31 @@
 	return b
 }
 
-// retain removes the queues of services that are divided differently now, and ends their
-// jobs.
+// retain removes the queues that the layout lacks, and ends their jobs: those of services that
+// are divided differently now, and those of services that the configuration lacks and that have
+// no upstream left.
 func (qs *stageQueues) retain(l layout) {
-	qs.mu.Lock()
+	kept := map[shard.ID]bool{}
+	for _, shards := range l.services {
+		for _, sh := range shards {
+			kept[sh.ID] = true
+		}
+	}
 	var gone []*stageQueue
+	qs.mu.Lock()
 	for id, sq := range qs.byID {
-		_, owned := l.owners[id]
-		if _, ok := l.services[id.Service]; ok && !owned {
+		if !kept[id] {
 			gone = append(gone, sq)
 			delete(qs.byID, id)
 		}
 	}
 	qs.mu.Unlock()
 	for _, sq := range gone {
-		sq.retire()
+		reason := reasonMoved
+		if l.services[sq.id.Service] == nil {
+			reason = reasonNoUpstream
+		}
+		sq.retire(reason)
 	}
 }
 
