entry: end a queue when its service is divided differently

When upstreams come and go so that a stage service is divided differently, the queue that was replaced went on: a call in flight that failed later queued its pieces there again, and they were sent to the upstreams that the queue had, which may have drained or left. The results whose release waited there were kept at their upstreams until they expired.

Cause: retire failed the jobs with waiting pieces and stopped the timers, but it left the queue its upstreams, and the calls in flight still used it.

Change: a retired queue has no upstreams. Pieces that need another call fail with the reason for which the queue ended, so that the router of the request places the order again, and results are freed through the queues that have their upstreams now. An order that found the queue just before it ended is placed again too.

--- a/entry/queue.go
+++ b/entry/queue.go
@@ -127,6 +127,7 @@
 	freeTimer    *time.Timer // runs flushFrees
 	freesAt      time.Time   // when freeTimer expires, or zero if it is not set
 	pollTimer    *time.Timer // runs poll when the queue may have a call to start
+	retired      string      // reason for which the queue is gone, empty before
 }
 
 // job is an Order in progress.
@@ -231,17 +232,30 @@
 	return qs.find(id)
 }
 
-// retire fails the jobs of a queue that is gone with the given reason.
+// retire ends a queue that is gone: it takes no orders, starts no calls, and fails the jobs that
+// need another call with the given reason. The calls in flight go on, and the results that are not
+// needed are freed by the queues that have their upstreams now.
 func (sq *stageQueue) retire(reason string) {
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
+	sq.retired = reason
 	sq.pollTimer.Stop()
 	sq.freeTimer.Stop()
 	var jobs []*job
-	sq.q.Remove(func(w *pieceWork) bool { jobs = append(jobs, w.job); return true })
+	sq.q.Remove(func(w *pieceWork) bool {
+		w.queued = false
+		jobs = append(jobs, w.job)
+		return true
+	})
 	for _, j := range jobs {
 		sq.failJobLocked(j, reason)
 	}
+	for _, hs := range sq.pendingFrees {
+		sq.queueFrees(hs)
+	}
+	clear(sq.pendingFrees)
+	sq.q.SetUpstreams(nil)
+	clear(sq.upstreams)
 }
 
 // makePieces queues the pieces of an order and returns when all are made or one can't be.
@@ -280,7 +294,10 @@
 	sq.mu.Lock()
 	defer sq.mu.Unlock()
 	o, aim := j.order, j.aim
-	if len(sq.upstreams) == 0 {
+	switch {
+	case sq.retired != "":
+		return Made{Reason: sq.retired}, false
+	case len(sq.upstreams) == 0:
 		return Made{Reason: reasonNoUpstream}, false
 	}
 	sq.makeRoom(now, j)
@@ -390,8 +407,15 @@
 	sq.dispatch()
 }
 
-// queueFrees adds results to pendingFrees and schedules flushFrees. The caller holds mu.
+// queueFrees adds results to pendingFrees and schedules flushFrees, or passes them on if the queue is
+// gone. The caller holds mu.
 func (sq *stageQueue) queueFrees(hs []fleet.Handle) {
+	if sq.retired != "" {
+		if s := sq.qs.s; len(hs) > 0 {
+			s.background.Go(func() { s.freeResults(Freed{Service: sq.id.Service, Shard: sq.id, Handles: hs}) })
+		}
+		return
+	}
 	known, unknown := sq.q.Free(hs)
 	for id, freed := range known {
 		sq.pendingFrees[id] = append(sq.pendingFrees[id], freed...)
--- a/entry/stagecall.go
+++ b/entry/stagecall.go
@@ -182,7 +182,8 @@
 
 // requeue queues a piece again if it is still to be made and no longer waits. A rejected
 // piece, on which no work was done, does not count as an attempt. The job of a piece that
-// can't be queued fails unless another call may still make the piece. The caller holds mu.
+// can't be queued, or whose queue is gone, fails unless another call may still make the piece.
+// The caller holds mu.
 func (sq *stageQueue) requeue(p batch.Piece[*pieceWork], rejected bool) {
 	w := p.Value
 	if !w.needed() || w.queued {
@@ -192,7 +193,10 @@
 		w.attempts++
 	}
 	reason := reasonFailed
-	if w.attempts < maxPieceAttempts {
+	switch {
+	case sq.retired != "":
+		reason = sq.retired
+	case w.attempts < maxPieceAttempts:
 		if w.queued = sq.q.Push(time.Now(), p); w.queued {
 			return
 		}
