entry: assign the queues of dropped services by themselves

The owners of all queues are assigned together, each queue to the router that then owns the fewest. A router that has started after a service was dropped doesn't know its queues, so it assigned the others differently from routers that do, for as long as the dropped service had upstreams: two routers then sent calls to the same upstreams, and each took the other's calls for slowness.

Change: the queues of listed services are assigned first and without those of dropped ones, which are assigned service by service.

--- a/entry/dropped_test.go
+++ b/entry/dropped_test.go
@@ -179,3 +179,26 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, m.Reason, reasonMoved, "an order that found the queue before it was gone")
 }
+
+// TestDroppedServiceOwners guards against routers that disagree on the owners of queues because one
+// of them has started after a service was dropped: two owners would send calls to the same upstreams.
+func TestDroppedServiceOwners(t *testing.T) {
+	listed := &fleet.Config{Services: []fleet.Service{{ID: "plain"}}}
+	upstreams := map[fleet.ServiceID][]fleet.Upstream{}
+	for i := range 6 {
+		id := fleet.ServiceID(fmt.Sprint("stage-", i))
+		listed.Services = append(listed.Services, fleet.Service{ID: id, StageCalls: new(fleet.StageCalls)})
+		upstreams[id] = []fleet.Upstream{{ID: wire.UpstreamID(fmt.Sprint("u-", i)), Service: id}}
+	}
+	routers := []shard.Router{{Name: "r1"}, {Name: "r2"}, {Name: "r3"}}
+	for dropped := 1; dropped < len(listed.Services); dropped++ {
+		cfg := &fleet.Config{Services: slices.Delete(slices.Clone(listed.Services), dropped, dropped+1)}
+		v := &View{Config: cfg, Upstreams: upstreams}
+		old := layout{}.divide(&View{Config: listed, Upstreams: upstreams}).divide(v).assign(routers)
+		started := layout{}.divide(v).assign(routers)
+		assert.Equal(t, len(old.owners), len(started.owners)+1, "the dropped service has no owner")
+		for id, owner := range started.owners {
+			assert.Equal(t, old.owners[id], owner, "owner of %s without %s", id, listed.Services[dropped].ID)
+		}
+	}
+}
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,15 +19,17 @@
 type layout struct {
 	services map[fleet.ServiceID][]shard.Shard
 	// calls describes the calls of each service, as the last configuration that lists it does.
-	calls  map[fleet.ServiceID]*fleet.StageCalls
-	owners map[shard.ID]wire.HostID
+	calls map[fleet.ServiceID]*fleet.StageCalls
+	// dropped holds the services that the configuration lacks.
+	dropped map[fleet.ServiceID]bool
+	owners  map[shard.ID]wire.HostID
 }
 
 // divide returns the layout of a snapshot, without owners. A service that has upstreams
 // stays although the configuration lacks it, because requests that arrived before may still
 // need it.
 func (l layout) divide(v *View) layout {
-	next := layout{services: map[fleet.ServiceID][]shard.Shard{}, calls: map[fleet.ServiceID]*fleet.StageCalls{}}
+	next := layout{services: map[fleet.ServiceID][]shard.Shard{}, calls: map[fleet.ServiceID]*fleet.StageCalls{}, dropped: map[fleet.ServiceID]bool{}}
 	add := func(id fleet.ServiceID, calls *fleet.StageCalls) {
 		next.services[id], next.calls[id] = shard.Divide(id, v.Upstreams[id]), calls
 	}
@@ -38,20 +41,30 @@
 	for id, calls := range l.calls {
 		if next.calls[id] == nil && len(v.Upstreams[id]) > 0 {
 			add(id, calls)
+			next.dropped[id] = true
 		}
 	}
 	return next
 }
 
-// assign returns the layout with the owners that the live routers give.
+// assign returns the layout with the owners that the live routers give. A router that has started
+// after a service was dropped doesn't know it, so each dropped service is assigned by itself:
+// routers agree on the owners of all queues that they know.
 func (l layout) assign(routers []shard.Router) layout {
-	var ids []shard.ID
-	for _, shards := range l.services {
+	var listed []shard.ID
+	l.owners = map[shard.ID]wire.HostID{}
+	for id, shards := range l.services {
+		var ids []shard.ID
 		for _, sh := range shards {
 			ids = append(ids, sh.ID)
 		}
+		if l.dropped[id] {
+			maps.Copy(l.owners, shard.Assign(ids, routers))
+		} else {
+			listed = append(listed, ids...)
+		}
 	}
-	l.owners = shard.Assign(ids, routers)
+	maps.Copy(l.owners, shard.Assign(listed, routers))
 	return l
 }
 
