soak, fakes/site: move stages to another service under load

The soak had no configuration that leaves out a service, and looked at the requests of replicas, but not at stage calls. With -moves, series drop a stage service for another while requests wait for it, and then take a replica of the former one, or its data centre, out of service. A stage call counts as banned like a request, for any router: the owner of the queue sends it.

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -128,21 +128,22 @@
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 	// dropped holds connections that are reset as soon as data arrives on them.
-	dropped    map[net.Conn]bool
-	load       string          // value of HeaderLoad in all answers, empty for the true load
-	running    int             // requests in work
-	silences   int             // number of silences that have not ended
-	speaks     chan struct{}   // closed when the last silence ends
-	limit      string          // value of HeaderLimit in all answers, empty for none
-	arrivals   []time.Time     // of all requests, also those that are not run
-	leaving    bool            // whether all answers say that the replica leaves
-	retryAfter string          // value of Retry-After with which all requests are turned away, empty to serve them
-	turnedAway []time.Time     // when requests were turned away
-	results    map[string]bool // handles of the stage results that the replica holds
-	lastResult int             // number of the last stage result, part of its handle
-	sequence   int             // entries that Entry has returned since the last start
-	reads      []string        // ids of the prompt parts read since the last start, in order
-	stageCalls [][]string      // pieces of each stage call, see StageCalls
+	dropped       map[net.Conn]bool
+	load          string          // value of HeaderLoad in all answers, empty for the true load
+	running       int             // requests in work
+	silences      int             // number of silences that have not ended
+	speaks        chan struct{}   // closed when the last silence ends
+	limit         string          // value of HeaderLimit in all answers, empty for none
+	arrivals      []time.Time     // of all requests, also those that are not run
+	leaving       bool            // whether all answers say that the replica leaves
+	retryAfter    string          // value of Retry-After with which all requests are turned away, empty to serve them
+	turnedAway    []time.Time     // when requests were turned away
+	results       map[string]bool // handles of the stage results that the replica holds
+	lastResult    int             // number of the last stage result, part of its handle
+	sequence      int             // entries that Entry has returned since the last start
+	reads         []string        // ids of the prompt parts read since the last start, in order
+	stageCalls    [][]string      // pieces of each stage call, see StageCalls
+	stageArrivals []time.Time     // see StageArrivals
 }
 
 // Addr returns the address under which the replica is registered.
@@ -160,6 +161,13 @@
 	return append([][]string(nil), p.stageCalls...)
 }
 
+// StageArrivals returns the times at which stage calls arrived that the replica did not reject.
+func (p *Replica) StageArrivals() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.stageArrivals)
+}
+
 // ResultCount returns the number of stage results that the replica holds.
 func (p *Replica) ResultCount() int {
 	p.mu.Lock()
@@ -1068,6 +1076,9 @@
 	case LoseAnswer:
 		panic(http.ErrAbortHandler)
 	}
+	p.mu.Lock()
+	p.stageArrivals = append(p.stageArrivals, time.Now())
+	p.mu.Unlock()
 	time.Sleep(p.ServiceTime)
 	var out []map[string]string
 	var names []string
--- a/soak/changes.go
+++ b/soak/changes.go
@@ -69,6 +69,14 @@
 func (r *Run) putConfig(rs []site.Route) {
 	r.events.mu.Lock()
 	defer r.events.mu.Unlock()
+	r.putConfigLocked(rs)
+}
+
+// putConfigLocked is putConfig for callers that hold the lock of the event log.
+func (r *Run) putConfigLocked(rs []site.Route) {
+	if r.stagesMoved {
+		rs = moveStages(rs)
+	}
 	r.configVersion++
 	v := r.configVersion
 	added := site.Route{Name: fmt.Sprint("added-", v), Host: addedHost, Prefix: fmt.Sprintf("/%d/", v), Kind: "safe", Service: "desk", Timeout: 6000, TargetLatency: 300, Attempts: 1}
@@ -78,10 +86,14 @@
 
 // services returns the services of the run's configurations.
 func (r *Run) services() []site.Service {
-	if !r.Changes {
-		return site.Services
+	all := slices.Clone(site.Services)
+	if r.Changes {
+		all = append(all, site.Service{Name: secondDesk})
+	}
+	if r.Moves {
+		all = r.moveServices(all)
 	}
-	return append(slices.Clone(site.Services), site.Service{Name: secondDesk})
+	return all
 }
 
 // limitRouter lets a router run for a share of each quotaPeriod only, for a random time in which
--- a/soak/check.go
+++ b/soak/check.go
@@ -68,6 +68,7 @@
 		}
 	}
 	c.checkReplicas(recordsByID)
+	c.checkStageCalls()
 	c.checkCancellation()
 	c.checkBadParts(recordsByID)
 	c.checkLimits(recordsByID)
@@ -191,18 +192,20 @@
 	}
 }
 
-// banned reports whether a run began at a replica, or in a data centre, that must get no
-// more requests. It makes an exception if a fault disturbed the router or its access to the
-// store within the limit before the run, because the router may then not know of the ban.
-func (c *checker) banned(rec *requestRecord, run site.Run) bool {
-	centre := c.r.centreOf(run.Replica)
+// banned reports whether a request or a stage call arrived at a replica that must get no more, or
+// whose data centre must. It makes an exception if a fault disturbed one of the routers or its
+// access to the store within the limit before, because the router may then not know of the ban.
+func (c *checker) banned(replica string, at time.Time, routers ...string) bool {
+	centre := c.r.centreOf(replica)
 	for _, e := range c.r.events.all {
-		limit, targeted := drainLimit, slices.Contains(e.replicas, run.Replica)
+		limit, targeted := drainLimit, slices.Contains(e.replicas, replica)
 		if e.centre != "" {
 			limit, targeted = evacuateLimit, e.centre == centre
 		}
-		if e.scope == scopeBanned && targeted && run.Began.After(e.from.Add(limit)) && (e.till.IsZero() || run.Began.Before(e.till)) &&
-			!c.r.events.routerMayBeStale(exposure{run.Began.Add(-limit), run.Began, rec.router, nil}) {
+		if e.scope == scopeBanned && targeted && at.After(e.from.Add(limit)) && (e.till.IsZero() || at.Before(e.till)) &&
+			!slices.ContainsFunc(routers, func(rt string) bool {
+				return c.r.events.routerMayBeStale(exposure{at.Add(-limit), at, rt, nil})
+			}) {
 			return true
 		}
 	}
@@ -223,7 +226,7 @@
 				c.fail("unasked", "%s ran at %s, but no caller sent it", id, run.Replica)
 			case run.Method != rec.method || run.Target != rec.target || run.Body != rec.body && run.RetryAfter == "":
 				c.fail("changed", "%s arrived as %s %s with %d bytes, not %s %s with %d", id, run.Method, run.Target, len(run.Body), rec.method, rec.target, len(rec.body))
-			case c.banned(rec, run):
+			case c.banned(run.Replica, run.Began, rec.router):
 				c.fail("banned", "%s arrived at %s, which is draining or in an evacuated data centre", id, run.Replica)
 			case run.Header.Get(site.HeaderTeam) != team || run.Header.Get("Authorization") != "":
 				c.fail("key", "%s arrived for team %q with %q", id, run.Header.Get(site.HeaderTeam), run.Header.Get("Authorization"))
@@ -231,3 +234,19 @@
 		}
 	}
 }
+
+// checkStageCalls checks the stage calls that replicas received. Any router may have sent them, since
+// it owns the queue of the service.
+func (c *checker) checkStageCalls() {
+	var routers []string
+	for _, rt := range c.r.routers {
+		routers = append(routers, rt.name)
+	}
+	for _, rp := range slices.Concat(c.r.replicas, c.r.removed) {
+		for _, at := range rp.StageArrivals() {
+			if c.banned(rp.ID, at, routers...) {
+				c.fail("banned", "a stage call arrived at %s, which is draining or in an evacuated data centre", rp.ID)
+			}
+		}
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -461,7 +461,11 @@
 // another event drains the replica: the first to end would make it ready again while the
 // checker still counts the second.
 func drainReplica(r *Run, rng *rand.Rand, e *event) {
-	rp := r.randomReplica(rng, "")
+	r.drain(rng, e, r.randomReplica(rng, ""))
+}
+
+// drain is drainReplica for a given replica.
+func (r *Run) drain(rng *rand.Rand, e *event, rp *replica) {
 	if !r.claims.claim(rp.ID) {
 		r.events.remove(e)
 		return
@@ -477,7 +481,11 @@
 // evacuateCentre takes a data centre out of service for a random time. It does nothing if
 // another event evacuates the data centre, for the reason that drainReplica gives.
 func evacuateCentre(r *Run, rng *rand.Rand, e *event) {
-	centre := centres[rng.IntN(len(centres))]
+	r.evacuate(rng, e, centres[rng.IntN(len(centres))])
+}
+
+// evacuate is evacuateCentre for a given data centre.
+func (r *Run) evacuate(rng *rand.Rand, e *event, centre string) {
 	if !r.claims.claim(centre) {
 		r.events.remove(e)
 		return
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,6 +51,7 @@
 	Silences      bool          // whether series of silences, stops and changes come beside the faults
 	Answers       bool          // whether series of faulty answers come beside the faults
 	Changes       bool          // whether series of changes of the configuration come beside the faults
+	Moves         bool          // whether stages move to another service and back under load, beside the faults
 	PlannedOnly   bool          // whether faults that are drawn and not planned are left out
 }
 
@@ -68,6 +69,7 @@
 	callers       *callers
 	configVersion int
 	configPut     time.Time // when it was written
+	stagesMoved   bool      // whether it has the stages of archive at secondArchive
 	events        eventLog
 	claims        claims
 	badParts      badParts
@@ -84,6 +86,14 @@
 	actionPercent atomic.Int32 // percentage of requests to which action applies
 }
 
+// draw returns how the replica handles its next request.
+func (rp *replica) draw() site.Action {
+	if rand.IntN(100) < int(rp.actionPercent.Load()) {
+		return site.Action(rp.action.Load())
+	}
+	return site.Serve
+}
+
 // routes has one route for each of requestKinds, and one for draftKind.
 var routes = []site.Route{
 	{Name: "lookup", Host: deskHost, Prefix: "/safe/", Kind: "safe", Service: "desk", Timeout: 6000, TargetLatency: 300, Attempts: 2},
@@ -131,6 +141,9 @@
 	if o.Answers {
 		r.activeFaults.Go(func() { r.runSeries(rand.New(rand.NewPCG(o.Seed, 10)), answerSteps, end) })
 	}
+	if o.Moves {
+		r.activeFaults.Go(func() { r.runSeries(rand.New(rand.NewPCG(o.Seed, 11)), moveSteps, end) })
+	}
 	for time.Now().Before(end) {
 		r.inject(rng)
 	}
@@ -159,15 +172,18 @@
 	}
 	r.configVersion = 1
 	r.site.Store.PutJSON("op/config", site.Config(1, routes, r.services(), map[string]string{teamKey: team}))
-	desks := 0
+	desks, archives, archiveTime := 0, 0, 25*time.Millisecond
 	if r.Changes {
 		desks = 3
 	}
+	if r.Moves {
+		archives, archiveTime = 4, movedCallTime
+	}
 	for _, s := range []struct {
 		service string
 		n       int
 		work    time.Duration
-	}{{"desk", 3, 10 * time.Millisecond}, {"archive", 4, 25 * time.Millisecond}, {"school", 3, 25 * time.Millisecond}, {secondDesk, desks, 10 * time.Millisecond}} {
+	}{{"desk", 3, 10 * time.Millisecond}, {"archive", 4, archiveTime}, {"school", 3, 25 * time.Millisecond}, {secondDesk, desks, 10 * time.Millisecond}, {secondArchive, archives, archiveTime}} {
 		for i := range s.n {
 			if err = r.addReplica(s.service, "", i, s.work, 0); err != nil {
 				return err
@@ -202,14 +218,6 @@
 // addReplica starts the i-th replica of a service behind a proxy, whose address the replica
 // publishes. work is the time that a request takes or, in a stream of the given number of
 // events, the time between events. version is that of its software, v1 if empty.
-// draw returns how the replica handles its next request.
-func (rp *replica) draw() site.Action {
-	if rand.IntN(100) < int(rp.actionPercent.Load()) {
-		return site.Action(rp.action.Load())
-	}
-	return site.Serve
-}
-
 func (r *Run) addReplica(service, version string, i int, work time.Duration, events int) error {
 	rp := &replica{}
 	rp.Replica = &site.Replica{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Version: version, TagEvents: events > 0, Centre: centres[i%len(centres)], ServiceTime: work, Events: events, Downtime: crashDowntime}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,6 +68,22 @@
 	}
 }
 
+// TestSoakMoves guards against stage calls to replicas that leave, or whose data centre is taken out,
+// after their service was dropped while requests wait for it.
+func TestSoakMoves(t *testing.T) {
+	program, err := Build(t.TempDir())
+	assert.NilError(t, err)
+	for _, seed := range []uint64{110001, 110003} {
+		violations, served, err := Execute(Options{
+			Seed: seed, Routers: 3, Callers: 12, FaultDuration: 10 * time.Second, Dir: t.TempDir(), Program: program,
+			Moves: true, PlannedOnly: true,
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, len(violations) == 0, "seed %d: %v", seed, violations)
+		assert.Assert(t, served > 0)
+	}
+}
+
 // TestSoakAnswers guards against false promises, changed answers and memory without bound while
 // replicas send answers without end, twice, or with an ambiguous end.
 func TestSoakAnswers(t *testing.T) {
@@ -193,7 +209,7 @@
 			r := &Run{replicas: []*replica{{Replica: &site.Replica{ID: "e0", Centre: "a"}}}}
 			tc.ban.from, tc.ban.scope = now, scopeBanned
 			r.events.all = []*event{&tc.ban, {from: now, scope: tc.scope}}
-			assert.Equal(t, (&checker{r: r}).banned(newRecord(), runAt("e0", tc.at, tc.at)), tc.want, "%+v at %v", tc.ban, tc.at)
+			assert.Equal(t, (&checker{r: r}).banned("e0", now.Add(tc.at), newRecord().router), tc.want, "%+v at %v", tc.ban, tc.at)
 		}
 	})
 	t.Run("never sent", func(t *testing.T) {
