entry, core/framer: limit the heads of callers' requests together

Cause: as for the heads of answers. A limit on the bytes of one head is no limit on memory, and no bound held for the sum.

Change: framer.Requests counts the head of the present request, and a Meter of the listener may refuse it before net/http reads on.

TestRequestHeads and TestMeter come with it: requests with small heads are served beside full memory, and none that was refused runs.

--- a/core/framer/conn.go
+++ b/core/framer/conn.go
@@ -1,6 +1,7 @@
 package framer
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -22,6 +23,17 @@
 	net.Listener
 	// Rejected, if set, is called with the error of each such request.
 	Rejected func(error)
+	// NewMeter, if set, returns what limits the heads of the requests on a new connection.
+	NewMeter func() Meter
+}
+
+// Meter limits the heads of the requests on a connection. Its methods may be called concurrently.
+type Meter interface {
+	// Grow is called while a head is read, with what was read of it. If it returns an answer, the
+	// server doesn't get the request: the answer is written, and the connection is closed.
+	Grow(bytes, lines int) (answer []byte)
+	// Release is called when the server no longer needs the head, or any of the connection.
+	Release()
 }
 
 // Accept implements net.Listener.
@@ -30,25 +42,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, rejected: l.Rejected}, nil
+	fc := &Conn{Conn: c, rejected: l.Rejected}
+	if l.NewMeter != nil {
+		fc.meter = l.NewMeter()
+	}
+	return fc, nil
 }
 
-// conn is a connection of a Listener.
-type conn struct {
+// Conn is a connection of a Listener.
+type Conn struct {
 	net.Conn
 	rejected func(error)
+	meter    Meter       // nil if heads have no limit
 	requests Requests    // used by Read only
 	lingers  atomic.Bool // whether Close must read what is left
 }
 
 // Read implements net.Conn. After the last bytes that may be passed on it returns the error of
 // the request that was rejected.
-func (c *conn) Read(p []byte) (n int, err error) {
+func (c *Conn) Read(p []byte) (n int, err error) {
 	if _, err = c.requests.Scan(nil); err != nil {
 		return 0, err
 	}
 	n, err = c.Conn.Read(p)
 	n, scanErr := c.requests.Scan(p[:n])
+	if c.meter != nil && n > 0 {
+		if answer := c.meter.Grow(c.requests.HeadBytes, c.requests.HeadLines); answer != nil {
+			return 0, c.refuse(answer)
+		}
+	}
 	if scanErr == nil {
 		return n, err
 	}
@@ -62,8 +84,27 @@
 	return 0, scanErr
 }
 
+var errRefused = errors.New("request refused for its head")
+
+// refuse answers a request that the server doesn't get, and returns the error for the server. It
+// answers no request whose connection fails in a read.
+func (c *Conn) refuse(answer []byte) error {
+	c.lingers.Store(true)
+	if _, err := c.Conn.Write(answer); err != nil {
+		return err
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
+}
+
+// RequestEnded says that the server no longer needs the head of the last request.
+func (c *Conn) RequestEnded() {
+	if c.meter != nil {
+		c.meter.Release()
+	}
+}
+
 // CloseWrite ends the sending side of the connection.
-func (c *conn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
@@ -71,7 +112,8 @@
 }
 
 // Close implements net.Conn.
-func (c *conn) Close() error {
+func (c *Conn) Close() error {
+	c.RequestEnded()
 	if c.lingers.CompareAndSwap(true, false) && c.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -34,6 +34,10 @@
 // Requests follows the requests on a connection. The zero value expects the first one. It is not
 // safe for concurrent use.
 type Requests struct {
+	// HeadBytes and HeadLines count what was read of the head of the present request, or of the
+	// last one, the line breaks included.
+	HeadBytes, HeadLines int
+
 	state state
 	line  []byte // beginning of a line whose rest is still to come
 	left  int64  // bytes left of a body or a chunk
@@ -75,6 +79,14 @@
 			if r.left -= int64(used); r.left == 0 {
 				r.endData()
 			}
+		case inRequestLine, inHeader:
+			if r.state == inRequestLine && len(r.line) == 0 {
+				r.HeadBytes, r.HeadLines = 0, 0
+			}
+			used, r.err = r.scanLine(p[n:])
+			if r.HeadBytes += used; len(r.line) == 0 {
+				r.HeadLines++
+			}
 		default:
 			used, r.err = r.scanLine(p[n:])
 		}
--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// TestRequestHeads guards against a head whose size is counted with that of the body or of other
+// requests on the connection, however its bytes arrive.
+func TestRequestHeads(t *testing.T) {
+	for _, tc := range requests {
+		if tc.err != nil {
+			continue
+		}
+		head, _, crlf := strings.Cut(tc.text, "\r\n\r\n")
+		if head += "\r\n\r\n"; !crlf {
+			head = tc.text
+		}
+		for _, size := range []int{1, 7, 3 * len(tc.text)} {
+			var r Requests
+			for part := range slices.Chunk([]byte(strings.Repeat(tc.text, 3)), size) {
+				_, err := r.Scan(part)
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, r.HeadBytes, len(head), "%s, %d bytes at a time", tc.name, size)
+			assert.Equal(t, r.HeadLines, strings.Count(head, "\n"), "%s, %d bytes at a time", tc.name, size)
+		}
+	}
+}
+
 // TestResponseHead guards against a response with an ambiguous end that is accepted, against one
 // that is rejected for the text of its body, and against a head whose size is miscounted, however
 // its bytes arrive.
@@ -176,3 +199,46 @@
 	assert.Equal(t, <-served, "/a")
 	assert.Equal(t, len(served), 0)
 }
+
+// meter refuses heads of more than 3 lines.
+type meter struct{ released chan struct{} }
+
+func (m meter) Grow(_, lines int) []byte {
+	if lines > 3 {
+		return []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	}
+	return nil
+}
+
+func (m meter) Release() { m.released <- struct{}{} }
+
+// TestMeter guards against a request that is served although its head was refused, against a second
+// answer to it or none, and against memory that is not given back.
+func TestMeter(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	m := meter{make(chan struct{}, 9)}
+	served := make(chan string, 9)
+	srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { served <- r.URL.Path })}
+	go func() { _ = srv.Serve(Listener{Listener: ln, NewMeter: func() Meter { return m }}) }()
+	defer srv.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for _, tc := range []struct {
+		text   string
+		status int
+	}{{"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusOK}, {"GET /b HTTP/1.1\r\nHost: h\r\nA: b\r\n" + strings.Repeat("C: d\r\n", 10000) + "\r\n", http.StatusServiceUnavailable}} {
+		_, err = io.WriteString(c, tc.text)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, tc.status)
+	}
+	_, err = br.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, <-served, "/a")
+	assert.Equal(t, len(served), 0)
+	<-m.released
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -9,6 +11,7 @@
 	"time"
 
 	"hornbeamcove.example/core/clock"
+	"hornbeamcove.example/core/framer"
 )
 
 // callerConns tracks the connections of callers and the requests in their handlers. It is
@@ -32,6 +35,9 @@
 
 // setState is the http.Server.ConnState hook.
 func (cc *callerConns) setState(c net.Conn, st http.ConnState) {
+	if fc, ok := c.(*framer.Conn); ok && st == http.StateIdle {
+		fc.RequestEnded()
+	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	if st == http.StateClosed || st == http.StateHijacked {
@@ -127,6 +133,39 @@
 	s.incCounter("requests", "status", strconv.Itoa(http.StatusBadRequest), "reason", "ambiguous end")
 }
 
+// requestHead limits the heads of a caller's requests. It implements framer.Meter.
+type requestHead struct {
+	headMemory
+	s *Server
+}
+
+func (s *Server) newRequestHead() framer.Meter {
+	return &requestHead{headMemory{maxBytes: maxHeaderBytes + headSlack, used: heldShare{bound: s.heldBodies}}, s}
+}
+
+// headSlack is how far beyond http.Server.MaxHeaderBytes net/http reads a head.
+const headSlack = 4 << 10
+
+// Grow implements framer.Meter. It refuses a head that is too large, and one for which there is no
+// memory now.
+func (h *requestHead) Grow(bytes, lines int) (answer []byte) {
+	f, retry := refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "head too large"}, ""
+	switch err := h.grow(bytes, lines); {
+	case err == nil:
+		return nil
+	case errors.Is(err, errNoMemory):
+		f = refusal{http.StatusServiceUnavailable, "no memory for the head", retryAfterBusy}
+		retry = "Retry-After: " + f.retryAfterSeconds() + "\r\n"
+	}
+	h.s.log.Warn("request refused for its head", "status", f.status, "reason", f.reason, "bytes", bytes, "lines", lines)
+	h.s.incCounter("requests", "status", strconv.Itoa(f.status), "reason", f.reason)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s\n",
+		f.status, http.StatusText(f.status), retry, len(f.reason)+1, f.reason)
+}
+
+// Release implements framer.Meter.
+func (h *requestHead) Release() { h.release() }
+
 // firstRequestWait is how long after the listener was closed the first request on a
 // connection may arrive. It is longer than a host that has used up its CPU quota is paused.
 const firstRequestWait = 500 * time.Millisecond
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -132,6 +132,13 @@
 	retryAfter time.Duration // 0 for no Retry-After header
 }
 
+// retryAfterSeconds returns the value of the Retry-After header, a random time from retryAfter on.
+func (f refusal) retryAfterSeconds() string {
+	d := max(f.retryAfter, minRetryAfter)
+	d += time.Duration(retryAfterJitter * randomFraction() * float64(d))
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
+
 // refuse sends the error response of a request that is not served. If the response has
 // already begun or the caller has left, refuse aborts the connection instead. It doesn't ask
 // the context of net/http for that, which also ends when a read from the caller times out.
@@ -155,9 +162,7 @@
 	h := x.w.Header()
 	platform.SetRequestID(h, x.spec.ID)
 	if f.retryAfter > 0 {
-		d := max(f.retryAfter, minRetryAfter)
-		d += time.Duration(retryAfterJitter * randomFraction() * float64(d))
-		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", f.retryAfterSeconds())
 	}
 	if x.s.draining.Load() {
 		h.Set("Connection", "close")
--- a/entry/heads.go
+++ b/entry/heads.go
@@ -14,64 +14,84 @@
 )
 
 const (
-	// maxResponseHeadBytes and maxResponseHeadLines limit the head of a response, which an
-	// upstream in trouble may send without end. Servers customarily accept about a hundred
-	// fields.
+	// maxResponseHeadBytes limits the head of a response, which an upstream in trouble may
+	// send without end.
 	maxResponseHeadBytes = 64 << 10
-	maxResponseHeadLines = 512
+	// maxHeadLines limits the lines of a head. Servers customarily accept about a hundred
+	// fields.
+	maxHeadLines = 512
 	// headLineBytes is the memory that a line of a head takes in net/http beside its bytes: the
 	// entry in the map of fields, and the map's growth while the head is read.
 	headLineBytes = 200
+	// headCopies is the number of copies of a long line that net/http holds while it reads it.
+	headCopies = 3
 )
 
-var errHeadTooLarge = errors.New("response head exceeds the size limit")
+var errHeadTooLarge = errors.New("head exceeds the size limit")
 
-// headMeter limits the heads of the responses on a connection, and takes the memory of the
-// present one from a bound that all connections share. It is safe for concurrent use.
-type headMeter struct {
-	mu   sync.Mutex
-	head framer.ResponseHead
-	used heldShare
+// headMemory limits a head and takes its memory from a bound that all heads share. It is safe for
+// concurrent use.
+type headMemory struct {
+	mu       sync.Mutex
+	maxBytes int
+	used     heldShare
 }
 
-func newHeadMeter(bound *limit.Bytes) *headMeter { return &headMeter{used: heldShare{bound: bound}} }
-
-// reset prepares for the response to the next request. It gives the memory of the previous head back.
-func (m *headMeter) reset() {
+// grow takes the memory of a head of which so much was read. It returns an error if the head is too
+// large, or if there is no memory for it.
+func (m *headMemory) grow(bytes, lines int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.head = framer.ResponseHead{}
-	m.used.release()
+	if bytes > m.maxBytes || lines > maxHeadLines {
+		return errHeadTooLarge
+	}
+	if !m.used.grow(headCopies*bytes + lines*headLineBytes) {
+		return errNoMemory
+	}
+	return nil
 }
 
 // release gives the memory of the head back, which nobody uses any more.
-func (m *headMeter) release() {
+func (m *headMemory) release() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used.release()
 }
 
-// scan follows the next bytes from the connection. It returns an error if the head is too large,
-// or if there is no memory for it.
+// headMeter limits the heads of the responses on a connection, of which it takes the memory of the
+// present one. It is safe for concurrent use.
+type headMeter struct {
+	headMemory
+	headMu sync.Mutex
+	head   framer.ResponseHead
+}
+
+func newHeadMeter(bound *limit.Bytes) *headMeter {
+	return &headMeter{headMemory: headMemory{maxBytes: maxResponseHeadBytes, used: heldShare{bound: bound}}}
+}
+
+// reset prepares for the response to the next request. It gives the memory of the previous head back.
+func (m *headMeter) reset() {
+	m.headMu.Lock()
+	m.head = framer.ResponseHead{}
+	m.headMu.Unlock()
+	m.release()
+}
+
+// scan follows the next bytes from the connection. It returns the errors of grow.
 func (m *headMeter) scan(p []byte) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.headMu.Lock()
+	defer m.headMu.Unlock()
 	if m.head.Scan(p) == 0 {
 		return nil
 	}
-	if m.head.Bytes > maxResponseHeadBytes || m.head.Lines > maxResponseHeadLines {
-		return errHeadTooLarge
-	}
-	if !m.used.grow(m.head.Bytes + m.head.Lines*headLineBytes) {
-		return errNoMemory
-	}
-	return nil
+	return m.grow(m.head.Bytes, m.head.Lines)
 }
 
 // check returns the error of a head whose response has an ambiguous end.
 func (m *headMeter) check() error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.headMu.Lock()
+	defer m.headMu.Unlock()
 	return m.head.Err()
 }
 
--- a/entry/heads_test.go
+++ b/entry/heads_test.go
@@ -141,11 +141,11 @@
 		err        error
 	}{
 		{"small", status + length, nil},
-		{"most fields", status + shortFields(maxResponseHeadLines-3) + length, nil},
-		{"too many fields", status + shortFields(maxResponseHeadLines-2) + length, errHeadTooLarge},
+		{"most fields", status + shortFields(maxHeadLines-3) + length, nil},
+		{"too many fields", status + shortFields(maxHeadLines-2) + length, errHeadTooLarge},
 		{"most bytes", status + "A: " + strings.Repeat("x", maxResponseHeadBytes-len(status)-len("A: \r\n")-len(length)) + "\r\n" + length, nil},
 		{"too many bytes", status + "A: " + strings.Repeat("x", maxResponseHeadBytes-len(status)-len("A: \r\n")-len(length)+1) + "\r\n" + length, errHeadTooLarge},
-		{"too many informational heads", strings.Repeat("HTTP/1.1 100 Continue\r\n"+shortFields(maxResponseHeadLines/4)+"\r\n", 4) + status + length, errHeadTooLarge},
+		{"too many informational heads", strings.Repeat("HTTP/1.1 100 Continue\r\n"+shortFields(maxHeadLines/4)+"\r\n", 4) + status + length, errHeadTooLarge},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := pipeClient(limit.NewBytes(1<<20), func(c net.Conn, br *bufio.Reader) {
@@ -230,3 +230,48 @@
 		})
 	}
 }
+
+// TestRequestHeads guards against heads of callers that use up the memory of a router, against an
+// untrue refusal of one, and against memory that is not given back.
+func TestRequestHeads(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("i-1", "desk")
+	n := r.startRouter(1)
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", string(n.cfg.Callers))
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c, bufio.NewReader(c)
+	}
+	send := func(c net.Conn, br *bufio.Reader, i, fields int) *http.Response {
+		_, err := fmt.Fprintf(c, "GET /safe/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%d\r\nAuthorization: Bearer key-1\r\n%s\r\n", i, deskHost, i, shortFields(fields))
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		return resp
+	}
+	c, br := dial()
+	for i := range 3 {
+		assert.Equal(t, send(c, br, i, 400).StatusCode, http.StatusOK)
+		r.waitFor("the memory is given back", func() bool { return n.heldBodies.Used() == 0 })
+	}
+	memory := int64(n.cfg.Memory) << 20 / bodyShare
+	assert.Assert(t, n.heldBodies.Take(memory))
+	assert.Equal(t, send(c, br, 3, 10).StatusCode, http.StatusOK)
+	resp := send(c, br, 4, 400)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close && resp.Header.Get("Retry-After") != "")
+	r.assertRuns("q4", 0)
+	n.heldBodies.Give(memory)
+	c, br = dial()
+	assert.Equal(t, send(c, br, 5, maxHeadLines).StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	r.assertRuns("q5", 0)
+	c, _ = dial()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\n"+shortFields(500))
+	assert.NilError(t, err)
+	r.waitFor("the head is counted", func() bool { return n.heldBodies.Used() > 0 })
+	assert.NilError(t, c.Close())
+	r.waitFor("the memory is given back", func() bool { return n.heldBodies.Used() == 0 })
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -278,7 +278,7 @@
 	s.spawn("peer listener", func() error { return s.servePeers(l.peers) })
 	s.spawn("readiness", func() error { return s.readyServer.Serve(l.ready) })
 	s.spawn("administration", func() error { return s.adminServer.Serve(l.admin) })
-	s.callerListener = &callerListener{Listener: framer.Listener{Listener: l.callers, Rejected: s.recordAmbiguous}, served: make(chan struct{})}
+	s.callerListener = &callerListener{Listener: framer.Listener{Listener: l.callers, Rejected: s.recordAmbiguous, NewMeter: s.newRequestHead}, served: make(chan struct{})}
 	s.spawn("callers", func() error {
 		defer close(s.callerListener.served)
 		return s.callerServer.Serve(s.callerListener.Listener)
--- a/soak/answers_test.go
+++ b/soak/answers_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +78,43 @@
 		})
 	}
 }
+
+// TestStalledCallers guards against a router that runs out of memory because callers send large heads
+// and don't end them.
+func TestStalledCallers(t *testing.T) {
+	program, err := Build(t.TempDir())
+	assert.NilError(t, err)
+	var fields strings.Builder
+	for i := 0; fields.Len() < 60<<10; i++ {
+		_, _ = fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	for name, head := range map[string]string{"fields": fields.String(), "one field": "A: " + strings.Repeat("x", 60<<10)} {
+		t.Run(name, func(t *testing.T) {
+			r := &Run{Options: Options{Seed: 1, Routers: 1, Dir: t.TempDir(), Program: program}}
+			t.Cleanup(r.close)
+			assert.NilError(t, r.prepare())
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			defer cancel()
+			var wg conc.WaitGroup
+			var memory map[string]int
+			wg.Go(func() { memory = r.watchMemory(ctx) })
+			for range 1000 {
+				wg.Go(func() {
+					c, err := net.Dial("tcp", r.routers[0].callers)
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					_, _ = fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: %s\r\n%s", deskHost, head)
+					<-ctx.Done()
+				})
+			}
+			for i := range 4 {
+				wg.Go(func() { r.callers.runCaller(ctx, uint64(i), requestKinds[1]) })
+			}
+			wg.Wait()
+			t.Logf("%d MB, %d requests", memory["r0"], len(r.callers.records))
+			assert.Assert(t, memory["r0"] > 0 && memory["r0"] <= memoryMB, "%d MB of memory", memory["r0"])
+		})
+	}
+}
