core/framer: let callers read an answer to a body that was not read

Cause: net/http reads up to 256 KB of an unread body after the answer, or waits for half a second before it closes the connection, unless the request asked to close it: body.Close returns at once then, the connection is closed with unread bytes, and the kernel resets it.

Change: a connection of the listener knows whether its request was answered before its body ended. Its Close then ends the sending side and reads what still comes, as for rejected requests, for at most 500 ms and 8 MB.

Evidence: TestEarlyAnswer failed before the fix in the case "closed".

--- a/core/framer/conn.go
+++ b/core/framer/conn.go
@@ -10,10 +10,10 @@
 
 const (
 	// lingerTime and lingerBytes bound what is still read from a caller whose request was
-	// rejected. Closing the connection with unread bytes would reset it, and the caller might
-	// not get the answer.
+	// answered before it was read. Closing the connection with unread bytes would reset it, and
+	// the caller might not get the answer. The bytes are above the bodies that callers may send.
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 256 << 10
+	lingerBytes = 8 << 20
 )
 
 // Listener is a listener of an HTTP/1.1 server, whose connections fail at a request with an
@@ -55,6 +55,8 @@
 	rejected func(error)
 	meter    Meter       // nil if heads have no limit
 	requests Requests    // used by Read only
+	content  atomic.Bool // whether the present request has a body that was not read to its end
+	early    atomic.Bool // whether it was answered all the same
 	lingers  atomic.Bool // whether Close must read what is left
 }
 
@@ -66,6 +68,9 @@
 	}
 	n, err = c.Conn.Read(p)
 	n, scanErr := c.requests.Scan(p[:n])
+	if c.content.Store(c.requests.inContent()); !c.content.Load() {
+		c.early.Store(false)
+	}
 	if c.meter != nil && n > 0 {
 		if answer := c.meter.Grow(c.requests.HeadBytes, c.requests.HeadLines); answer != nil {
 			return 0, c.refuse(answer)
@@ -84,6 +89,14 @@
 	return 0, scanErr
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.content.Load() {
+		c.early.Store(true)
+	}
+	return c.Conn.Write(p)
+}
+
 var errRefused = errors.New("request refused for its head")
 
 // refuse answers a request that the server doesn't get, and returns the error for the server. It
@@ -114,7 +127,8 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.RequestEnded()
-	if c.lingers.CompareAndSwap(true, false) && c.CloseWrite() == nil {
+	early := c.early.Swap(false)
+	if (c.lingers.Swap(false) || early) && c.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
 	}
--- a/core/framer/framer.go
+++ b/core/framer/framer.go
@@ -67,6 +67,9 @@
 	coding  string
 }
 
+// inContent reports whether the head of a request was read and its body was not read to its end.
+func (r *Requests) inContent() bool { return r.state != inRequestLine && r.state != inHeader }
+
 // Scan follows the next bytes of the connection and returns how many of them may be passed on. If
 // the error is not nil, they end before the request is complete or, for a body, before the fault;
 // nothing may be passed on after them, and all later calls return the same error.
--- a/core/framer/framer_test.go
+++ b/core/framer/framer_test.go
@@ -242,3 +242,35 @@
 	assert.Equal(t, len(served), 0)
 	<-m.released
 }
+
+// TestEarlyAnswer guards against a connection that is reset when a request is answered before its
+// body was read, so that the caller, who still writes, doesn't get the answer.
+func TestEarlyAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })}
+	go func() { _ = srv.Serve(Listener{Listener: ln}) }()
+	defer srv.Close()
+	body := strings.Repeat("x", 1<<20)
+	for name, head := range map[string]string{
+		"kept":              "Content-Length: 1048576\r\n\r\n",
+		"closed":            "Connection: close\r\nContent-Length: 1048576\r\n\r\n",
+		"closed, in chunks": "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				c, err := net.Dial("tcp", ln.Addr().String())
+				assert.NilError(t, err)
+				_, err = io.WriteString(c, post+head+body)
+				assert.NilError(t, err)
+				br := bufio.NewReader(c)
+				resp, err := http.ReadResponse(br, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+				_, err = br.ReadByte()
+				assert.ErrorIs(t, err, io.EOF)
+				assert.NilError(t, c.Close())
+			}
+		})
+	}
+}
