--- a/core/framer/head.go
+++ b/core/framer/head.go
@@ -38,9 +38,6 @@
 	return n
 }
 
-// Begun reports whether a part of the head was read.
-func (r *ResponseHead) Begun() bool { return r.Bytes > 0 }
-
 // Ended reports whether the whole head was read.
 func (r *ResponseHead) Ended() bool { return r.ended }
 
--- a/entry/held.go
+++ b/entry/held.go
@@ -17,7 +17,7 @@
 	answerShare = 8
 )
 
-var errNoMemory = errors.New("too many large bodies are held")
+var errNoMemory = errors.New("too many large bodies and heads are held")
 
 // heldShare is the memory of one body, event or head. What exceeds freeHeldBytes is taken from a bound
 // that all share, unless that is nil.
