--- a/entry/dropped_test.go
+++ b/entry/dropped_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -202,3 +205,42 @@
 		}
 	}
 }
+
+// TestDroppedPlainService guards against a request that arrived before its service was dropped from
+// the configuration and reaches an upstream of it that leaves meanwhile, or fails.
+func TestDroppedPlainService(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("d-1", "desk")
+	r.addReplica("d-2", "desk")
+	r.addReplica("e-1", "engine")
+	n := r.startRouter(3)
+	const requests = 20
+	bodies := make([]net.Conn, requests)
+	for i := range bodies {
+		c, err := net.Dial("tcp", string(n.cfg.Callers))
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = fmt.Fprintf(c, "POST /once/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: q%d\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\na", i, deskHost, i)
+		assert.NilError(t, err)
+		bodies[i] = c
+	}
+	r.waitFor("the requests have arrived", func() bool { return n.inFlight.Load() == requests })
+	rs := slices.DeleteFunc(slices.Clone(routes), func(rt site.Route) bool { return rt.Service == "desk" })
+	services := slices.DeleteFunc(slices.Clone(site.Services), func(s site.Service) bool { return s.Name == "desk" })
+	r.site.Store.PutJSON("op/config", site.Config(2, rs, services, apiKeys))
+	r.site.Store.PutJSON("servers/d-1", r.site.Replicas()[0].Entry("draining"))
+	r.waitFor("the router knows", func() bool {
+		v := n.view.Load()
+		return v.version() == 2 && len(v.Upstreams["desk"]) == 1
+	})
+	for _, c := range bodies {
+		_, err := io.WriteString(c, "b")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	for _, run := range r.site.Runs() {
+		assert.Equal(t, run.Replica, "d-2", "%s reached an upstream that leaves", run.ID)
+	}
+}
