fakes/site: don't hold a replica's lock while it answers

Cause: cacheEvents wrote its answer with the lock held. A write that fills a buffer asks whether the replica is silent, for which it takes the same lock. The answer is that large after some hundred prompts.

--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -576,12 +576,12 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	events := []any{}
+	events, epoch := []any{}, p.Born
 	for i, id := range p.reads {
 		events = append(events, []any{i + 1, "+", "", id, 1, "m"})
 	}
-	writeJSON(w, map[string]any{"epoch": p.Born, "next": len(events) + 1, "lost": false, "events": events})
+	p.mu.Unlock() // a write during a silence takes it
+	writeJSON(w, map[string]any{"epoch": epoch, "next": len(events) + 1, "lost": false, "events": events})
 }
 
 // notices returns the headers with which the replica tells about itself in all answers.
--- a/fakes/site/silence_test.go
+++ b/fakes/site/silence_test.go
@@ -183,3 +183,19 @@
 		return poll.Success()
 	}, poll.WithTimeout(testTimeout), poll.WithDelay(interval))
 }
+
+// TestManyCacheEvents guards against a replica that blocks for good because it answers a call for its
+// cache events, which fill more than a buffer.
+func TestManyCacheEvents(t *testing.T) {
+	p := newReplica(t, Serve, 1, 0)
+	p.mu.Lock()
+	for range 5000 {
+		p.reads = append(p.reads, "part")
+	}
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	body, err := call(ctx, p, "/kv-events", "")
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(body, "part"), 5000)
+}
