--- a/review/standins-3/common.go
+++ b/review/standins-3/common.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -239,6 +240,7 @@
 type replica struct {
 	s                 *site
 	id, service, zone string
+	version           string // of its software, v1 if empty
 	slots             int
 	addr              string
 	born              int64
@@ -330,7 +332,7 @@
 	}
 	p.sequence++
 	e := map[string]any{
-		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
+		"service": p.service, "address": p.addr, "zone": p.zone, "version": cmp.Or(p.version, "v1"), "slots": p.slots, "state": p.state,
 		"cold_remaining_ms": 0, "sequence": p.sequence, "born": p.born,
 	}
 	state, first := p.state, p.sequence == 1
