--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-GOWORK=off GOFLAGS= go build -o target/review-3/standin ./review/standins-3/*.go
+GOWORK=off GOFLAGS= go build -o target/review-3/standin ./review/11/standins/*.go
