entry: log what the orders of failed and resumed requests waited for

The log does not tell whether a stream that a caller takes up waits for the holders of its record, for the owners of stage queues, or for stages and engine. "request ended" of such a request, and of each request that fails, now lists the placements of its orders with owner, wait, time since the owner was heard of and outcome, and the time until the stream's version was known.

--- a/entry/dropped_test.go
+++ b/entry/dropped_test.go
@@ -38,7 +38,7 @@
 	for i := range count {
 		o := Order{Request: wire.RequestID(fmt.Sprint("q", i)), Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: 2 * waitTimeout, Left: 2 * waitTimeout}
 		go func() {
-			m, _, err := n.placeOrder(context.Background(), o)
+			m, _, err := n.placeOrder(context.Background(), o, nil)
 			if err != nil {
 				m.Reason = err.Error()
 			}
@@ -65,7 +65,7 @@
 		l.wg.Go(func() {
 			for k := 0; l.ctx.Err() == nil; k++ {
 				o := Order{Request: wire.RequestID(fmt.Sprint("q", i, "-", k)), Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: waitTimeout, Left: waitTimeout}
-				switch m, _, err := n.placeOrder(l.ctx, o); {
+				switch m, _, err := n.placeOrder(l.ctx, o, nil); {
 				case err != nil: // stopped
 				case m.Reason != "":
 					l.reasons.Store(m.Reason, true)
@@ -186,7 +186,7 @@
 	n := r.startRouter(25)
 	id := shard.ID{Service: "archive", Centre: "a"}
 	old := n.queues.find(id)
-	first, _, err := n.placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "b", Aim: 2 * waitTimeout, Left: 2 * waitTimeout})
+	first, _, err := n.placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "b", Aim: 2 * waitTimeout, Left: 2 * waitTimeout}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resultCount(archives), 1)
 	made := n.startOrders(1)
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -50,6 +50,8 @@
 	unqueuedByStage []int // by stage: pieces that have not reached the stage's queue
 
 	stageForecast time.Duration // predicted time of the stages
+	orderWaits    orderWaits
+	originTook    time.Duration // time until the version of a stream that is taken up was known or not
 
 	start    Instant
 	deadline Instant
@@ -202,10 +204,14 @@
 	x.recordDuration(status, reason, took)
 	logger := s.log
 	if x.spec.Resumed {
-		logger = logger.With("resumes", x.spec.Resumes, "after_event", x.spec.LastEventID)
+		logger = logger.With("resumes", x.spec.Resumes, "after_event", x.spec.LastEventID, "origin_ms", x.originTook.Milliseconds())
+	}
+	failed := status >= http.StatusInternalServerError
+	if waits := x.orderWaits.list(); len(waits) > 0 && (failed || x.spec.Resumed) {
+		logger = logger.With("orders", waits)
 	}
 	logEnd := logger.Info
-	if status >= http.StatusInternalServerError {
+	if failed {
 		logEnd = logger.Warn
 	}
 	v := x.view
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -185,6 +185,8 @@
 	if len(x.route.Split) == 1 {
 		q.Service = x.route.Split[0].Service
 	}
+	began := time.Now()
+	defer func() { x.originTook = time.Since(began) }()
 	found := x.s.origins.resolve(ctx, q)
 	r, ok := origin.Resolve(found.answers, q.Service)
 	outcome := "pinned"
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -530,6 +530,16 @@
 	return m.Address, true
 }
 
+// sinceHeard returns the time since a router was last heard of, 0 for this router and unknown ones.
+func (p *peers) sinceHeard(now time.Time, name wire.HostID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[name]; m != nil {
+		return now.Sub(m.seenAt)
+	}
+	return 0
+}
+
 // backlog returns the outstanding work for a stage service: that of this router, which is
 // given, and the loads that live peers have reported.
 func (p *peers) backlog(now time.Time, shards []shard.Shard, own Load, owned map[shard.ID]Load) admit.Backlog {
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -123,7 +123,7 @@
 func (p *Peer) Make(o Order, answer *Made) error {
 	ctx := context.Background()
 	if o.Shard == (shard.ID{}) && p.s.queues.find(shard.ID{Service: o.Service}) == nil {
-		m, _, err := p.s.placeOrder(ctx, o)
+		m, _, err := p.s.placeOrder(ctx, o, nil)
 		*answer = m
 		return err
 	}
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -106,7 +106,7 @@
 // results to free to each other without end.
 func TestFreeOnce(t *testing.T) {
 	r, nodes, archives := dividedRig(t, 5*time.Millisecond)
-	m, _, err := nodes[0].placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
+	m, _, err := nodes[0].placeOrder(context.Background(), Order{Request: "q", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second}, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resultCount(archives), 1)
 	gone := shard.ID{Service: "archive", Centre: "a", Index: 7}
@@ -114,7 +114,7 @@
 		assert.NilError(t, (&Peer{n.Server}).Free(Freed{Service: "archive", Shard: gone, Handles: m.Handles, Forwarded: true}, nil))
 	}
 	// Had the first result been sent on, it would be freed before that of a second order.
-	other, madeBy, err := nodes[0].placeOrder(context.Background(), Order{Request: "q2", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second})
+	other, madeBy, err := nodes[0].placeOrder(context.Background(), Order{Request: "q2", Service: "archive", Pieces: 1, Key: "k", Centre: "a", Aim: time.Second, Left: 4 * time.Second}, nil)
 	assert.NilError(t, err)
 	nodes[0].freeResults(Freed{Service: "archive", Shard: madeBy, Handles: other.Handles})
 	r.waitForResults(archives, 1)
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -102,7 +102,7 @@
 		o.Inputs = rs.handlesOf(st.After)
 	}
 	x.markQueued(i)
-	m, madeBy, err := rs.s.placeOrder(ctx, o)
+	m, madeBy, err := rs.s.placeOrder(ctx, o, &x.orderWaits)
 	if err != nil {
 		return err
 	}
@@ -224,8 +224,9 @@
 
 // placeOrder places an order with the owner of a queue of the service, and returns the
 // queue too. If the call fails or the queue is gone, it places the order again, with another
-// owner if there is one. Pieces may be made twice, unless the owner has ended.
-func (s *Server) placeOrder(ctx context.Context, o Order) (m Made, madeBy shard.ID, err error) {
+// owner if there is one. Pieces may be made twice, unless the owner has ended. waits records what
+// the order waited for.
+func (s *Server) placeOrder(ctx context.Context, o Order, waits *orderWaits) (m Made, madeBy shard.ID, err error) {
 	deadline := time.Now().Add(o.Left)
 	var failed []wire.HostID
 	for attempts := 0; attempts < maxOrderAttempts; {
@@ -238,17 +239,20 @@
 			return Made{Reason: reasonNoUpstream}, madeBy, ctx.Err()
 		}
 		o.Shard = id
+		began := time.Now()
 		if owner == s.cfg.Name {
 			m, err = s.queues.makePieces(ctx, o), ctx.Err()
 		} else {
 			m, err = s.orderFrom(ctx, owner, o)
 		}
+		w := s.orderWait(o.Stage, owner, began, m, err)
+		waits.add(w)
 		if ctx.Err() != nil || err == nil && m.Reason != reasonMoved {
 			return m, id, ctx.Err()
 		}
 		now := time.Now()
 		ended := errors.Is(err, syscall.ECONNREFUSED) && s.peers.recordEnded(now, owner)
-		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "reason", m.Reason, "err", err)
+		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "waited_ms", w.Waited, "heard_ms", w.Heard, "reason", m.Reason, "err", err)
 		s.incCounter("orders_failed")
 		failed = append(failed, owner)
 		if ended {
@@ -264,6 +268,50 @@
 	return Made{Reason: reasonNoAnswer}, madeBy, nil
 }
 
+// orderWait is one placement of an order, for the log.
+type orderWait struct {
+	Stage   int         `json:"stage"`
+	Owner   wire.HostID `json:"owner"`
+	Waited  int64       `json:"waited_ms"`
+	Heard   int64       `json:"heard_ms"` // time since the owner was last heard of when the wait ended; 0 for this router
+	Outcome string      `json:"outcome"`  // reason of Made, "made", or "failed" without an answer
+}
+
+// orderWait returns the record of a placement that began at a time and ends now.
+func (s *Server) orderWait(stage int, owner wire.HostID, began time.Time, m Made, err error) orderWait {
+	now := time.Now()
+	w := orderWait{Stage: stage, Owner: owner, Waited: now.Sub(began).Milliseconds(), Heard: s.peers.sinceHeard(now, owner).Milliseconds(), Outcome: "made"}
+	switch {
+	case err != nil:
+		w.Outcome = "failed"
+	case m.Reason != "":
+		w.Outcome = m.Reason
+	}
+	return w
+}
+
+// orderWaits collects the placements of the orders of one request. It is safe for concurrent use; a
+// nil one collects nothing.
+type orderWaits struct {
+	mu  sync.Mutex
+	all []orderWait
+}
+
+func (ws *orderWaits) add(w orderWait) {
+	if ws == nil {
+		return
+	}
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	ws.all = append(ws.all, w)
+}
+
+func (ws *orderWaits) list() []orderWait {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	return slices.Clone(ws.all)
+}
+
 // orderFrom places an order with another router and waits for the answer while that
 // router is alive. An order that is abandoned is cancelled at the router.
 func (s *Server) orderFrom(ctx context.Context, owner wire.HostID, o Order) (m Made, err error) {
