entry, fakes/site: show orders and take-ups that wait for silent routers

Requests end with "stage no answer", and streams that callers take up are refused or late, while routers are silent: without power, standing still or cut off.

The set-up of TestTakeUpAfterKills is shared with the new test; its assertions are as before.

--- a/entry/cmd/hbentry/main_test.go
+++ b/entry/cmd/hbentry/main_test.go
@@ -175,10 +175,10 @@
 	Stages: []site.Stage{{Service: "archive", Bytes: 8000}, {Service: "school", After: []int{0}, Bytes: 60000}},
 }}
 
-// send sends the request of the stream to a router and reads the answer to its end. It calls onEvent
-// after each event.
-func (s *stream) send(t *testing.T, p *process, onEvent func()) {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+p.callers+s.target, strings.NewReader("prompt"))
+// send sends the request of the stream to a router and reads the answer until its end or that of ctx.
+// It calls onEvent after each event.
+func (s *stream) send(ctx context.Context, t *testing.T, p *process, onEvent func()) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+s.target, strings.NewReader("prompt"))
 	assert.NilError(t, err)
 	req.Host = planHost
 	req.Header.Set("Request-Id", s.id)
@@ -219,55 +219,72 @@
 	assert.Equal(t, s.after+s.events(), planEvents, "stream %s that resumes %q: %s", s.id, s.resumes, s.body)
 }
 
-// TestTakeUpAfterKills guards against streams that are refused when their callers take them up,
-// although upstreams of their software version are left: the routers that owned the stage queues, one
-// of which had begun the streams, and an engine have just been killed.
-func TestTakeUpAfterKills(t *testing.T) {
-	const streams = 8
+// takeUpRig is a site with stages and an engine, and routers as processes of their own.
+type takeUpRig struct {
+	t       *testing.T
+	site    *site.Site
+	routers []*process
+	// lost are the routers that are to be lost, and left the others.
+	lost, left []*process
+}
+
+// newTakeUpRig starts routers, of which the owners of the stage queues are to be lost, and at least
+// atLeast.
+func newTakeUpRig(t *testing.T, routers, atLeast int) *takeUpRig {
+	t.Helper()
 	s, err := site.New()
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
 	s.Store.PutJSON("op/config", site.Config(1, planRoutes, site.Services, map[string]string{"key-1": "folders"}))
-	add := func(service, id, version string, events int) *site.Replica {
-		p := &site.Replica{ID: id, Service: service, Centre: "a", Version: version, ServiceTime: 10 * time.Millisecond, Events: events, Downtime: waitTimeout}
-		if events > 0 {
-			p.ServiceTime = 60 * time.Millisecond
-			p.Act = func(r *http.Request) site.Action {
-				if r.URL.Path == "/crash" {
-					return site.Crash
-				}
-				return site.Serve
-			}
-		}
-		assert.NilError(t, s.Add(p))
-		return p
-	}
+	r := &takeUpRig{t: t, site: s}
 	for i := range 2 {
-		add("archive", fmt.Sprint("a-", i), "v1", 0)
-		add("school", fmt.Sprint("s-", i), "v1", 0)
+		r.add("archive", fmt.Sprint("a-", i), "v1", 0)
+		r.add("school", fmt.Sprint("s-", i), "v1", 0)
 	}
-	old := add("engine", "old-0", "v1", planEvents)
-	routers := startProcesses(t, s, 5)
-	st, ok := routers[0].state()
+	r.add("engine", "old-0", "v1", planEvents)
+	r.routers = startProcesses(t, s, routers)
+	st, ok := r.routers[0].state()
 	assert.Assert(t, ok)
-	victims := map[string]bool{st.Owners["archive"]: true, st.Owners["school"]: true}
-	var begins *process
-	var left []*process
-	for _, p := range routers {
-		if victims[p.name] {
-			begins = p
+	for _, p := range r.routers {
+		if p.name == st.Owners["archive"] || p.name == st.Owners["school"] {
+			r.lost = append(r.lost, p)
 		} else {
-			left = append(left, p)
+			r.left = append(r.left, p)
+		}
+	}
+	for len(r.lost) < atLeast {
+		r.lost, r.left = append(r.lost, r.left[0]), r.left[1:]
+	}
+	return r
+}
+
+func (r *takeUpRig) add(service, id, version string, events int) {
+	r.t.Helper()
+	p := &site.Replica{ID: id, Service: service, Centre: "a", Version: version, ServiceTime: 10 * time.Millisecond, Events: events, Downtime: waitTimeout}
+	if events > 0 {
+		p.ServiceTime = 60 * time.Millisecond
+		p.Act = func(r *http.Request) site.Action {
+			if r.URL.Path == "/crash" {
+				return site.Crash
+			}
+			return site.Serve
 		}
 	}
-	begun := make([]*stream, streams)
+	assert.NilError(r.t, r.site.Add(p))
+}
+
+// begin starts n streams at a router, which an engine of the old version begins. wait waits until all
+// have ended.
+func (r *takeUpRig) begin(ctx context.Context, at *process, n int) (begun []*stream, wait func()) {
+	r.t.Helper()
+	begun = make([]*stream, n)
 	var first, all sync.WaitGroup
-	first.Add(streams)
+	first.Add(n)
 	for i := range begun {
 		begun[i] = &stream{id: fmt.Sprint("begun-", i), target: fmt.Sprint("/fold/", i)}
 		all.Go(func() {
 			events := 0
-			begun[i].send(t, begins, func() {
+			begun[i].send(ctx, r.t, at, func() {
 				if events++; events == 2 {
 					first.Done()
 				}
@@ -275,36 +292,86 @@
 		})
 	}
 	first.Wait()
+	return begun, all.Wait
+}
+
+// addEngines adds engines of both versions, which the routers that are left know then.
+func (r *takeUpRig) addEngines() {
+	r.t.Helper()
 	for i := range 2 {
-		add("engine", fmt.Sprint("old-", i+1), "v1", planEvents)
-		add("engine", fmt.Sprint("new-", i), "v2", planEvents)
+		r.add("engine", fmt.Sprint("old-", i+1), "v1", planEvents)
+		r.add("engine", fmt.Sprint("new-", i), "v2", planEvents)
 	}
-	for _, p := range left {
-		p.waitFor("the router knows the engines of both versions", func(st state) bool { return len(st.Upstreams) == len(s.Replicas()) })
+	for _, p := range r.left {
+		p.waitFor("the router knows the engines of both versions", func(st state) bool { return len(st.Upstreams) == len(r.site.Replicas()) })
 	}
-	_, _ = http.Get("http://" + old.Addr() + "/crash")
-	for _, p := range routers {
-		if victims[p.name] {
-			p.kill()
+}
+
+// crashFirstEngine crashes the engine that began the streams.
+func (r *takeUpRig) crashFirstEngine() {
+	for _, p := range r.site.Replicas() {
+		if p.ID == "old-0" {
+			_, _ = http.Get("http://" + p.Addr() + "/crash")
 		}
 	}
-	all.Wait()
-	after := make([]*stream, 0, 2*streams)
+}
+
+// assertTakenUp takes the streams up at the routers that are left, beside as many new ones and all
+// within a time, and asserts that all go on to their end, and those taken up at the version that began
+// them.
+func (r *takeUpRig) assertTakenUp(begun []*stream, within time.Duration) {
+	r.t.Helper()
+	var all sync.WaitGroup
+	after := make([]*stream, 0, 2*len(begun))
 	for i, b := range begun {
-		assert.Assert(t, b.events() >= 2 && b.events() < planEvents, "stream %s: %q", b.id, b.body)
+		assert.Assert(r.t, b.events() >= 2 && b.events() < planEvents, "stream %s: %q", b.id, b.body)
 		after = append(after, &stream{id: fmt.Sprint("again-", i), resumes: b.id, target: b.target, after: b.events()},
 			&stream{id: fmt.Sprint("new-", i), target: fmt.Sprint("/fold/new-", i)})
 	}
 	for i, b := range after {
-		all.Go(func() { b.send(t, left[i/2%len(left)], func() {}) })
+		time.Sleep(within / time.Duration(len(after)))
+		all.Go(func() { b.send(r.t.Context(), r.t, r.left[i/2%len(r.left)], func() {}) })
 	}
 	all.Wait()
 	for _, b := range after {
-		b.assertGoesOn(t)
+		b.assertGoesOn(r.t)
 	}
-	for _, run := range s.Runs() {
+	for _, run := range r.site.Runs() {
 		if strings.HasPrefix(run.ID, "again-") && run.Executed && run.Version != "" && strings.HasPrefix(run.Replica, "new-") {
-			t.Errorf("stream %s went on at %s of another version", run.ID, run.Replica)
+			r.t.Errorf("stream %s went on at %s of another version", run.ID, run.Replica)
 		}
 	}
 }
+
+// TestTakeUpAfterKills guards against streams that are refused when their callers take them up,
+// although upstreams of their software version are left: the routers that owned the stage queues, one
+// of which had begun the streams, and an engine have just been killed.
+func TestTakeUpAfterKills(t *testing.T) {
+	const streams = 8
+	r := newTakeUpRig(t, 5, 1)
+	begun, wait := r.begin(t.Context(), r.lost[0], streams)
+	r.addEngines()
+	r.crashFirstEngine()
+	for _, p := range r.lost {
+		p.kill()
+	}
+	wait()
+	r.assertTakenUp(begun, 0)
+}
+
+// TestTakeUpBesideSilentRouters guards against streams that are refused, new ones and those that are
+// taken up, because the routers that owned the stage queues stand still.
+func TestTakeUpBesideSilentRouters(t *testing.T) {
+	const streams = 16
+	r := newTakeUpRig(t, 7, 5)
+	ctx, leave := context.WithCancel(t.Context())
+	begun, wait := r.begin(ctx, r.left[0], streams)
+	leave()
+	wait()
+	r.addEngines()
+	for _, p := range r.lost {
+		assert.NilError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	}
+	r.crashFirstEngine()
+	r.assertTakenUp(begun, time.Second)
+}
--- /dev/null
+++ b/entry/silent_test.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hornbeamcove.example/core/shard"
+	"hornbeamcove.example/core/wire"
+	"hornbeamcove.example/fakes/site"
+)
+
+// startBesideSilent starts a router with the fewest cores of all that may own queues, which knows the
+// archive and the routers at the given addresses. Others hear of these all the time.
+func startBesideSilent(t *testing.T, addrs []string, cores []float64) *node {
+	t.Helper()
+	r := newRig(t)
+	r.addReplica("a-1", "archive")
+	cfg := r.settings("r1")
+	cfg.Cores = 0.1
+	n := r.start(cfg)
+	r.waitForUpstreams(n, 1)
+	n.peers.mu.Lock()
+	for i, a := range addrs {
+		n.peers.mergeMember(time.Now().Add(time.Hour), Member{Name: wire.HostID(fmt.Sprint("r", i+2)), Address: wire.Address(a), Centre: "a", Boot: 1, CPU: cores[i]})
+	}
+	n.peers.mu.Unlock()
+	n.queues.reassign(time.Now())
+	assert.Assert(t, n.queues.owner(shard.ID{Service: "archive"}) != n.cfg.Name)
+	return n
+}
+
+// assertMade places an order and asserts that its pieces are made.
+func assertMade(t *testing.T, n *node, request wire.RequestID) (waits []orderWait) {
+	t.Helper()
+	ws := new(orderWaits)
+	o := Order{Request: request, Service: "archive", Pieces: 2, Key: "k", Centre: "a", Aim: waitTimeout, Left: waitTimeout}
+	m, _, err := n.placeOrder(context.Background(), o, ws)
+	assert.NilError(t, err)
+	assert.Equal(t, m.Reason, "", "%v", ws.list())
+	assert.Equal(t, len(m.Handles), 2)
+	return ws.list()
+}
+
+// TestUnreachableOwners guards against requests that end because the owners of a stage queue can't be
+// reached one after the other, although another router is left.
+func TestUnreachableOwners(t *testing.T) {
+	const silent = 5
+	var addrs []string
+	var cores []float64
+	for range silent {
+		addr, stop, err := site.ListenUnreachable()
+		assert.NilError(t, err)
+		t.Cleanup(stop)
+		addrs, cores = append(addrs, addr), append(cores, 8)
+	}
+	n := startBesideSilent(t, addrs, cores)
+	assertMade(t, n, "first")
+	t.Run("later orders pass them at once", func(t *testing.T) {
+		assert.Equal(t, len(assertMade(t, n, "second")), 1)
+	})
+}
+
+// TestSilentOwner guards against orders that wait until their deadline for an owner that others hear
+// of, but that does not answer on the connection.
+func TestSilentOwner(t *testing.T) {
+	addr, stop, err := site.ListenSilent()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	far, stopFar, err := site.ListenSilent()
+	assert.NilError(t, err)
+	t.Cleanup(stopFar)
+	// r4 is no neighbour of r1, to which r1 sends heartbeats.
+	n := startBesideSilent(t, []string{addr, addr, far}, []float64{0.01, 0.01, 8})
+	waits := assertMade(t, n, "first")
+	assert.Equal(t, waits[0].Owner, wire.HostID("r4"))
+}
