entry: pass owners of stage queues that don't answer, as those that have ended

Callers got 503 "stage no answer", new requests and streams that they took up, with up to 11.7 s left. An order was placed with three owners at most, and the owners were silent: without power, standing still or cut off. Each placement ended after 300 ms (connecting) or with the connection, which a heartbeat closes after 400 ms, and a router counts as an owner for 1.1 s after anybody heard of it.

A router that leaves a call unanswered for 300 ms or more now owns no queues, in the view of the caller, until it answers: a ping, which is sent each 120 ms while others hear of it, a heartbeat or any call. Placements with such owners don't count as attempts. Calls that end late because this process was suspended prove nothing.

TestUnreachableOwners failed before, 2 of 2, and TestTakeUpBesideSilentRouters, 6 of 6: it is refused because the holders of a record that stand still were asked in place of the next ones. It passed 10 of 10 now.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -120,6 +120,7 @@
 	// suspended.
 	resumedAt time.Time
 
+	reach  reach
 	offers fleet.Offers
 	newest fleet.NewestVersion
 	packer configPacker
@@ -201,6 +202,7 @@
 		p.s.queues.reassign(now)
 		p.cancelLost(now)
 		p.updateOwn(now, 0)
+		p.pingSilent(ctx, now)
 		ns := p.neighbours(now)
 		for i, n := range ns {
 			p.s.background.Go(func() {
@@ -452,7 +454,7 @@
 }
 
 // ownerCandidates returns the routers that may own queues, sorted by name. Routers that
-// drain are left out. If none remains, it returns this router alone.
+// drain or don't answer are left out. If none remains, it returns this router alone.
 func (p *peers) ownerCandidates(now time.Time) []shard.Router {
 	self := shard.Router{Name: p.self.Name, Centre: p.self.Centre, CPU: p.self.CPU}
 	p.mu.Lock()
@@ -462,7 +464,7 @@
 		rs = append(rs, self)
 	}
 	for n, m := range p.members {
-		if m.isAlive(now) && !m.Leaving {
+		if m.isAlive(now) && !m.Leaving && !p.reach.isSilent(m.Address) {
 			rs = append(rs, shard.Router{Name: n, Centre: m.Centre, CPU: m.CPU})
 		}
 	}
@@ -530,6 +532,12 @@
 	return m.Address, true
 }
 
+// isSilent reports whether a router does not answer the calls of this one.
+func (p *peers) isSilent(name wire.HostID) bool {
+	addr, ok := p.address(name)
+	return ok && p.reach.isSilent(addr)
+}
+
 // sinceHeard returns the time since a router was last heard of, 0 for this router and unknown ones.
 func (p *peers) sinceHeard(now time.Time, name wire.HostID) time.Duration {
 	p.mu.Lock()
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"syscall"
 	"time"
 
 	"hornbeamcove.example/core/origin"
@@ -26,6 +27,12 @@
 	}()
 	c, err := p.client(addr)
 	if err != nil {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			p.recordCall(addr, true)
+		case isUnreachable(err):
+			p.recordCall(addr, false)
+		}
 		return err
 	}
 	call := c.Go(method, args, answer, make(chan *rpc.Call, 1))
@@ -34,11 +41,19 @@
 	select {
 	case <-call.Done:
 		var se rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &se) {
-			p.dropClient(addr, c)
+		if call.Error == nil || errors.As(call.Error, &se) {
+			p.recordCall(addr, true)
+			return call.Error
+		}
+		if isUnreachable(call.Error) {
+			p.recordCall(addr, false)
 		}
+		p.dropClient(addr, c)
 		return call.Error
 	case <-t.C:
+		if timeout >= minSilence {
+			p.recordCall(addr, false)
+		}
 		p.dropClient(addr, c)
 		return errPeerTimeout
 	case <-ctx.Done():
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -224,8 +224,8 @@
 
 // placeOrder places an order with the owner of a queue of the service, and returns the
 // queue too. If the call fails or the queue is gone, it places the order again, with another
-// owner if there is one. Pieces may be made twice, unless the owner has ended. waits records what
-// the order waited for.
+// owner if there is one; owners that have ended or don't answer don't count as attempts. Pieces may
+// be made twice, unless the owner has ended. waits records what the order waited for.
 func (s *Server) placeOrder(ctx context.Context, o Order, waits *orderWaits) (m Made, madeBy shard.ID, err error) {
 	deadline := time.Now().Add(o.Left)
 	var failed []wire.HostID
@@ -252,12 +252,13 @@
 		}
 		now := time.Now()
 		ended := errors.Is(err, syscall.ECONNREFUSED) && s.peers.recordEnded(now, owner)
-		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "waited_ms", w.Waited, "heard_ms", w.Heard, "reason", m.Reason, "err", err)
+		silent := err != nil && s.peers.isSilent(owner)
+		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "silent", silent, "waited_ms", w.Waited, "heard_ms", w.Heard, "reason", m.Reason, "err", err)
 		s.incCounter("orders_failed")
 		failed = append(failed, owner)
-		if ended {
+		if ended || silent {
 			s.queues.reassign(now)
-			continue // at once: each router ends once until it is heard of again
+			continue // at once: the owner is none until it is heard of again or answers
 		}
 		attempts++
 		o.Aim = max(o.Aim-orderRetryDelay, 0)
