entry: ping owners while orders wait for them

An order waited for its whole time, and 150 ms more, when its owner was heard of by others but the connection to it had gone silent: calls are awaited as long as the order has, and only the few neighbours in the ring get heartbeats on the connection. The request then ended as late.

Routers for which orders wait are pinged each 120 ms. One that does not answer within 400 ms loses the connection, as with heartbeats, and its orders go to other owners. A ping is a few bytes; there is one for each owner at a time, however many orders wait.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -202,7 +202,7 @@
 		p.s.queues.reassign(now)
 		p.cancelLost(now)
 		p.updateOwn(now, 0)
-		p.pingSilent(ctx, now)
+		p.pingUncertain(ctx, now)
 		ns := p.neighbours(now)
 		for i, n := range ns {
 			p.s.background.Go(func() {
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
@@ -21,6 +22,7 @@
 type reach struct {
 	mu     sync.Mutex
 	silent map[wire.Address]struct{}
+	orders map[wire.Address]int      // orders that wait for an answer
 	asked  map[wire.Address]struct{} // addresses with a ping on its way
 }
 
@@ -51,24 +53,40 @@
 	return ok
 }
 
-// takePings returns the addresses to ping, which have no ping on their way, and forgets the silent
-// routers that are not among the given ones, which others hear of.
+// addOrders changes the number of orders that wait for the router at an address.
+func (r *reach) addOrders(addr wire.Address, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.orders == nil {
+		r.orders = map[wire.Address]int{}
+	}
+	if r.orders[addr] += n; r.orders[addr] == 0 {
+		delete(r.orders, addr)
+	}
+}
+
+// takePings returns the addresses to ping, of silent routers and of those for which orders wait, and
+// forgets the silent routers that are not among the given ones, which others hear of. Addresses with a
+// ping on its way are left out.
 func (r *reach) takePings(heardOf map[wire.Address]bool) (addrs []wire.Address) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for a := range r.silent {
-		if !heardOf[a] {
-			delete(r.silent, a)
-			continue
-		}
-		if _, ok := r.asked[a]; ok {
-			continue
-		}
-		if r.asked == nil {
-			r.asked = map[wire.Address]struct{}{}
+	maps.DeleteFunc(r.silent, func(a wire.Address, _ struct{}) bool { return !heardOf[a] })
+	wanted := maps.Clone(r.silent)
+	if wanted == nil {
+		wanted = map[wire.Address]struct{}{}
+	}
+	for a := range r.orders {
+		wanted[a] = struct{}{}
+	}
+	if r.asked == nil {
+		r.asked = map[wire.Address]struct{}{}
+	}
+	for a := range wanted {
+		if _, ok := r.asked[a]; !ok {
+			r.asked[a] = struct{}{}
+			addrs = append(addrs, a)
 		}
-		r.asked[a] = struct{}{}
-		addrs = append(addrs, a)
 	}
 	return addrs
 }
@@ -100,8 +118,10 @@
 	}
 }
 
-// pingSilent asks the silent routers that others hear of whether they answer again.
-func (p *peers) pingSilent(ctx context.Context, now time.Time) {
+// pingUncertain asks the silent routers that others hear of, and those for which orders wait, whether
+// they answer. An order may wait for long, also on a connection that has gone silent: a call that is not
+// answered in time closes it.
+func (p *peers) pingUncertain(ctx context.Context, now time.Time) {
 	heardOf := map[wire.Address]bool{}
 	p.mu.Lock()
 	for _, m := range p.members {
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -320,6 +320,10 @@
 	defer cancel()
 	stop := s.peers.onPeerLost(owner, cancel)
 	defer stop()
+	if addr, ok := s.peers.address(owner); ok {
+		s.peers.reach.addOrders(addr, 1)
+		defer s.peers.reach.addOrders(addr, -1)
+	}
 	answer := new(Made) // still written to after the call was abandoned
 	err = s.callOwner(ctx, owner, "Peer.Make", o, answer, o.Left+orderTimeoutMargin)
 	if ctx.Err() != nil {
