entry: don't learn waits for silent owners as errors of forecasts

Callers got 503 "stages: would be late" for seconds after routers were silent, in queues that were nearly empty: 32 of 66 such refusals in two seconds came from one router, with a wait of 40 to 80 ms, a total of 0.65 s, an aim of 2.2 s and an expected error of 1.5 s. The error of a route's forecasts is learnt from requests that ran, and the time for which their orders waited for owners that did not answer was counted. A request that is refused teaches nothing, so the error stays.

A request teaches the error only if all owners of its orders answered.

--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -15,13 +16,13 @@
 
 // startBesideSilent starts a router with the fewest cores of all that may own queues, which knows the
 // archive and the routers at the given addresses. Others hear of these all the time.
-func startBesideSilent(t *testing.T, addrs []string, cores []float64) *node {
+func startBesideSilent(t *testing.T, addrs []string, cores []float64) (r *rig, n *node) {
 	t.Helper()
-	r := newRig(t)
+	r = newRig(t)
 	r.addReplica("a-1", "archive")
 	cfg := r.settings("r1")
 	cfg.Cores = 0.1
-	n := r.start(cfg)
+	n = r.start(cfg)
 	r.waitForUpstreams(n, 1)
 	n.peers.mu.Lock()
 	for i, a := range addrs {
@@ -30,7 +31,7 @@
 	n.peers.mu.Unlock()
 	n.queues.reassign(time.Now())
 	assert.Assert(t, n.queues.owner(shard.ID{Service: "archive"}) != n.cfg.Name)
-	return n
+	return r, n
 }
 
 // assertMade places an order and asserts that its pieces are made.
@@ -57,7 +58,7 @@
 		t.Cleanup(stop)
 		addrs, cores = append(addrs, addr), append(cores, 8)
 	}
-	n := startBesideSilent(t, addrs, cores)
+	_, n := startBesideSilent(t, addrs, cores)
 	assertMade(t, n, "first")
 	t.Run("later orders pass them at once", func(t *testing.T) {
 		assert.Equal(t, len(assertMade(t, n, "second")), 1)
@@ -74,7 +75,22 @@
 	assert.NilError(t, err)
 	t.Cleanup(stopFar)
 	// r4 is no neighbour of r1, to which r1 sends heartbeats.
-	n := startBesideSilent(t, []string{addr, addr, far}, []float64{0.01, 0.01, 8})
+	_, n := startBesideSilent(t, []string{addr, addr, far}, []float64{0.01, 0.01, 8})
 	waits := assertMade(t, n, "first")
 	assert.Equal(t, waits[0].Owner, wire.HostID("r4"))
 }
+
+// TestForecastBesideSilentOwners guards against requests that are refused long after routers were silent,
+// because the time for which others waited for them is taken for an error of the forecasts.
+func TestForecastBesideSilentOwners(t *testing.T) {
+	addr, stop, err := site.ListenUnreachable()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	r, n := startBesideSilent(t, []string{addr}, []float64{8})
+	r.addReplica("e-1", "engine")
+	r.waitForUpstreams(n, 2)
+	c := post(planHost, "/once/1", "prompt")
+	c.header = http.Header{"Piece-Count": {"2"}, "Piece-Key": {"k"}}
+	n.assertStatus(t, c, http.StatusOK, "")
+	assert.Equal(t, n.forecastErrors.Expected("draft"), time.Duration(0))
+}
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -78,7 +78,7 @@
 		})
 	}
 	start := time.Now()
-	if err = p.Wait(); err == nil && !x.late && !x.spec.Resumed {
+	if err = p.Wait(); err == nil && !x.late && !x.spec.Resumed && !x.orderWaits.hasFailed() {
 		s.forecastErrors.Record(x.route.ID, time.Since(start)-x.stageForecast)
 	}
 	return rs, err
@@ -275,16 +275,22 @@
 	Owner   wire.HostID `json:"owner"`
 	Waited  int64       `json:"waited_ms"`
 	Heard   int64       `json:"heard_ms"` // time since the owner was last heard of when the wait ended; 0 for this router
-	Outcome string      `json:"outcome"`  // reason of Made, "made", or "failed" without an answer
+	Outcome string      `json:"outcome"`  // reason of Made, outcomeMade or outcomeFailed
 }
 
+// Values of orderWait.Outcome beside the reasons of Made.
+const (
+	outcomeMade   = "made"
+	outcomeFailed = "failed" // the owner did not answer
+)
+
 // orderWait returns the record of a placement that began at a time and ends now.
 func (s *Server) orderWait(stage int, owner wire.HostID, began time.Time, m Made, err error) orderWait {
 	now := time.Now()
-	w := orderWait{Stage: stage, Owner: owner, Waited: now.Sub(began).Milliseconds(), Heard: s.peers.sinceHeard(now, owner).Milliseconds(), Outcome: "made"}
+	w := orderWait{Stage: stage, Owner: owner, Waited: now.Sub(began).Milliseconds(), Heard: s.peers.sinceHeard(now, owner).Milliseconds(), Outcome: outcomeMade}
 	switch {
 	case err != nil:
-		w.Outcome = "failed"
+		w.Outcome = outcomeFailed
 	case m.Reason != "":
 		w.Outcome = m.Reason
 	}
@@ -307,6 +313,11 @@
 	ws.all = append(ws.all, w)
 }
 
+// hasFailed reports whether an owner did not answer.
+func (ws *orderWaits) hasFailed() bool {
+	return slices.ContainsFunc(ws.list(), func(w orderWait) bool { return w.Outcome == outcomeFailed })
+}
+
 func (ws *orderWaits) list() []orderWait {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
