entry: take a stream up as soon as one router has told its version

The search ends with the first record. The calls that are left are abandoned, which keeps their connections.

TestFirstRecord does not end if the search waits for all, as it did before; without the search as a function of its own the test did not build.

--- a/entry/origin.go
+++ b/entry/origin.go
@@ -143,33 +143,40 @@
 	caches   cacheSearch     // of the engines, asked if the routers don't know
 }
 
-// resolve returns what this router and those that may hold the record of a stream know about it.
+// originAnswer is the answer of a router that was asked for the record of a stream. ok is false if there
+// was none.
+type originAnswer struct {
+	answer origin.Answer
+	ok     bool
+}
+
+// resolve returns what this router and those that may hold the record of a stream know about it. It
+// returns as soon as one of them has the record.
 func (o *origins) resolve(ctx context.Context, q OriginQuery) (found originSearch) {
 	own := o.answer(q)
 	if found = (originSearch{answers: []origin.Answer{own}, complete: true}); own.Record.Version != "" {
 		return found
 	}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, name := range origin.Holders(q.Stream, o.s.peers.ownerCandidates(time.Now())) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	names := origin.Holders(q.Stream, o.s.peers.ownerCandidates(time.Now()))
+	answers := make(chan originAnswer, len(names))
+	for _, name := range names {
 		addr, ok := o.s.peers.address(name)
 		if !ok {
 			continue // this router
 		}
 		found.asked++
-		wg.Go(func() {
-			var a origin.Answer
-			err := o.s.peers.call(ctx, addr, "Peer.Origin", q, &a, originTimeout)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				found.complete = false
+		o.s.background.Go(func() {
+			a := new(origin.Answer) // still written to after the call was abandoned
+			if err := o.s.peers.call(ctx, addr, "Peer.Origin", q, a, originTimeout); err != nil {
+				answers <- originAnswer{}
 				return
 			}
-			found.answers = append(found.answers, a)
+			answers <- originAnswer{*a, true}
 		})
 	}
-	wg.Wait()
+	found.gather(answers)
 	if len(found.answers) == 1 && o.s.peers.knowsOthers(time.Now()) {
 		// Streams of a version that has just joined are known to others alone.
 		found.answers[0].Covered, found.complete = false, false
@@ -177,6 +184,21 @@
 	return found
 }
 
+// gather receives the answers of the routers that were asked, until one has the record.
+func (f *originSearch) gather(answers <-chan originAnswer) {
+	for range f.asked {
+		a := <-answers
+		if !a.ok {
+			f.complete = false
+			continue
+		}
+		f.answers = append(f.answers, a.answer)
+		if a.answer.Record.Version != "" {
+			return
+		}
+	}
+}
+
 // pinOrigin sets the software version at which a stream that the caller takes up must go on,
 // and returns the service that began it. It returns a refusal if they are unknown or no
 // upstream has them.
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/origin"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
@@ -94,3 +95,17 @@
 	n.assertStatus(t, c, http.StatusOK, "")
 	assert.Equal(t, n.forecastErrors.Expected("draft"), time.Duration(0))
 }
+
+// TestFirstRecord guards against take-ups that wait for routers that don't answer although another one
+// has told the version of the stream.
+func TestFirstRecord(t *testing.T) {
+	told := origin.Answer{Record: origin.Record{Stream: "s", Service: "engine", Version: "v1"}}
+	answers := make(chan originAnswer, 3)
+	answers <- originAnswer{}
+	answers <- originAnswer{answer: told, ok: true}
+	found := originSearch{asked: 3, complete: true}
+	found.gather(answers)
+	r, ok := origin.Resolve(found.answers, "engine")
+	assert.Assert(t, ok)
+	assert.Equal(t, r, told.Record)
+}
