entry, core/origin: ask the router that began a stream for its record

A stream that its caller took up was refused, "software version of the stream unknown", while the three holders of its record were silent, although the router that began it was not: it is asked only if it is among the holders. Silent holders are still taken for alive for 0.3 to 1.1 s.

If some holders don't answer and no other has the record, up to 32 further routers are asked, for originTimeout once more.

--- a/core/origin/owners.go
+++ b/core/origin/owners.go
@@ -38,6 +38,20 @@
 	return holders
 }
 
+// maxOthers bounds the routers that Others returns.
+const maxOthers = 32
+
+// Others returns further routers to ask for the record of a stream, if some of its holders don't
+// answer: the router that began it is one of them, unless they are more than maxOthers.
+func Others(id wire.RequestID, holders []wire.HostID, rs []shard.Router) (names []wire.HostID) {
+	for _, r := range ranked(id, rs) {
+		if len(names) < maxOthers && !slices.Contains(holders, r.Name) {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
 // without returns an order of routers without one of them.
 func without(order []shard.Router, name wire.HostID) []shard.Router {
 	return slices.DeleteFunc(slices.Clone(order), func(r shard.Router) bool { return r.Name == name })
--- a/entry/origin.go
+++ b/entry/origin.go
@@ -157,16 +157,31 @@
 	if found = (originSearch{answers: []origin.Answer{own}, complete: true}); own.Record.Version != "" {
 		return found
 	}
+	routers := o.s.peers.ownerCandidates(time.Now())
+	holders := origin.Holders(q.Stream, routers)
+	if o.ask(ctx, q, holders, &found); !found.complete && !found.hasRecord() {
+		// The router that began the stream has the record, too.
+		o.ask(ctx, q, origin.Others(q.Stream, holders, routers), &found)
+	}
+	if len(found.answers) == 1 && o.s.peers.knowsOthers(time.Now()) {
+		// Streams of a version that has just joined are known to others alone.
+		found.answers[0].Covered, found.complete = false, false
+	}
+	return found
+}
+
+// ask asks routers for the record of a stream, until one has it, and adds their answers to found.
+func (o *origins) ask(ctx context.Context, q OriginQuery, routers []wire.HostID, found *originSearch) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	names := origin.Holders(q.Stream, o.s.peers.ownerCandidates(time.Now()))
-	answers := make(chan originAnswer, len(names))
-	for _, name := range names {
+	answers := make(chan originAnswer, len(routers))
+	asked := 0
+	for _, name := range routers {
 		addr, ok := o.s.peers.address(name)
 		if !ok {
 			continue // this router
 		}
-		found.asked++
+		asked++
 		o.s.background.Go(func() {
 			a := new(origin.Answer) // still written to after the call was abandoned
 			if err := o.s.peers.call(ctx, addr, "Peer.Origin", q, a, originTimeout); err != nil {
@@ -176,29 +191,30 @@
 			answers <- originAnswer{*a, true}
 		})
 	}
-	found.gather(answers)
-	if len(found.answers) == 1 && o.s.peers.knowsOthers(time.Now()) {
-		// Streams of a version that has just joined are known to others alone.
-		found.answers[0].Covered, found.complete = false, false
-	}
-	return found
+	found.asked += asked
+	found.gather(answers, asked)
 }
 
-// gather receives the answers of the routers that were asked, until one has the record.
-func (f *originSearch) gather(answers <-chan originAnswer) {
-	for range f.asked {
+// gather receives the answers of n routers, until one has the record.
+func (f *originSearch) gather(answers <-chan originAnswer, n int) {
+	for range n {
 		a := <-answers
 		if !a.ok {
 			f.complete = false
 			continue
 		}
 		f.answers = append(f.answers, a.answer)
-		if a.answer.Record.Version != "" {
+		if f.hasRecord() {
 			return
 		}
 	}
 }
 
+// hasRecord reports whether the last router that answered has the record.
+func (f *originSearch) hasRecord() bool {
+	return f.answers[len(f.answers)-1].Record.Version != ""
+}
+
 // pinOrigin sets the software version at which a stream that the caller takes up must go on,
 // and returns the service that began it. It returns a refusal if they are unknown or no
 // upstream has them.
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,9 +104,33 @@
 	answers := make(chan originAnswer, 3)
 	answers <- originAnswer{}
 	answers <- originAnswer{answer: told, ok: true}
-	found := originSearch{asked: 3, complete: true}
-	found.gather(answers)
+	found := originSearch{answers: make([]origin.Answer, 1), complete: true}
+	found.gather(answers, 3)
 	r, ok := origin.Resolve(found.answers, "engine")
 	assert.Assert(t, ok)
 	assert.Equal(t, r, told.Record)
 }
+
+// TestSilentHolders guards against streams that are refused because the holders of their record don't
+// answer, although the router that began them does.
+func TestSilentHolders(t *testing.T) {
+	addr, stop, err := site.ListenSilent()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	r, n := startBesideSilent(t, slices.Repeat([]string{addr}, 6), slices.Repeat([]float64{8}, 6))
+	beginner := r.start(r.settings("beginner"))
+	n.peers.mu.Lock()
+	n.peers.mergeMember(time.Now().Add(time.Hour), beginner.peers.self)
+	n.peers.mu.Unlock()
+	rec := origin.Record{Service: "engine", Version: "v1", Left: time.Hour}
+	for i := 0; rec.Stream == ""; i++ {
+		id := wire.RequestID(fmt.Sprint("s-", i))
+		if !slices.Contains(origin.Holders(id, n.peers.ownerCandidates(time.Now())), beginner.cfg.Name) {
+			rec.Stream = id
+		}
+	}
+	beginner.origins.table.Add(time.Now(), rec)
+	found := n.origins.resolve(t.Context(), OriginQuery{Stream: rec.Stream, Service: "engine", Window: time.Hour})
+	got, _ := origin.Resolve(found.answers, "engine")
+	assert.Equal(t, got.Version, rec.Version)
+}
