entry: don't close connections for a slow answer about a stream's record

Orders of stage results ended without an answer, and requests with "stage no answer", after one router had been slow for 250 ms: a call for the record of a stream that is not answered within 250 ms closed the connection to the router, with all orders that waited on it.

A context ends the wait, and the call's own timeout is that of a heartbeat.

TestSlowHolderKeepsConnection failed before, 3 of 3, and passes.

--- a/entry/origin.go
+++ b/entry/origin.go
@@ -18,7 +18,8 @@
 	// originFlushDelay is the time for which records of streams are gathered before they are
 	// sent to their owners with one call for each.
 	originFlushDelay = 5 * time.Millisecond
-	// originTimeout bounds a call for records, far above the delay between data centres.
+	// originTimeout bounds a call for records, far above the delay between data centres. A context
+	// ends the call, whose own timeout closes the connection that orders use too.
 	originTimeout = 250 * time.Millisecond
 	// maxRecordsAtOnce bounds the records in one call that shares a connection with
 	// heartbeats. A router that stops or has a peer that starts sends thousands.
@@ -93,12 +94,14 @@
 	if !ok || len(rs) == 0 {
 		return
 	}
-	var n int
+	n := new(int) // still written to after the call was abandoned
 	var err error
 	if len(rs) > maxRecordsAtOnce {
-		err = o.s.peers.transfer(context.Background(), addr, "Peer.Origins", rs, &n)
+		err = o.s.peers.transfer(context.Background(), addr, "Peer.Origins", rs, n)
 	} else {
-		err = o.s.peers.call(context.Background(), addr, "Peer.Origins", rs, &n, originTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+		defer cancel()
+		err = o.s.peers.call(ctx, addr, "Peer.Origins", rs, n, heartbeatTimeout)
 	}
 	if err != nil {
 		o.s.log.Debug("could not send records of streams", "peer", peer, "records", len(rs), "err", err)
@@ -172,7 +175,7 @@
 
 // ask asks routers for the record of a stream, until one has it, and adds their answers to found.
 func (o *origins) ask(ctx context.Context, q OriginQuery, routers []wire.HostID, found *originSearch) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	answers := make(chan originAnswer, len(routers))
 	asked := 0
@@ -184,7 +187,7 @@
 		asked++
 		o.s.background.Go(func() {
 			a := new(origin.Answer) // still written to after the call was abandoned
-			if err := o.s.peers.call(ctx, addr, "Peer.Origin", q, a, originTimeout); err != nil {
+			if err := o.s.peers.call(ctx, addr, "Peer.Origin", q, a, heartbeatTimeout); err != nil {
 				answers <- originAnswer{}
 				return
 			}
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -134,3 +134,21 @@
 	got, _ := origin.Resolve(found.answers, "engine")
 	assert.Equal(t, got.Version, rec.Version)
 }
+
+// TestSlowHolderKeepsConnection guards against orders that fail because a router is slow to tell the record
+// of a stream, and the connection to it that they use is closed.
+func TestSlowHolderKeepsConnection(t *testing.T) {
+	addr, stop, err := site.ListenSilent()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	far, stopFar, err := site.ListenSilent()
+	assert.NilError(t, err)
+	t.Cleanup(stopFar)
+	// r4 is no neighbour of r1, so a heartbeat does not close the connection either.
+	_, n := startBesideSilent(t, []string{addr, addr, far}, []float64{8, 8, 8})
+	n.origins.resolve(t.Context(), OriginQuery{Stream: "s", Service: "engine", Window: time.Hour})
+	n.origins.sendTo("r4", []origin.Record{{Stream: "s"}})
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	assert.Assert(t, n.peers.clients[wire.Address(far)] != nil)
+}
