--- a/entry/peers.go
+++ b/entry/peers.go
@@ -117,8 +117,9 @@
 	introduced map[wire.HostID]bool
 	tickAt     time.Time // last tick of run
 	// resumedAt is the end of the last pause of run, for instance because the process was
-	// suspended.
+	// suspended, and pause its length.
 	resumedAt time.Time
+	pause     time.Duration
 
 	reach  reach
 	offers fleet.Offers
@@ -225,8 +226,8 @@
 func (p *peers) recordTick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.tickAt.IsZero() && now.Sub(p.tickAt) > crash.MaxTransit {
-		p.resumedAt = now
+	if pause := now.Sub(p.tickAt); !p.tickAt.IsZero() && pause > crash.MaxTransit {
+		p.resumedAt, p.pause = now, pause
 	}
 	p.tickAt = now
 }
@@ -239,6 +240,20 @@
 	return now.Sub(p.tickAt) > crash.MaxTransit || now.Sub(p.resumedAt) < 2*crash.MaxTransit
 }
 
+// aliveAt returns the time for which to ask whether routers are alive: now, but without a pause that
+// has ended so recently that they can't have been heard of since. The caller holds mu.
+func (p *peers) aliveAt(now time.Time) time.Time {
+	switch {
+	case p.tickAt.IsZero():
+		return now
+	case now.Sub(p.tickAt) > crash.MaxTransit: // run has not ticked since
+		return p.tickAt
+	case now.Sub(p.resumedAt) < heartbeatTimeout:
+		return now.Add(-p.pause)
+	}
+	return now
+}
+
 // neighbour is a router to send heartbeats to. The name of a seed may be unknown.
 type neighbour struct {
 	name wire.HostID
@@ -459,12 +474,13 @@
 	self := shard.Router{Name: p.self.Name, Centre: p.self.Centre, CPU: p.self.CPU}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	at := p.aliveAt(now)
 	var rs []shard.Router
 	if !p.s.draining.Load() {
 		rs = append(rs, self)
 	}
 	for n, m := range p.members {
-		if m.isAlive(now) && !m.Leaving && !p.reach.isSilent(m.Address) {
+		if m.isAlive(at) && !m.Leaving && !p.reach.isSilent(m.Address) {
 			rs = append(rs, shard.Router{Name: n, Centre: m.Centre, CPU: m.CPU})
 		}
 	}
@@ -499,8 +515,9 @@
 func (p *peers) othersReady(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	at := p.aliveAt(now)
 	for _, m := range p.members {
-		if m.isAlive(now) && !m.Leaving {
+		if m.isAlive(at) && !m.Leaving {
 			return true
 		}
 	}
@@ -654,9 +671,10 @@
 // cancelLost calls and ends the watches of the peers that are no longer alive.
 func (p *peers) cancelLost(now time.Time) {
 	p.mu.Lock()
+	at := p.aliveAt(now)
 	var lost []*peerWatch
 	for w := range p.watches {
-		if m := p.members[w.name]; m == nil || !m.isAlive(now) {
+		if m := p.members[w.name]; m == nil || !m.isAlive(at) {
 			lost = append(lost, w)
 			delete(p.watches, w)
 		}
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"testing"
@@ -152,3 +153,27 @@
 	defer n.peers.mu.Unlock()
 	assert.Assert(t, n.peers.clients[wire.Address(far)] != nil)
 }
+
+// TestPeersAfterSuspension guards against routers that take all others for lost when they run again
+// after a suspension, and refuse the streams that others know.
+func TestPeersAfterSuspension(t *testing.T) {
+	s, err := New(Settings{Name: "r1", Level: "info"}, "", io.Discard)
+	assert.NilError(t, err)
+	const pause = 3 * time.Second
+	start := time.Now()
+	p := s.peers
+	p.mu.Lock()
+	p.tickAt = start
+	p.mergeMember(start, Member{Name: "r2", Address: "127.0.0.1:1", Boot: 1})
+	p.mu.Unlock()
+	assertKnown := func(at time.Time, want bool) {
+		t.Helper()
+		assert.Equal(t, len(p.candidateNames(at)) == 2, want)
+	}
+	assertKnown(start.Add(pause), true)
+	p.recordTick(start.Add(pause))
+	assertKnown(start.Add(pause+heartbeatTimeout/2), true)
+	t.Run("silent after it", func(t *testing.T) {
+		assertKnown(start.Add(pause+ownerTimeout), false)
+	})
+}
