core/batch, entry: forget results when a queue is owned again

After routers had been cut off, callers got "stages: would be late" and "stage late" for ten seconds in which nothing was disturbed: the owner of a queue started few calls, since it counted 723 MB of results in 16 upstreams that keep 896 MB. It had made them before another router owned the queue; the request that reads a result has it freed by the present owner, and the one that made it counts it until it expires.

A router that owns a queue, and did not before, forgets the results that it knows of. An upstream without room says so, which limits its calls as before.

TestQueueOwnedAgain failed before, 2 of 2 ("late" after 20 s), and passes. Results are still left at upstreams that nobody frees.

--- a/core/batch/queue.go
+++ b/core/batch/queue.go
@@ -646,6 +646,16 @@
 	return known, unknown
 }
 
+// ForgetResults forgets the results that the upstreams keep. A router that owns the queue again calls
+// it, because those that were freed meanwhile were freed by other owners. An upstream that has no room
+// says so.
+func (q *Queue[T]) ForgetResults() {
+	for _, u := range q.upstreams {
+		clear(u.results)
+		u.used, u.noRoomUntil = 0, time.Time{}
+	}
+}
+
 // holder returns the upstream that keeps the result h.
 func (q *Queue[T]) holder(h fleet.Handle) (wire.UpstreamID, bool) {
 	for id, u := range q.upstreams {
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -73,7 +73,7 @@
 	qs.layoutMu.Lock()
 	defer qs.layoutMu.Unlock()
 	l := qs.layout.Load().assign(qs.s.peers.ownerCandidates(now))
-	qs.layout.Store(&l)
+	qs.publish(&l)
 }
 
 // redivide publishes the layout of a new snapshot.
@@ -81,10 +81,29 @@
 	qs.layoutMu.Lock()
 	defer qs.layoutMu.Unlock()
 	l := qs.layout.Load().divide(v).assign(qs.s.peers.ownerCandidates(time.Now()))
-	qs.layout.Store(&l)
+	qs.publish(&l)
 	return l
 }
 
+// publish publishes a layout and prepares the queues that this router owns from now on. The caller
+// holds layoutMu.
+func (qs *stageQueues) publish(l *layout) {
+	former := qs.layout.Swap(l).owners
+	for id, owner := range l.owners {
+		if sq := qs.find(id); sq != nil && owner == qs.s.cfg.Name && former[id] != owner {
+			sq.regained()
+		}
+	}
+}
+
+// regained forgets the results that other owners of the queue may have freed.
+func (sq *stageQueue) regained() {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	sq.q.ForgetResults()
+	sq.dispatch()
+}
+
 // owner returns the router that owns a queue, as this router sees it, or "" if the service
 // has no such queue.
 func (qs *stageQueues) owner(id shard.ID) wire.HostID { return qs.layout.Load().owners[id] }
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -197,3 +199,49 @@
 	assert.NilError(t, (&Peer{n.Server}).Make(Order{Request: "q", Service: "archive", Pieces: 1, Left: time.Second}, &m))
 	assert.Equal(t, m.Reason, reasonNoUpstream)
 }
+
+// TestQueueOwnedAgain guards against a router that makes nothing when it owns a queue again, because it
+// still counts the results that another owner has freed meanwhile.
+func TestQueueOwnedAgain(t *testing.T) {
+	const pieces, size = 8, 5_000_000 // together as much as an upstream keeps
+	r := newRig(t)
+	services := slices.Clone(site.Services)
+	for i, s := range services {
+		if s.Name == "archive" {
+			services[i].Pieces = maps.Clone(s.Pieces)
+			services[i].Pieces["handle_s"] = waitTimeout.Seconds() * 100
+		}
+	}
+	r.site.Store.PutJSON("op/config", site.Config(2, routes, services, apiKeys))
+	archives := r.addArchives("a", 1, 0)
+	first := r.settings("r1")
+	first.Cores = 1
+	n := r.start(first)
+	r.waitForUpstreams(n, 1)
+	id := shard.ID{Service: "archive"}
+	waitForOwner := func(name wire.HostID) {
+		t.Helper()
+		r.waitFor("the queue is owned by "+string(name), func() bool { return n.queues.owner(id) == name })
+	}
+	makeAll := func(request wire.RequestID) Made {
+		t.Helper()
+		o := Order{Request: request, Service: "archive", Pieces: pieces, Size: size, Key: "k", Centre: "a", Aim: waitTimeout, Left: waitTimeout}
+		m, _, err := n.placeOrder(context.Background(), o, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, m.Reason, "")
+		return m
+	}
+	waitForOwner("r1")
+	m := makeAll("first")
+	second := r.settings("r2", first.Peers)
+	second.Cores = 8
+	other := r.start(second)
+	r.waitForUpstreams(other, 1)
+	waitForOwner("r2")
+	r.waitFor("both agree on the owner", func() bool { return other.queues.owner(id) == "r2" })
+	n.freeResults(Freed{Service: "archive", Shard: id, Handles: m.Handles})
+	r.waitForResults(archives, 0)
+	other.terminate()
+	waitForOwner("r1")
+	makeAll("second")
+}
