entry: free results at upstreams when the owner of their queue is silent

Stage services had no room for seconds after routers had fallen silent, and callers got "stages: would be late": results that were no longer needed stayed at the upstreams until they expired, since the call to the owner of their queue, which frees them, was not answered, and nobody tried again.

If the owner does not answer, the router frees the results itself; it knows the upstreams from their handles.

TestFreeBesideSilentOwner failed before, 2 of 2, and passes.

--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -177,3 +177,17 @@
 		assertKnown(start.Add(pause+ownerTimeout), false)
 	})
 }
+
+// TestFreeBesideSilentOwner guards against results that take up the room of upstreams until they expire,
+// because the owner of their queue does not answer.
+func TestFreeBesideSilentOwner(t *testing.T) {
+	addr, stop, err := site.ListenUnreachable()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	r, n := startBesideSilent(t, []string{addr}, []float64{8})
+	id := shard.ID{Service: "archive"}
+	m := n.queues.makePieces(t.Context(), Order{Request: "q", Service: "archive", Shard: id, Pieces: 2, Size: 1000, Key: "k", Centre: "a", Aim: waitTimeout, Left: waitTimeout})
+	assert.Equal(t, m.Reason, "")
+	n.freeResults(Freed{Service: "archive", Shard: id, Handles: m.Handles})
+	r.waitForResults(r.site.Replicas(), 0)
+}
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -196,7 +196,8 @@
 	s.freeResultsAt(owner, f)
 }
 
-// freeResultsAt tells a router which results of its queue are no longer needed.
+// freeResultsAt tells a router which results of its queue are no longer needed. If the router does not
+// answer, this one frees them at the upstreams.
 func (s *Server) freeResultsAt(owner wire.HostID, f Freed) {
 	if owner == s.cfg.Name {
 		s.queues.free(f)
@@ -207,6 +208,7 @@
 		if err := s.callOwner(context.Background(), owner, "Peer.Free", f, &reply, heartbeatTimeout); err != nil {
 			s.log.Debug("could not free results at queue owner", "queue", f.Shard.String(), "owner", owner, "err", err)
 			s.incCounter("frees_failed")
+			s.queues.free(f)
 		}
 	})
 }
