entry: keep the owners of queues that answer when another router is silent

While routers were cut off, the others looked for the same queue at different owners: each finds out by itself that a router is silent, and then all queues were divided anew among the rest. Owners of the same queue start calls at the same upstreams, which then take longer; pieces of overdue calls are made twice.

Only the queues of a silent router get another owner, as far as this router is concerned. Routers agree on all others.

TestOwnersThatAnswer failed before.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -471,24 +471,37 @@
 // ownerCandidates returns the routers that may own queues, sorted by name. Routers that
 // drain or don't answer are left out. If none remains, it returns this router alone.
 func (p *peers) ownerCandidates(now time.Time) []shard.Router {
+	_, reachable := p.owners(now)
+	return reachable
+}
+
+// owners returns the routers that may own queues as others see it, and those of them that answer this
+// router, both as ownerCandidates does.
+func (p *peers) owners(now time.Time) (alive, reachable []shard.Router) {
 	self := shard.Router{Name: p.self.Name, Centre: p.self.Centre, CPU: p.self.CPU}
+	if !p.s.draining.Load() {
+		alive, reachable = append(alive, self), append(reachable, self)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := p.aliveAt(now)
-	var rs []shard.Router
-	if !p.s.draining.Load() {
-		rs = append(rs, self)
-	}
 	for n, m := range p.members {
-		if m.isAlive(at) && !m.Leaving && !p.reach.isSilent(m.Address) {
-			rs = append(rs, shard.Router{Name: n, Centre: m.Centre, CPU: m.CPU})
+		if !m.isAlive(at) || m.Leaving {
+			continue
+		}
+		r := shard.Router{Name: n, Centre: m.Centre, CPU: m.CPU}
+		alive = append(alive, r)
+		if !p.reach.isSilent(m.Address) {
+			reachable = append(reachable, r)
 		}
 	}
-	if len(rs) == 0 {
-		rs = append(rs, self)
+	for _, rs := range []*[]shard.Router{&alive, &reachable} {
+		if len(*rs) == 0 {
+			*rs = append(*rs, self)
+		}
+		slices.SortFunc(*rs, func(a, b shard.Router) int { return cmp.Compare(a.Name, b.Name) })
 	}
-	slices.SortFunc(rs, func(a, b shard.Router) int { return cmp.Compare(a.Name, b.Name) })
-	return rs
+	return alive, reachable
 }
 
 // candidateNames returns the names of ownerCandidates.
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -68,11 +68,28 @@
 	return l
 }
 
+// assignReachable is assign for the routers that others hear of, but queues whose owner does not answer
+// this router get another one that does. The owners of the other queues stay the same, so that routers
+// which find out at different times that a router is silent agree on them.
+func (l layout) assignReachable(alive, reachable []shard.Router) layout {
+	l = l.assign(alive)
+	if len(reachable) == len(alive) {
+		return l
+	}
+	others := l.assign(reachable).owners
+	for id, owner := range l.owners {
+		if !slices.ContainsFunc(reachable, func(r shard.Router) bool { return r.Name == owner }) {
+			l.owners[id] = others[id]
+		}
+	}
+	return l
+}
+
 // reassign publishes the owners of the queues among the routers that are alive now.
 func (qs *stageQueues) reassign(now time.Time) {
 	qs.layoutMu.Lock()
 	defer qs.layoutMu.Unlock()
-	l := qs.layout.Load().assign(qs.s.peers.ownerCandidates(now))
+	l := qs.layout.Load().assignReachable(qs.s.peers.owners(now))
 	qs.publish(&l)
 }
 
@@ -80,7 +97,7 @@
 func (qs *stageQueues) redivide(v *View) layout {
 	qs.layoutMu.Lock()
 	defer qs.layoutMu.Unlock()
-	l := qs.layout.Load().divide(v).assign(qs.s.peers.ownerCandidates(time.Now()))
+	l := qs.layout.Load().divide(v).assignReachable(qs.s.peers.owners(time.Now()))
 	qs.publish(&l)
 	return l
 }
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
@@ -245,3 +246,26 @@
 	waitForOwner("r1")
 	makeAll("second")
 }
+
+// TestOwnersThatAnswer guards against queues that routers look for at different owners, because the
+// routers find out at different times that the owner of another queue is silent.
+func TestOwnersThatAnswer(t *testing.T) {
+	var routers []shard.Router
+	for i := range 6 {
+		routers = append(routers, shard.Router{Name: wire.HostID(fmt.Sprint("r", i)), Centre: "a", CPU: 0.5})
+	}
+	l := layout{services: map[fleet.ServiceID][]shard.Shard{}}
+	for i := range 12 {
+		id := fleet.ServiceID(fmt.Sprint("s", i))
+		l.services[id] = []shard.Shard{{ID: shard.ID{Service: id}}}
+	}
+	before := l.assign(routers).owners
+	after := l.assignReachable(routers, routers[1:]).owners
+	for id, owner := range before {
+		if owner == routers[0].Name {
+			assert.Assert(t, after[id] != owner)
+		} else {
+			assert.Equal(t, after[id], owner)
+		}
+	}
+}
