entry: await pings as long as routers own queues

An order went to another owner after 0.4 s, while the former one, which still reaches the upstreams, made its pieces too; so did six owners of the same queue at a time, and calls became overdue and were made twice.

A ping is now awaited for 1.1 s, as long as a router owns queues after it was last heard of. TestSilentOwner passes as before: the order no longer waits for its whole time.

--- a/entry/reach.go
+++ b/entry/reach.go
@@ -134,7 +134,7 @@
 		p.s.background.Go(func() {
 			defer p.reach.endPing(a)
 			var reply int
-			if err := p.call(ctx, a, "Peer.Ping", 0, &reply, heartbeatTimeout); err != nil {
+			if err := p.call(ctx, a, "Peer.Ping", 0, &reply, ownerTimeout); err != nil {
 				p.s.log.Debug("peer does not answer a ping", "peer", a, "err", err)
 			}
 		})
