soak: let routers stand still beside the crash of an engine

The fault that crashes an engine and kills routers now suspends all but one of them in half of the cases, for 0.3 to 3 s.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -162,7 +162,7 @@
 	{"pause a router", scopeRouters, pauseRouter},
 	{"reload a router", scopePlanned, reloadRouter},
 	{"kill all routers", scopeRouters, killAllRouters},
-	{"engine crashes, routers are killed", scopeRouters, crashAndKill},
+	{"engine crashes, routers are lost", scopeRouters, crashAndLose},
 	{"fault on the store connection", scopeStore, faultStoreLink},
 	{"store fails", scopeStore, failStore},
 	{"store is restored", scopeStore, restoreStore},
@@ -327,15 +327,18 @@
 	}
 }
 
-// maxKillDelay is the longest time from the crash of an engine until routers are killed, in which
+// maxKillDelay is the longest time from the crash of an engine until routers are lost, in which
 // callers can't yet have taken up the streams that broke off.
 const maxKillDelay = 50 * time.Millisecond
 
-// crashAndKill crashes an engine and then kills one or two routers, some of which have begun its
-// streams, hold their records or own the queues of the stages that they need again.
-func crashAndKill(r *Run, rng *rand.Rand, e *event) {
+// crashAndLose crashes an engine, and soon after some routers are killed or stand still, which have begun
+// its streams, hold their records or own the queues of the stages that they need again.
+func crashAndLose(r *Run, rng *rand.Rand, e *event) {
 	rp := r.randomReplica(rng, "engine")
-	n := 1 + rng.IntN(2)
+	lose, n := r.killAndRestart, 1+rng.IntN(2)
+	if rng.IntN(2) == 0 {
+		lose, n = r.pauseClaimed, max(len(r.routers)-1, 1)
+	}
 	var claimed []*router
 	for _, i := range rng.Perm(len(r.routers)) {
 		if rt := r.routers[i]; len(claimed) < n && r.claims.claim(rt.name) {
@@ -350,13 +353,30 @@
 	r.events.setTargets(crashed, "", rp)
 	rp.Kill()
 	time.Sleep(randomDuration(rng, 0, maxKillDelay))
+	lose(rng, claimed)
+	time.Sleep(crashDowntime)
+	r.events.end(crashed)
+}
+
+// killAndRestart kills routers that a fault has claimed, and starts and releases them later.
+func (r *Run) killAndRestart(rng *rand.Rand, claimed []*router) {
 	for _, rt := range claimed {
 		rt.stop(os.Kill, time.Second)
 	}
 	time.Sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
 	r.restartClaimed(claimed)
-	time.Sleep(crashDowntime)
-	r.events.end(crashed)
+}
+
+// pauseClaimed suspends routers that a fault has claimed for up to 3 s, and releases them.
+func (r *Run) pauseClaimed(rng *rand.Rand, claimed []*router) {
+	for _, rt := range claimed {
+		rt.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(randomDuration(rng, 300*time.Millisecond, 3*time.Second))
+	for _, rt := range claimed {
+		rt.signal(syscall.SIGCONT)
+		r.claims.release(rt.name)
+	}
 }
 
 var linkFaults = []Fault{Delay, Blackhole, BlackholeResponses, Reset}
