entry, platform: ask for a key when the list of teams is empty

The configuration keeps whether its document has the list. A document without it stays open as before.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -16,7 +16,10 @@
 	Routes   []Route
 	Services []Service
 	Teams    []Team
-	Limits   Limits
+	// NeedsKeys is whether requests need the key of a team, also if there is no team, unless their route
+	// is anonymous.
+	NeedsKeys bool
+	Limits    Limits
 
 	routesByHost map[string][]*Route // longest prefix first
 	servicesByID map[ServiceID]*Service
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -449,14 +449,14 @@
 }
 
 // authorize sets the team and the rank of the request. The rank of a team, if it HasRank, goes before
-// that of the route. A request without a valid API key is refused unless the route is anonymous or no
-// teams are configured.
+// that of the route. A request without a valid API key is refused unless the route is anonymous or the
+// configuration has no list of teams.
 func (x *exchange) authorize(cfg *fleet.Config) *refusal {
 	if key := platform.APIKey(x.r.Header); key != "" {
 		x.team = cfg.Team(key)
 	}
 	x.rank = cfg.RankOf(x.route, x.team)
-	if x.team == nil && !x.route.Anonymous && len(cfg.Teams) > 0 {
+	if x.team == nil && !x.route.Anonymous && cfg.NeedsKeys {
 		return x.deny(http.StatusUnauthorized, "unknown key")
 	}
 	return nil
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -165,6 +165,31 @@
 	n.assertStatus(t, c, http.StatusOK, "")
 }
 
+// TestNoTeams guards against requests that run with any key, or with one that was taken away, once a
+// configuration has no team left.
+func TestNoTeams(t *testing.T) {
+	r := newRig(t)
+	r.addReplica("d-1", "desk")
+	n := r.startRouter(1)
+	n.assertStatus(t, get(deskHost, "/safe/1"), http.StatusOK, "")
+	r.site.Store.PutJSON("op/config", site.Config(2, routes, site.Services, nil))
+	r.waitFor("the configuration without teams is in force", func() bool { return n.view.Load().version() == 2 })
+	for _, key := range []string{"key-1", "never held", ""} {
+		c := get(deskHost, "/safe/2")
+		c.id, c.key = "id-"+key, key
+		n.assertStatus(t, c, http.StatusUnauthorized, "")
+		r.assertRuns(c.id, 0)
+	}
+	n.assertStatus(t, get(deskHost, "/open/1"), http.StatusOK, "")
+	t.Run("no list of teams", func(t *testing.T) {
+		open := site.Config(3, routes, site.Services, nil)
+		delete(open, "tenants")
+		r.site.Store.PutJSON("op/config", open)
+		r.waitFor("the configuration without a list of teams is in force", func() bool { return n.view.Load().version() == 3 })
+		n.assertStatus(t, get(deskHost, "/safe/3"), http.StatusOK, "")
+	})
+}
+
 // TestDiscovery guards against requests to upstreams that left, and against the loss of
 // all upstreams when the store compacts its history or another writer's entry is invalid.
 func TestDiscovery(t *testing.T) {
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -184,7 +184,8 @@
 // Config returns a configuration in the operator's format. keys maps API keys to team
 // names.
 func Config(version int, routes []Route, services []Service, keys map[string]string) map[string]any {
-	var rs, ss, ts []map[string]any
+	var rs, ss []map[string]any
+	ts := []map[string]any{}
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
 			"name": r.Name, "host": r.Host, "path_prefix": r.Prefix, "kind": r.Kind, "service": r.Service,
