core/fleet, core/admit: take stages in any order of their numbers

Forecasts walked the stages by number.

The stages are ordered by what they depend on, circles and missing stages are refused, and forecasts follow the order. TestIndex: a stage that depends on itself is refused as before, but with the message for circles, since a higher number alone is no error.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -86,7 +86,8 @@
 func Predict(cfg *fleet.Config, r *fleet.Route, spec *fleet.RequestSpec, firstEventTime time.Duration, backlog func(fleet.ServiceID) Backlog) Forecast {
 	f := Forecast{Waits: make([]time.Duration, len(r.Stages))}
 	ends := make([]time.Duration, len(r.Stages))
-	for i, s := range r.Stages {
+	for _, i := range r.StageOrder() {
+		s := &r.Stages[i]
 		begin := time.Duration(0)
 		for _, a := range s.After {
 			begin = max(begin, ends[a])
@@ -111,7 +112,8 @@
 func Slack(cfg *fleet.Config, r *fleet.Route, firstEventTime time.Duration) time.Duration {
 	ends := make([]time.Duration, len(r.Stages))
 	total := time.Duration(0)
-	for i, s := range r.Stages {
+	for _, i := range r.StageOrder() {
+		s := &r.Stages[i]
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
@@ -224,7 +226,8 @@
 // full, and the number of stages in the route's longest chain. ok is whether r needs the service.
 func reach(cfg *fleet.Config, r *fleet.Route, id fleet.ServiceID) (begin time.Duration, depth int, ok bool) {
 	ends, depths := make([]time.Duration, len(r.Stages)), make([]int, len(r.Stages))
-	for i, s := range r.Stages {
+	for _, i := range r.StageOrder() {
+		s := &r.Stages[i]
 		for _, a := range s.After {
 			ends[i], depths[i] = max(ends[i], ends[a]), max(depths[i], depths[a])
 		}
--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -130,14 +130,42 @@
 			return fmt.Errorf("route %s: stage %d: service %s takes no stage calls", r.ID, i, s.Service)
 		}
 		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return fmt.Errorf("route %s: stage %d depends on stage %d, which is not an earlier stage", r.ID, i, a)
+			if a < 0 || a >= len(r.Stages) {
+				return fmt.Errorf("route %s: stage %d depends on stage %d, which does not exist", r.ID, i, a)
 			}
 		}
 	}
+	var ok bool
+	if r.stageOrder, ok = orderStages(r.Stages); !ok {
+		return fmt.Errorf("route %s: stages depend on each other", r.ID)
+	}
 	return nil
 }
 
+// orderStages returns the indices of stages in an order in which each follows those that it depends on,
+// by their numbers where there is a choice, and false if there is none.
+func orderStages(stages []Stage) (order []int, ok bool) {
+	done := make([]bool, len(stages))
+	isReady := func(i int) bool {
+		return !done[i] && !slices.ContainsFunc(stages[i].After, func(a int) bool { return !done[a] })
+	}
+	for len(order) < len(stages) {
+		next := -1
+		for i := range stages {
+			if isReady(i) {
+				next = i
+				break
+			}
+		}
+		if next < 0 {
+			return nil, false
+		}
+		done[next] = true
+		order = append(order, next)
+	}
+	return order, true
+}
+
 // Match returns the route of host whose path prefix is the longest that path begins
 // with, or nil if there is none. The host may be in any case and have a port.
 func (c *Config) Match(host, path string) *Route {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -63,7 +63,10 @@
 		{"no service", Route{ID: "r", PathPrefix: "/a/"}, "route r: no service"},
 		{"unknown service", Route{ID: "r", PathPrefix: "/a/", Split: []WeightedService{{Service: "x"}}}, "route r: unknown service x"},
 		{"stage without calls", Route{ID: "r", PathPrefix: "/a/", Split: deskOnly, Stages: []Stage{{Service: "desk"}}}, "route r: stage 0: service desk takes no stage calls"},
-		{"stage after itself", Route{ID: "r", PathPrefix: "/a/", Split: deskOnly, Stages: []Stage{{Service: "archive", After: []int{0}}}}, "route r: stage 0 depends on stage 0, which is not an earlier stage"},
+		{"stage after itself", Route{ID: "r", PathPrefix: "/a/", Split: deskOnly, Stages: []Stage{{Service: "archive", After: []int{0}}}}, "route r: stages depend on each other"},
+		{"stages after each other", Route{ID: "r", PathPrefix: "/a/", Split: deskOnly, Stages: []Stage{{Service: "archive", After: []int{1}}, {Service: "archive", After: []int{0}}}}, "route r: stages depend on each other"},
+		{"stage after none", Route{ID: "r", PathPrefix: "/a/", Split: deskOnly, Stages: []Stage{{Service: "archive", After: []int{1}}}}, "route r: stage 0 depends on stage 1, which does not exist"},
+		{"stage after a later one", Route{ID: "r", PathPrefix: "/a/", Split: deskOnly, Stages: []Stage{{Service: "archive", After: []int{1}}, {Service: "archive"}}}, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			err := newConfig(tc.route).Index()
--- a/core/fleet/types.go
+++ b/core/fleet/types.go
@@ -57,6 +57,21 @@
 	Engine        bool              // served by model engines with a prefix cache
 	Resumable     bool              // a stream may continue at another upstream
 	Stages        []Stage
+
+	stageOrder []int // see StageOrder; nil before Config.Index
+}
+
+// StageOrder returns the indices of the stages in an order in which each follows those whose results it
+// reads. Before Config.Index it is that of their numbers.
+func (r *Route) StageOrder() []int {
+	if len(r.stageOrder) == len(r.Stages) {
+		return r.stageOrder
+	}
+	order := make([]int, len(r.Stages))
+	for i := range order {
+		order[i] = i
+	}
+	return order
 }
 
 // Repeatable reports whether a request of r may run more than once.
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hornbeamcove.example/core/admit"
 	"hornbeamcove.example/core/fleet"
 	"hornbeamcove.example/core/shard"
 	"hornbeamcove.example/fakes/site"
@@ -46,6 +48,38 @@
 	r.waitForResults(stageReplicas, 0)
 }
 
+// TestStageNumbers guards against a configuration that is refused as a whole because a stage of one route
+// reads the results of a stage with a higher number.
+func TestStageNumbers(t *testing.T) {
+	r := newRig(t)
+	stageReplicas := []*site.Replica{r.addReplica("a-1", "archive"), r.addReplica("s-1", "school")}
+	r.addReplica("e-1", "engine")
+	n := r.startRouter(3)
+	reversed := slices.Clone(routes)
+	for i := range reversed {
+		if reversed[i].Name == "plan" {
+			reversed[i].Stages = []site.Stage{{Service: "school", After: []int{2}, Bytes: 60000}, {Service: "archive", Bytes: 3000000}, {Service: "archive", Bytes: 8000}}
+		}
+	}
+	r.site.Store.PutJSON("op/config", site.Config(2, reversed, site.Services, map[string]string{"key-2": "folders"}))
+	r.waitFor("the configuration is in force", func() bool { return n.view.Load().version() == 2 })
+	n.assertStatus(t, get(deskHost, "/safe/1"), http.StatusUnauthorized, "")
+	c := post(planHost, "/fold", "prompt")
+	c.key = "key-2"
+	c.header = http.Header{"Piece-Count": {"4,2,1"}, "Piece-Key": {"k"}}
+	n.assertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+	inputs := strings.Split(r.site.Runs()[0].Header.Get("Input-Count"), ",")
+	assert.Equal(t, len(inputs), 6, "results of the stages that no other stage reads")
+	r.waitForResults(stageReplicas, 0)
+	t.Run("forecast", func(t *testing.T) {
+		cfg := n.view.Load().Config
+		spec := &fleet.RequestSpec{PieceCounts: []int{4, 2, 1}}
+		f := admit.Predict(cfg, cfg.Match(planHost, "/fold"), spec, 0, func(fleet.ServiceID) admit.Backlog { return admit.Backlog{} })
+		archive, school := cfg.Service("archive").StageCalls, cfg.Service("school").StageCalls
+		assert.Equal(t, f.StageTime, archive.ExpectedTime(1)+school.ExpectedTime(4))
+	})
+}
+
 // TestTwoReaders guards against results that are freed while one of the stages that read
 // them is still at work, because a later stage has read them already.
 func TestTwoReaders(t *testing.T) {
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -357,7 +357,7 @@
 // longest chain of stage calls that follow it, and the wait for its first event.
 func (s *Server) timeAfterStage(x *exchange, i int) time.Duration {
 	after := time.Duration(0)
-	for j := i + 1; j < len(x.route.Stages); j++ {
+	for j := range x.route.Stages {
 		st := &x.route.Stages[j]
 		if !slices.Contains(st.After, i) || x.spec.PieceCount(j) == 0 {
 			continue
