platform, core/fleet: use no entry of an upstream that lacks fields

An entry without the first two is invalid, and one without born if the last one taken had it. As before, an invalid entry names no upstream to use.

--- a/core/fleet/roster.go
+++ b/core/fleet/roster.go
@@ -78,6 +78,12 @@
 	delete(r.kept, u.ID)
 }
 
+// LacksStart reports whether an entry lacks the start of the upstream, which the last entry taken has:
+// the upstream has not written it.
+func (r *Roster) LacksStart(u Upstream) bool {
+	return u.Born == 0 && (r.entries[u.ID].Born != 0 || r.departed[u.ID].Born != 0)
+}
+
 // PutCopied is Put for an entry of a restored store, which may be from the copy: one that is
 // older than the entry known, or not newer than one that was removed, is ignored. It reports
 // whether the entry was taken.
--- a/entry/control.go
+++ b/entry/control.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -314,6 +315,8 @@
 	c.s.incCounter("config_applied")
 }
 
+var errOtherWriter = errors.New("entry lacks the start of the upstream, which the one before has")
+
 // applyUpstream adds, changes or removes an upstream. An upstream whose entry is invalid
 // is removed. A copied entry that is older than what is known is ignored.
 func (c *control) applyUpstream(now time.Time, r platform.Record, copied bool) {
@@ -324,6 +327,9 @@
 		return
 	}
 	u, err := platform.ParseUpstream(r.Name, r.Value)
+	if err == nil && c.roster.LacksStart(u) {
+		err = errOtherWriter
+	}
 	if err != nil {
 		c.s.log.Warn("entry ignored", "err", err, "revision", r.Revision)
 		c.s.incCounter("entries_ignored")
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -243,6 +243,20 @@
 		r.site.Store.PutJSON("servers/i-2", second.Entry("ready"))
 		r.waitForUpstreams(n, 2)
 	})
+	t.Run("entry of another writer for a draining upstream", func(t *testing.T) {
+		r.site.Store.PutJSON("servers/i-2", second.Entry("draining"))
+		r.waitForUpstreams(n, 1)
+		for _, missing := range []string{"cold_remaining_ms", "sequence", "born"} {
+			e := second.Entry("ready")
+			delete(e, missing)
+			at := r.site.Store.PutJSON("servers/i-2", e)
+			r.waitFor("the router has read the entry", func() bool { return int64(n.view.Load().At[1].Revision) >= at })
+			assert.Equal(t, len(n.view.Load().Upstreams["desk"]), 1, "entry without %s", missing)
+		}
+		at := r.site.Store.PutJSON("servers/i-2", second.Entry("ready"))
+		r.waitFor("the router has read the entry", func() bool { return int64(n.view.Load().At[1].Revision) >= at })
+		r.waitForUpstreams(n, 2)
+	})
 	t.Run("history lost", func(t *testing.T) {
 		r.site.Store.SetMode(site.Reset)
 		r.waitFor("the router notices that the store is lost", func() bool { return n.storeLost(1) })
