entry: dial again when the connection to a router has ended before a call

A call on a connection that has ended before it dials once more.

TestEndedConnection failed before, 2 of 2, and passes.

--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -25,7 +25,7 @@
 			err = fmt.Errorf("call %s of peer %s: %w", method, addr, err)
 		}
 	}()
-	c, err := p.client(addr)
+	c, call, err := p.start(addr, method, args, answer)
 	if err != nil {
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -35,7 +35,6 @@
 		}
 		return err
 	}
-	call := c.Go(method, args, answer, make(chan *rpc.Call, 1))
 	t := time.NewTimer(timeout)
 	defer t.Stop()
 	select {
@@ -61,6 +60,27 @@
 	}
 }
 
+// start begins a call, on a new connection if the present one has ended before.
+func (p *peers) start(addr wire.Address, method string, args, answer any) (c *rpc.Client, call *rpc.Call, err error) {
+	for range 2 {
+		if c, err = p.client(addr); err != nil {
+			return nil, nil, err
+		}
+		call = c.Go(method, args, answer, make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+			call.Done <- call
+			if !errors.Is(call.Error, rpc.ErrShutdown) {
+				return c, call, nil
+			}
+			p.dropClient(addr, c)
+		default:
+			return c, call, nil
+		}
+	}
+	return c, call, nil
+}
+
 // client returns the connection to a peer and dials it if there is none.
 func (p *peers) client(addr wire.Address) (*rpc.Client, error) {
 	p.mu.Lock()
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -191,3 +191,18 @@
 	n.freeResults(Freed{Service: "archive", Shard: id, Handles: m.Handles})
 	r.waitForResults(r.site.Replicas(), 0)
 }
+
+// TestEndedConnection guards against calls to a sound router that fail because the last connection to it
+// has ended.
+func TestEndedConnection(t *testing.T) {
+	r := newRig(t)
+	n, other := r.start(r.settings("r1")), r.start(r.settings("r2"))
+	r.waitFor("the other router listens", func() bool {
+		_, err := n.peers.client(other.cfg.Peers)
+		return err == nil
+	})
+	c, err := n.peers.client(other.cfg.Peers)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Close())
+	assert.NilError(t, n.peers.call(t.Context(), other.cfg.Peers, "Peer.Ping", 0, new(int), waitTimeout))
+}
