entry: don't count owners that are lost as attempts of an order

An order goes on at once if its owner is lost.

TestLostOwners failed before ("no answer" after three of five) and passes.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -562,10 +562,13 @@
 	return m.Address, true
 }
 
-// isSilent reports whether a router does not answer the calls of this one.
-func (p *peers) isSilent(name wire.HostID) bool {
-	addr, ok := p.address(name)
-	return ok && p.reach.isSilent(addr)
+// isGone reports whether a router was not heard of recently enough to own queues, or does not answer the
+// calls of this one.
+func (p *peers) isGone(now time.Time, name wire.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[name]
+	return m == nil || !m.isAlive(p.aliveAt(now)) || p.reach.isSilent(m.Address)
 }
 
 // sinceHeard returns the time since a router was last heard of, 0 for this router and unknown ones.
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -106,8 +106,7 @@
 }
 
 // recordCall notes the end of a call to another router; a refused connection is an answer of its host.
-// A call that ends late because this process
-// was suspended says nothing about the router.
+// A call that ends late because this process was suspended says nothing about the router.
 func (p *peers) recordCall(addr wire.Address, answered bool) {
 	if !answered && p.mayBeDelayed(time.Now()) {
 		return
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -206,3 +207,35 @@
 	assert.NilError(t, c.Close())
 	assert.NilError(t, n.peers.call(t.Context(), other.cfg.Peers, "Peer.Ping", 0, new(int), waitTimeout))
 }
+
+// TestLostOwners guards against requests that end because the owners of a stage queue are lost one after
+// the other.
+func TestLostOwners(t *testing.T) {
+	const lost = 5
+	var addrs []string
+	for range lost {
+		addr, stop, err := site.ListenSilent()
+		assert.NilError(t, err)
+		t.Cleanup(stop)
+		addrs = append(addrs, addr)
+	}
+	r, n := startBesideSilent(t, addrs, slices.Repeat([]float64{8}, lost))
+	var made sync.WaitGroup
+	made.Go(func() { assertMade(t, n, "first") })
+	for range lost {
+		var owner *peerRecord
+		r.waitFor("the order waits for an owner that is heard of", func() bool {
+			n.peers.mu.Lock()
+			defer n.peers.mu.Unlock()
+			for w := range n.peers.watches {
+				owner = n.peers.members[w.name]
+			}
+			return owner != nil && owner.isAlive(time.Now())
+		})
+		n.peers.mu.Lock()
+		owner.seenAt = time.Time{}
+		n.peers.mu.Unlock()
+		n.peers.cancelLost(time.Now())
+	}
+	made.Wait()
+}
--- a/entry/stages.go
+++ b/entry/stages.go
@@ -226,7 +226,7 @@
 
 // placeOrder places an order with the owner of a queue of the service, and returns the
 // queue too. If the call fails or the queue is gone, it places the order again, with another
-// owner if there is one; owners that have ended or don't answer don't count as attempts. Pieces may
+// owner if there is one; owners that have ended, are lost or don't answer don't count as attempts. Pieces may
 // be made twice, unless the owner has ended. waits records what the order waited for.
 func (s *Server) placeOrder(ctx context.Context, o Order, waits *orderWaits) (m Made, madeBy shard.ID, err error) {
 	deadline := time.Now().Add(o.Left)
@@ -254,11 +254,11 @@
 		}
 		now := time.Now()
 		ended := errors.Is(err, syscall.ECONNREFUSED) && s.peers.recordEnded(now, owner)
-		silent := err != nil && s.peers.isSilent(owner)
-		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "silent", silent, "waited_ms", w.Waited, "heard_ms", w.Heard, "reason", m.Reason, "err", err)
+		gone := err != nil && s.peers.isGone(now, owner)
+		s.log.Warn("owner of a stage queue did not answer", "request", o.Request, "service", o.Service, "queue", id.String(), "owner", owner, "ended", ended, "gone", gone, "waited_ms", w.Waited, "heard_ms", w.Heard, "reason", m.Reason, "err", err)
 		s.incCounter("orders_failed")
 		failed = append(failed, owner)
-		if ended || silent {
+		if ended || gone {
 			s.queues.reassign(now)
 			continue // at once: the owner is none until it is heard of again or answers
 		}
