--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -18,6 +18,15 @@
 	"hornbeamcove.example/fakes/site"
 )
 
+// listen returns an address that f listens on until the end of the test.
+func listen(t *testing.T, f func() (addr string, stop func(), err error)) string {
+	t.Helper()
+	addr, stop, err := f()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	return addr
+}
+
 // startBesideSilent starts a router with the fewest cores of all that may own queues, which knows the
 // archive and the routers at the given addresses. Others hear of these all the time.
 func startBesideSilent(t *testing.T, addrs []string, cores []float64) (r *rig, n *node) {
@@ -57,10 +66,7 @@
 	var addrs []string
 	var cores []float64
 	for range silent {
-		addr, stop, err := site.ListenUnreachable()
-		assert.NilError(t, err)
-		t.Cleanup(stop)
-		addrs, cores = append(addrs, addr), append(cores, 8)
+		addrs, cores = append(addrs, listen(t, site.ListenUnreachable)), append(cores, 8)
 	}
 	_, n := startBesideSilent(t, addrs, cores)
 	assertMade(t, n, "first")
@@ -72,12 +78,8 @@
 // TestSilentOwner guards against orders that wait until their deadline for an owner that others hear
 // of, but that does not answer on the connection.
 func TestSilentOwner(t *testing.T) {
-	addr, stop, err := site.ListenSilent()
-	assert.NilError(t, err)
-	t.Cleanup(stop)
-	far, stopFar, err := site.ListenSilent()
-	assert.NilError(t, err)
-	t.Cleanup(stopFar)
+	addr := listen(t, site.ListenSilent)
+	far := listen(t, site.ListenSilent)
 	// r4 is no neighbour of r1, to which r1 sends heartbeats.
 	_, n := startBesideSilent(t, []string{addr, addr, far}, []float64{0.01, 0.01, 8})
 	waits := assertMade(t, n, "first")
@@ -87,9 +89,7 @@
 // TestForecastBesideSilentOwners guards against requests that are refused long after routers were silent,
 // because the time for which others waited for them is taken for an error of the forecasts.
 func TestForecastBesideSilentOwners(t *testing.T) {
-	addr, stop, err := site.ListenUnreachable()
-	assert.NilError(t, err)
-	t.Cleanup(stop)
+	addr := listen(t, site.ListenUnreachable)
 	r, n := startBesideSilent(t, []string{addr}, []float64{8})
 	r.addReplica("e-1", "engine")
 	r.waitForUpstreams(n, 2)
@@ -116,9 +116,7 @@
 // TestSilentHolders guards against streams that are refused because the holders of their record don't
 // answer, although the router that began them does.
 func TestSilentHolders(t *testing.T) {
-	addr, stop, err := site.ListenSilent()
-	assert.NilError(t, err)
-	t.Cleanup(stop)
+	addr := listen(t, site.ListenSilent)
 	r, n := startBesideSilent(t, slices.Repeat([]string{addr}, 6), slices.Repeat([]float64{8}, 6))
 	beginner := r.start(r.settings("beginner"))
 	n.peers.mu.Lock()
@@ -140,12 +138,8 @@
 // TestSlowHolderKeepsConnection guards against orders that fail because a router is slow to tell the record
 // of a stream, and the connection to it that they use is closed.
 func TestSlowHolderKeepsConnection(t *testing.T) {
-	addr, stop, err := site.ListenSilent()
-	assert.NilError(t, err)
-	t.Cleanup(stop)
-	far, stopFar, err := site.ListenSilent()
-	assert.NilError(t, err)
-	t.Cleanup(stopFar)
+	addr := listen(t, site.ListenSilent)
+	far := listen(t, site.ListenSilent)
 	// r4 is no neighbour of r1, so a heartbeat does not close the connection either.
 	_, n := startBesideSilent(t, []string{addr, addr, far}, []float64{8, 8, 8})
 	n.origins.resolve(t.Context(), OriginQuery{Stream: "s", Service: "engine", Window: time.Hour})
@@ -182,9 +176,7 @@
 // TestFreeBesideSilentOwner guards against results that take up the room of upstreams until they expire,
 // because the owner of their queue does not answer.
 func TestFreeBesideSilentOwner(t *testing.T) {
-	addr, stop, err := site.ListenUnreachable()
-	assert.NilError(t, err)
-	t.Cleanup(stop)
+	addr := listen(t, site.ListenUnreachable)
 	r, n := startBesideSilent(t, []string{addr}, []float64{8})
 	id := shard.ID{Service: "archive"}
 	m := n.queues.makePieces(t.Context(), Order{Request: "q", Service: "archive", Shard: id, Pieces: 2, Size: 1000, Key: "k", Centre: "a", Aim: waitTimeout, Left: waitTimeout})
@@ -214,10 +206,7 @@
 	const lost = 5
 	var addrs []string
 	for range lost {
-		addr, stop, err := site.ListenSilent()
-		assert.NilError(t, err)
-		t.Cleanup(stop)
-		addrs = append(addrs, addr)
+		addrs = append(addrs, listen(t, site.ListenSilent))
 	}
 	r, n := startBesideSilent(t, addrs, slices.Repeat([]float64{8}, lost))
 	var made sync.WaitGroup
