entry: log when a silent upstream is left, and what was tried

Three hypotheses about the cause looked the same.

Two new lines say when a stream is sent in place of its silent upstream, with load and slots of the other one, and when the silent one is left. The end of a failed request says which upstreams were tried and how many were not.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -83,7 +83,7 @@
 	// answered. The answer is then in place of that of the silent attempt.
 	attemptElsewhere func(ctx context.Context) bool
 	dropReplacement  func()            // releases the answer of attemptElsewhere
-	onSend           func()            // called when an attempt is sent; may be nil
+	onSend           func(*target)     // called when an attempt is sent; may be nil
 	hedging          bool              // whether upstreams that may be silent are left out
 	explaining       bool              // whether nothing is recorded, since the request is not sent
 	replacement      *bufferedResponse // answer of attemptElsewhere, unless it is a stream
@@ -210,6 +210,9 @@
 	if waits := x.orderWaits.list(); len(waits) > 0 && (failed || x.spec.Resumed) {
 		logger = logger.With("orders", waits)
 	}
+	if failed && len(x.tried) > 0 {
+		logger = logger.With("tried", x.tried, "untried", len(x.candidates()))
+	}
 	logEnd := logger.Info
 	if failed {
 		logEnd = logger.Warn
--- a/entry/send.go
+++ b/entry/send.go
@@ -56,7 +56,7 @@
 	t.requestStarted(time.Now())
 	t.workStarted(w)
 	if x.onSend != nil {
-		x.onSend()
+		x.onSend(t)
 	}
 	x.hedging = false
 	x.survived, x.progressed, x.trial = false, false, false
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -148,6 +148,13 @@
 	trial      bool // whether the next attempt may be made although a prompt part is quarantined
 }
 
+// logHedge logs that a stream is sent to t in place of its silent upstream. It gives the load of t as
+// estimated before, and its slots.
+func (x *exchange) logHedge(w *silenceWatch, t *target) {
+	x.s.log.Info("stream sent in place of a silent upstream", "request", x.spec.ID, "upstream", w.target.ID, "other", t.ID,
+		"load", rounded(x.choiceLoad.Requests), "known", rounded(x.choiceKnown), "slots", t.Slots)
+}
+
 // hedgeBlocked returns why the request must wait for its silent upstream, or "" if it may be
 // sent to another one, for which a retry was taken from the budget.
 func (x *exchange) hedgeBlocked() string {
@@ -170,6 +177,8 @@
 
 // hedge is an attempt that is made while the upstream of another one is silent.
 type hedge struct {
+	s       *Server
+	request wire.RequestID
 	silent  *upstreamConn
 	settled atomic.Bool // whether it can no longer be dropped
 	dropped atomic.Bool // whether it was cancelled because the silent upstream goes on
@@ -197,6 +206,7 @@
 // leave closes the connection to the silent upstream, since two must not work on one stream.
 func (h *hedge) leave() {
 	if h.ended.CompareAndSwap(false, true) {
+		h.s.log.Info("silent upstream left", "request", h.request, "upstream", h.silent.target.ID)
 		h.silent.abort()
 	}
 }
@@ -206,14 +216,17 @@
 // cancelled.
 func (x *exchange) hedge(w *silenceWatch) hedgeOutcome {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
-	h := &hedge{silent: w.conn, cancel: cancel}
+	h := &hedge{s: x.s, request: x.spec.ID, silent: w.conn, cancel: cancel}
 	outer := x.onSend
 	defer func() { x.onSend = outer }()
 	x.onSend = nil
 	if x.route.Kind == fleet.Stream {
 		h.overlap = time.AfterFunc(time.Hour, h.leave)
 		defer h.overlap.Stop()
-		x.onSend = h.recordSend
+		x.onSend = func(t *target) {
+			x.logHedge(w, t)
+			h.recordSend()
+		}
 	}
 	w.expect(x.remaining())
 	heard := make(chan struct{})
