entry: ask a silent upstream again that a stream has left

The silent one counted as an upstream that had failed, no third one had the software version, and the stream ended.

A silent upstream that was left, or replaced by another one, is not recorded as tried. It is chosen like a silent one: if no other upstream takes the stream. A stream keeps one of its sends for the way back. The retry is there too, since hedges leave half of the burst.

fakes/site plays replicas that reject late.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -64,6 +64,7 @@
 	runs         int               // attempts in which an upstream may have run the request
 	sends        int               // attempts that reached an upstream, including those that it rejected
 	tried        []wire.UpstreamID // upstreams that failed or rejected it
+	left         []wire.UpstreamID // silent upstreams that were left for another one; they may be sound
 	retriedStale []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
 	// pinned is the software version at which the stream must go on, empty if it is free.
 	pinned fleet.SoftwareVersion
@@ -211,7 +212,7 @@
 		logger = logger.With("orders", waits)
 	}
 	if failed && len(x.tried) > 0 {
-		logger = logger.With("tried", x.tried, "untried", len(x.candidates()))
+		logger = logger.With("tried", x.tried, "left", x.left, "untried", len(x.candidates()))
 	}
 	logEnd := logger.Info
 	if failed {
--- a/entry/place.go
+++ b/entry/place.go
@@ -50,7 +50,7 @@
 const choiceExcluded = "all excluded"
 
 // choose returns the target for the request; if all are ejected, it picks one at random. Silent
-// upstreams are chosen only if all others are ejected.
+// upstreams, and those that the request has left, are chosen only if all others are ejected.
 // If there is none, it returns nil and whether a cold upstream was left out because its
 // rate limit was reached. It sets limitWait.
 func (x *exchange) choose(now time.Time) (t *target, coldLimited bool) {
@@ -78,7 +78,7 @@
 			coldLimited = true
 		case st.ejected:
 			ejected = append(ejected, t)
-		case st.silent:
+		case st.silent || slices.Contains(x.left, u.ID):
 			silent = append(silent, t)
 			silentStates = append(silentStates, st)
 		default:
--- a/entry/send.go
+++ b/entry/send.go
@@ -9,6 +9,7 @@
 
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/crash"
+	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
 
@@ -61,6 +62,7 @@
 	x.hedging = false
 	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
+	x.left = slices.DeleteFunc(x.left, func(id wire.UpstreamID) bool { return id == t.ID })
 	if _, limited := x.s.limits.Rate(t.ID); limited {
 		x.s.incCounter("limited_sends", "service", string(x.svc.ID))
 	}
@@ -131,11 +133,14 @@
 	x.s.log.Info("send failed", "request", x.spec.ID, "upstream", t.ID, "address", t.Address, "sent", sent,
 		"silent_ms", silent.Milliseconds(), "ours", notUpstreamFault, "left_ms", x.remaining().Milliseconds(), "err", err)
 	x.s.incCounter("sends", "outcome", "failed")
-	x.tried = append(x.tried, t.ID)
+	left := errors.Is(err, errLeft)
+	if !left {
+		x.tried = append(x.tried, t.ID)
+	}
 	if notUpstreamFault {
 		return
 	}
-	if errors.Is(err, errLeft) {
+	if left {
 		t.recordReplaced(time.Now(), time.Now().Add(-silent))
 		return
 	}
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -94,16 +94,19 @@
 		outcome = x.hedge(w)
 		x.s.incCounter("hedges", "outcome", string(outcome))
 	}
+	if outcome == hedgeDropped {
+		x.tried = tried // nothing is known against the other upstream
+	} else {
+		i := slices.Index(x.tried, w.target.ID)
+		x.tried = slices.Delete(x.tried, i, i+1)
+	}
 	switch outcome {
 	case hedgeReplaced:
+		x.left = append(x.left, w.target.ID)
 		return errReplaced
 	case hedgeLeft:
+		x.left = append(x.left, w.target.ID)
 		return errLeft
-	case hedgeDropped:
-		x.tried = tried // nothing is known against the other upstream
-	case hedgeFailed:
-		i := slices.Index(x.tried, w.target.ID)
-		x.tried = slices.Delete(x.tried, i, i+1)
 	}
 	x.attemptState = saved
 	w.expect(silenceCheckInterval)
@@ -159,11 +162,15 @@
 // sent to another one, for which a retry was taken from the budget.
 func (x *exchange) hedgeBlocked() string {
 	expected := max(x.s.expectedFirstEvent(x.route), minAttemptTime)
+	maxSends := maxResends + 1
+	if x.route.Kind == fleet.Stream {
+		maxSends-- // if the other upstream rejects the stream, it is sent to the one that was left again
+	}
 	x.hedging = true
 	defer func() { x.hedging = false }()
 	other, _ := x.choose(time.Now())
 	reason := budget.Hedge{
-		Repeatable: x.route.Repeatable(), Runs: x.runs, MaxAttempts: x.route.MaxAttempts, Sends: x.sends, MaxSends: maxResends + 1,
+		Repeatable: x.route.Repeatable(), Runs: x.runs, MaxAttempts: x.route.MaxAttempts, Sends: x.sends, MaxSends: maxSends,
 		Remaining: x.remaining(), Expected: expected, HasOther: other != nil && x.choiceReason != choiceExcluded,
 	}.Blocked()
 	if reason != "" {
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -30,6 +30,7 @@
 		{"no other upstream", nil, 50},
 		{"retry budget used up", []site.Action{site.Serve}, 0},
 		{"other upstream full", []site.Action{site.Reject}, 50},
+		{"other upstream full and slow", []site.Action{site.RejectLate}, 50},
 		{"other upstream breaks off at once", []site.Action{site.InternalError}, 50},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/fakes/site/replica.go
+++ b/fakes/site/replica.go
@@ -60,11 +60,12 @@
 	EndlessFields                   // like EndlessHead, in short fields, which take most memory for their bytes
 	StalledHead                     // answers with 60 kB of a head in short fields, then with nothing until the connection is closed
 	PauseWithin                     // pauses for the replica's Pause in the middle of the answer or, in a stream, after two events, then goes on
+	RejectLate                      // like Reject, after the replica's Pause, as a full replica does that has just started and is slow
 )
 
 // refuses reports whether a replica does not run the request that it handles by a.
 func (a Action) refuses() bool {
-	return a == Reject || a == RepeatRefusal || a == RepeatBareRefusal || a == RepeatGone || a == EndlessRefusal
+	return a == Reject || a == RejectLate || a == RepeatRefusal || a == RepeatBareRefusal || a == RepeatGone || a == EndlessRefusal
 }
 
 // endless reports whether a replica answers by a until the connection is closed.
@@ -116,7 +117,7 @@
 	// TagEvents adds the version to each event of a stream, as a comment.
 	TagEvents bool
 	Downtime  time.Duration // time that the replica is down after a crash, 300 ms if 0
-	Pause     time.Duration // length of PauseBeforeHead and PauseWithin, 1.5 s if 0
+	Pause     time.Duration // length of PauseBeforeHead, PauseWithin and RejectLate, 1.5 s if 0
 	// SetDown, if set, is told when the replica crashes and when it is back.
 	SetDown func(down bool)
 	Site    *Site
@@ -658,7 +659,10 @@
 func (p *Replica) answer(w http.ResponseWriter, r *http.Request, act Action) {
 	id := r.Header.Get("Request-Id")
 	switch act {
-	case Reject:
+	case Reject, RejectLate:
+		if act == RejectLate && !clock.Sleep(r.Context(), p.pause()) {
+			return
+		}
 		p.reject(w, r, http.StatusServiceUnavailable)
 		return
 	case RepeatRefusal, RepeatBareRefusal, RepeatGone:
