entry, soak: let streams go back to an upstream if the next one fails

If the upstream that a stream was sent to in place of its silent one broke off, answered 500 or hung after the silent one had been left, the caller's stream was cut, or waited until its end, with the silent upstream sound. An attempt at it counted as one at a further upstream, and a route of two attempts had none left; beside a hanging one it counted as tried.

The platform defines attempts as "the maximum number of replicas to which one client attempt may be sent", and BUDGET counts "more replicas than their route's attempts". An upstream that the stream has left isn't counted again; once a request may have run at as many as its route allows, it goes only to those that it has left. It leaves an upstream that hangs only for one that has been heard from since it was left.

Evidence: TestLeftUpstreamGoesOn failed before the fix in its three cases (unexpected EOF after 1.82, 1.82 and 8.01 s) and passes.

--- a/core/budget/hedge.go
+++ b/core/budget/hedge.go
@@ -10,8 +10,9 @@
 // the one that works on it is silent.
 type Hedge struct {
 	Repeatable  bool          // whether the request may run more than once
-	Runs        int           // attempts in which an upstream may have run it
+	Runs        int           // upstreams that may have run it
 	MaxAttempts int           // of the request's route
+	MayReturn   bool          // whether it may be sent again to one of them
 	Sends       int           // attempts that reached an upstream
 	MaxSends    int           // limit of Sends
 	Remaining   time.Duration // time until the request's deadline
@@ -25,7 +26,7 @@
 	switch {
 	case !h.Repeatable:
 		return "route"
-	case h.Runs >= h.MaxAttempts:
+	case h.Runs >= h.MaxAttempts && !h.MayReturn:
 		return "attempts"
 	case h.Sends >= h.MaxSends:
 		return "sends"
--- a/core/budget/hedge_test.go
+++ b/core/budget/hedge_test.go
@@ -20,6 +20,7 @@
 		{"", func(*Hedge) {}},
 		{"route", func(h *Hedge) { h.Repeatable = false }},
 		{"attempts", func(h *Hedge) { h.Runs = 2 }},
+		{"", func(h *Hedge) { h.Runs, h.MayReturn = 2, true }},
 		{"sends", func(h *Hedge) { h.Sends = 4 }},
 		{"time", func(h *Hedge) { h.Remaining = 200 * ms }},
 		{"no upstream", func(h *Hedge) { h.HasOther = false }},
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -61,11 +61,13 @@
 	answerDue  *time.Timer
 	begunAfter time.Duration // time from start until the answer of a stream began, 0 before
 
-	runs         int               // attempts in which an upstream may have run the request
-	sends        int               // attempts that reached an upstream, including those that it rejected
-	tried        []wire.UpstreamID // upstreams that failed or rejected it
-	left         []wire.UpstreamID // silent upstreams that were left for another one; they may be sound
-	retriedStale []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
+	runs int // attempts in which an upstream may have run the request
+	// upstreamsUsed is runs without those at an upstream that the request had left before.
+	upstreamsUsed int
+	sends         int               // attempts that reached an upstream, including those that it rejected
+	tried         []wire.UpstreamID // upstreams that failed or rejected it
+	left          []wire.UpstreamID // silent upstreams that were left for another one; they may be sound
+	retriedStale  []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
 	// pinned is the software version at which the stream must go on, empty if it is free.
 	pinned fleet.SoftwareVersion
 	// limitWait is the shortest time until an upstream takes a request within the limit
@@ -84,6 +86,7 @@
 	// answered. The answer is then in place of that of the silent attempt.
 	attemptElsewhere func(ctx context.Context) bool
 	dropReplacement  func()            // releases the answer of attemptElsewhere
+	hedges           []*hedge          // attempts elsewhere that are in progress, the innermost last
 	onSend           func(*target)     // called when an attempt is sent; may be nil
 	hedging          bool              // whether upstreams that may be silent are left out
 	explaining       bool              // whether nothing is recorded, since the request is not sent
@@ -109,6 +112,10 @@
 
 func (x *exchange) elapsed() time.Duration { return bootNow().Sub(x.start) }
 
+// upstreamsUsedUp reports whether the request may have run at as many upstreams as its route allows. It may
+// then be sent only to those of them that it has left.
+func (x *exchange) upstreamsUsedUp() bool { return x.upstreamsUsed >= x.route.MaxAttempts }
+
 // mayHaveRun reports whether the request may have run on any upstream.
 func (x *exchange) mayHaveRun() bool { return x.runs > 0 }
 
--- a/entry/place.go
+++ b/entry/place.go
@@ -19,12 +19,14 @@
 )
 
 // candidates returns the upstreams of the newest snapshot on which the request may run,
-// except those that it has tried. A stream that has begun may go on only at upstreams of the
-// same software version: what two versions write doesn't fit together.
+// except those that it has tried. If upstreamsUsedUp, they are among those that it has left. A
+// stream that has begun may go on only at upstreams of the same software version: what two
+// versions write doesn't fit together.
 func (x *exchange) candidates() (us []fleet.Upstream) {
 	x.refreshView()
+	onlyLeft := x.upstreamsUsedUp()
 	for _, u := range x.view.Upstreams[x.svc.ID] {
-		if x.pinned != "" && u.Software != x.pinned {
+		if x.pinned != "" && u.Software != x.pinned || onlyLeft && !slices.Contains(x.left, u.ID) {
 			continue
 		}
 		if !x.s.notices.Leaving(time.Now(), u) && !slices.Contains(x.tried, u.ID) && fleet.Allowed(x.route, x.team, x.s.cfg.region(u.Centre)) {
@@ -186,7 +188,7 @@
 	switch {
 	case !x.route.Repeatable():
 		x.notRepeated = "route"
-	case x.runs >= x.route.MaxAttempts:
+	case x.upstreamsUsedUp() && len(x.left) == 0:
 		x.notRepeated = "attempts"
 	default:
 		return x.allowResend()
--- a/entry/send.go
+++ b/entry/send.go
@@ -9,7 +9,6 @@
 
 	"hornbeamcove.example/core/clock"
 	"hornbeamcove.example/core/crash"
-	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/platform"
 )
 
@@ -62,11 +61,12 @@
 	x.hedging = false
 	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
-	x.left = slices.DeleteFunc(x.left, func(id wire.UpstreamID) bool { return id == t.ID })
+	isBack := slices.Contains(x.left, t.ID)
+	x.left = without(x.left, t.ID)
 	if _, limited := x.s.limits.Rate(t.ID); limited {
 		x.s.incCounter("limited_sends", "service", string(x.svc.ID))
 	}
-	x.runs++ // reverted if the response says that the request did not run
+	x.countRun(isBack, 1) // reverted if the response says that the request did not run
 	began := time.Now()
 	watch := x.watchSilence(ctx, t, c, wait)
 	stop := context.AfterFunc(ctx, watch.interrupt)
@@ -113,7 +113,7 @@
 		t.markCold(time.Now().Add(rp.ColdRemaining))
 	}
 	if rp.NotExecuted {
-		x.runs--
+		x.countRun(isBack, -1)
 		c.onSilence = nil // another upstream is asked anyway
 		x.recordRejection(t, rp)
 		return nil, rejected
@@ -121,6 +121,14 @@
 	return rp, answered
 }
 
+// countRun adds n to the runs of the request. isBack is whether they are at an upstream that it had left.
+func (x *exchange) countRun(isBack bool, n int) {
+	x.runs += n
+	if !isBack {
+		x.upstreamsUsed += n
+	}
+}
+
 // recordSendFailure logs and counts a send without a valid response, and records it
 // against the upstream unless notUpstreamFault is set: then the cause lies with the
 // router or the caller, or an idle connection was dropped.
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -85,6 +85,11 @@
 		return nil
 	}
 	w.target.markSilent(time.Now())
+	for _, h := range x.hedges {
+		if h.left.Load() {
+			x.recordLeft(h.silent.target.ID)
+		}
+	}
 	saved, tried := x.attemptState, slices.Clone(x.tried)
 	x.tried = append(x.tried, w.target.ID)
 	reason := x.hedgeBlocked()
@@ -94,25 +99,35 @@
 		outcome = x.hedge(w)
 		x.s.incCounter("hedges", "outcome", string(outcome))
 	}
-	if outcome == hedgeDropped {
-		x.tried = tried // nothing is known against the other upstream
-	} else {
-		i := slices.Index(x.tried, w.target.ID)
-		x.tried = slices.Delete(x.tried, i, i+1)
-	}
 	switch outcome {
 	case hedgeReplaced:
-		x.left = append(x.left, w.target.ID)
+		if x.upstream != w.target.ID { // otherwise the stream has come back to it
+			x.recordLeft(w.target.ID)
+		}
 		return errReplaced
 	case hedgeLeft:
-		x.left = append(x.left, w.target.ID)
+		x.recordLeft(w.target.ID)
 		return errLeft
+	case hedgeDropped:
+		x.tried = tried // nothing is known against the other upstream
+	case hedgeFailed:
+		x.tried = without(x.tried, w.target.ID)
 	}
 	x.attemptState = saved
 	w.expect(silenceCheckInterval)
 	return nil
 }
 
+// recordLeft records that the request has left an upstream for its silence, which is no failure.
+func (x *exchange) recordLeft(id wire.UpstreamID) {
+	x.tried, x.left = without(x.tried, id), append(without(x.left, id), id)
+}
+
+// without returns ids, which it changes, without id.
+func without(ids []wire.UpstreamID, id wire.UpstreamID) []wire.UpstreamID {
+	return slices.DeleteFunc(ids, func(other wire.UpstreamID) bool { return other == id })
+}
+
 // hedgeOutcome is how an attempt ended that was made while another one was silent.
 type hedgeOutcome string
 
@@ -170,7 +185,7 @@
 	defer func() { x.hedging = false }()
 	other, _ := x.choose(time.Now())
 	reason := budget.Hedge{
-		Repeatable: x.route.Repeatable(), Runs: x.runs, MaxAttempts: x.route.MaxAttempts, Sends: x.sends, MaxSends: maxSends,
+		Repeatable: x.route.Repeatable(), Runs: x.upstreamsUsed, MaxAttempts: x.route.MaxAttempts, MayReturn: len(x.left) > 0, Sends: x.sends, MaxSends: maxSends,
 		Remaining: x.remaining(), Expected: expected, HasOther: other != nil && x.choiceReason != choiceExcluded,
 	}.Blocked()
 	if reason != "" {
@@ -190,6 +205,7 @@
 	settled atomic.Bool // whether it can no longer be dropped
 	dropped atomic.Bool // whether it was cancelled because the silent upstream goes on
 	ended   atomic.Bool // whether it has ended, or the silent upstream was left
+	left    atomic.Bool // whether the silent upstream was left
 	cancel  context.CancelFunc
 	overlap *time.Timer // runs leave
 }
@@ -213,6 +229,7 @@
 // leave closes the connection to the silent upstream, since two must not work on one stream.
 func (h *hedge) leave() {
 	if h.ended.CompareAndSwap(false, true) {
+		h.left.Store(true)
 		h.s.log.Info("silent upstream left", "request", h.request, "upstream", h.silent.target.ID)
 		h.silent.abort()
 	}
@@ -225,7 +242,8 @@
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
 	h := &hedge{s: x.s, request: x.spec.ID, silent: w.conn, cancel: cancel}
 	outer := x.onSend
-	defer func() { x.onSend = outer }()
+	x.hedges = append(x.hedges, h)
+	defer func() { x.onSend, x.hedges = outer, x.hedges[:len(x.hedges)-1] }()
 	x.onSend = nil
 	if x.route.Kind == fleet.Stream {
 		h.overlap = time.AfterFunc(time.Hour, h.leave)
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"hornbeamcove.example/core/fleet"
+	"hornbeamcove.example/core/wire"
 	"hornbeamcove.example/fakes/site"
 )
 
@@ -123,6 +124,50 @@
 	<-done
 }
 
+// TestLeftUpstreamGoesOn guards against a stream that is broken off, or waits until its end, because the
+// upstream that took the place of a silent one fails, although the silent one could go on with it.
+func TestLeftUpstreamGoesOn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		answer func(c net.Conn, q *http.Request) // of the other upstream
+	}{
+		{"other upstream breaks off", func(net.Conn, *http.Request) { time.Sleep(2 * maxOverlap) }},
+		{"other upstream fails", func(c net.Conn, q *http.Request) {
+			time.Sleep(2 * maxOverlap)
+			_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nServer-Signature: s\r\nRequest-Id: "+q.Header.Get("Request-Id")+"\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{"other upstream hangs", func(c net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, c) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.addReplica("e-1", "engine", site.Stall)
+			n := r.startRouter(1)
+			c := post(streamHost, "/resume/1", "prompt")
+			c.header = http.Header{site.HeaderDeadline: {"8000"}}
+			done := n.startAssertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+			r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+			r.addRawReplica("e-2", "engine", tc.answer)
+			r.hearFrom(n, "e-1", done)
+		})
+	}
+}
+
+// hearFrom lets a router hear from an upstream again and again, as if that answered other requests, until
+// done is closed.
+func (r *rig) hearFrom(n *node, id wire.UpstreamID, done <-chan struct{}) {
+	us := n.view.Load().Upstreams["engine"]
+	tg := n.targets.get(us[slices.IndexFunc(us, func(u fleet.Upstream) bool { return u.ID == id })])
+	r.waitFor("the silent upstream is left", func() bool { return strings.Contains(r.log.String(), "silent upstream left") })
+	for tick := time.Tick(maxQuiet / 10); ; {
+		select {
+		case now := <-tick:
+			tg.heardAt.Store(now.UnixNano())
+		case <-done:
+			return
+		}
+	}
+}
+
 // TestSilentUpstreamAnswers guards against a request that ends without the answer of its silent
 // upstream because another one, which has been asked, gives none.
 func TestSilentUpstreamAnswers(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -177,6 +177,8 @@
 		runs        []site.Run
 	}{
 		{"a stream at a third replica", "attempts", time.Time{}, []site.Run{runAt("e0", 0, 10), runAt("e1", 10, 20), runAt("e2", 20, 30)}},
+		{"a stream back at its first replica", "", time.Time{}, []site.Run{runAt("e0", 0, 10), runAt("e1", 10, 20), runAt("e0", 20, 30)}},
+		{"a stream twice at one replica at once", "overlap", time.Time{}, []site.Run{runAt("e0", 0, time.Second), runAt("e0", 0, time.Second)}},
 		{"a stream resumed after the first replica stopped", "", time.Time{}, []site.Run{runAt("e0", 0, time.Second), runAt("e1", time.Second-overlapLimit, 2*time.Second)}},
 		{"a stream at two replicas at once", "overlap", time.Time{}, []site.Run{runAt("e0", 0, time.Second), runAt("e1", 0, time.Second)}},
 		{"work ends in time after the caller left", "", now, []site.Run{runAt("e0", 0, cancelLimit)}},
