entry: keep a silent upstream to which a stream can't come back

A stream whose silent upstream drains was cut, with a sound upstream, if the one that it was sent to rejected it later than 300 ms: the silent one had been left by then, and draining upstreams get no requests, so there was no way back.

After 300 ms the silent upstream is left only if the stream may be sent to it again: it is listed, ready, the same process, and has not said that it leaves. Otherwise the attempt at the other one is cancelled. That one counts as an upstream that the stream has left, so that the stream goes on there once the silent one ends. The flags of a hedge are one state.

Found by asking where else a stream leaves an upstream without a way back.

--- a/entry/silence.go
+++ b/entry/silence.go
@@ -86,7 +86,7 @@
 	}
 	w.target.markSilent(time.Now())
 	for _, h := range x.hedges {
-		if h.left.Load() {
+		if h.state() == hedgeAway {
 			x.recordLeft(h.silent.target.ID)
 		}
 	}
@@ -108,8 +108,11 @@
 	case hedgeLeft:
 		x.recordLeft(w.target.ID)
 		return errLeft
+	case hedgeWithdrawn: // nothing is known against the other upstream, which has had the request
+		x.tried = tried
+		x.recordLeft(x.upstream)
 	case hedgeDropped:
-		x.tried = tried // nothing is known against the other upstream
+		x.tried = tried
 	case hedgeFailed:
 		x.tried = without(x.tried, w.target.ID)
 	}
@@ -132,10 +135,11 @@
 type hedgeOutcome string
 
 const (
-	hedgeReplaced hedgeOutcome = "replaced" // its answer takes the place of that of the silent upstream
-	hedgeDropped  hedgeOutcome = "dropped"  // it was cancelled because the silent upstream goes on
-	hedgeFailed   hedgeOutcome = "failed"   // it had no answer, and the silent upstream is still waited for
-	hedgeLeft     hedgeOutcome = "left"     // it had no answer after the silent upstream had been left
+	hedgeReplaced  hedgeOutcome = "replaced"  // its answer takes the place of that of the silent upstream
+	hedgeDropped   hedgeOutcome = "dropped"   // it was cancelled before it was sent, because the silent upstream goes on
+	hedgeWithdrawn hedgeOutcome = "withdrawn" // it was cancelled after it was sent, and the silent upstream is still waited for
+	hedgeFailed    hedgeOutcome = "failed"    // it had no answer, and the silent upstream is still waited for
+	hedgeLeft      hedgeOutcome = "left"      // it had no answer after the silent upstream had been left
 )
 
 // log logs and counts what is done about a silence, once for each reason.
@@ -166,13 +170,6 @@
 	trial      bool // whether the next attempt may be made although a prompt part is quarantined
 }
 
-// logHedge logs that a stream is sent to t in place of its silent upstream. It gives the load of t as
-// estimated before, and its slots.
-func (x *exchange) logHedge(w *silenceWatch, t *target) {
-	x.s.log.Info("stream sent in place of a silent upstream", "request", x.spec.ID, "upstream", w.target.ID, "other", t.ID,
-		"load", rounded(x.choiceLoad.Requests), "known", rounded(x.choiceKnown), "slots", t.Slots)
-}
-
 // hedgeBlocked returns why the request must wait for its silent upstream, or "" if it may be
 // sent to another one, for which a retry was taken from the budget.
 func (x *exchange) hedgeBlocked() string {
@@ -197,61 +194,90 @@
 	return ""
 }
 
+// hedgeState is how far a hedge is.
+type hedgeState int32
+
+const (
+	hedgeOpen      hedgeState = iota // it is cancelled if the silent upstream goes on
+	hedgeSent                        // it is a stream that was sent, which the other upstream may have begun
+	hedgeOver                        // it has ended
+	hedgeCancelled                   // it was cancelled, the silent upstream is kept
+	hedgeAway                        // the silent upstream was left
+)
+
 // hedge is an attempt that is made while the upstream of another one is silent.
 type hedge struct {
-	s       *Server
-	request wire.RequestID
-	silent  *upstreamConn
-	settled atomic.Bool // whether it can no longer be dropped
-	dropped atomic.Bool // whether it was cancelled because the silent upstream goes on
-	ended   atomic.Bool // whether it has ended, or the silent upstream was left
-	left    atomic.Bool // whether the silent upstream was left
+	x       *exchange
+	silent  *silenceWatch
+	now     atomic.Int32 // a hedgeState
 	cancel  context.CancelFunc
-	overlap *time.Timer // runs leave
+	overlap *time.Timer // runs endOverlap
+}
+
+func (h *hedge) state() hedgeState { return hedgeState(h.now.Load()) }
+
+// move changes the state to another one, if it is one of from, and reports whether it was.
+func (h *hedge) move(to hedgeState, from ...hedgeState) bool {
+	return slices.ContainsFunc(from, func(f hedgeState) bool { return h.now.CompareAndSwap(int32(f), int32(to)) })
 }
 
 // drop cancels the hedge because the silent upstream goes on.
 func (h *hedge) drop() {
-	if h.settled.CompareAndSwap(false, true) {
-		h.dropped.Store(true)
+	if h.move(hedgeCancelled, hedgeOpen) {
 		h.cancel()
 	}
 }
 
 // recordSend records that a stream is sent to another upstream, which may begin it at once.
-// From now on it goes on there unless it is rejected.
-func (h *hedge) recordSend() {
-	if h.settled.CompareAndSwap(false, true) {
+func (h *hedge) recordSend(t *target) {
+	x := h.x
+	x.s.log.Info("stream sent in place of a silent upstream", "request", x.spec.ID, "upstream", h.silent.target.ID, "other", t.ID,
+		"load", rounded(x.choiceLoad.Requests), "known", rounded(x.choiceKnown), "slots", t.Slots)
+	if h.move(hedgeSent, hedgeOpen) {
 		h.overlap.Reset(maxOverlap)
 	}
 }
 
-// leave closes the connection to the silent upstream, since two must not work on one stream.
-func (h *hedge) leave() {
-	if h.ended.CompareAndSwap(false, true) {
-		h.left.Store(true)
-		h.s.log.Info("silent upstream left", "request", h.request, "upstream", h.silent.target.ID)
-		h.silent.abort()
+// endOverlap gives one of two upstreams up that must not work on one stream: the silent one if the stream
+// could come back to it, and otherwise the other one, since it may still reject the stream.
+func (h *hedge) endOverlap() {
+	switch {
+	case !h.x.mayReturn(h.silent.target):
+		if h.move(hedgeCancelled, hedgeSent) {
+			h.log("silent upstream kept")
+			h.cancel()
+		}
+	case h.move(hedgeAway, hedgeSent):
+		h.log("silent upstream left")
+		h.silent.conn.abort()
 	}
 }
 
+func (h *hedge) log(msg string) {
+	h.x.s.log.Info(msg, "request", h.x.spec.ID, "upstream", h.silent.target.ID)
+}
+
+// mayReturn reports whether the request may be sent again to an upstream that has it: one that drains or has
+// left gets no requests. It is safe for concurrent use.
+func (x *exchange) mayReturn(t *target) bool {
+	return !x.s.notices.Leaving(time.Now(), t.Upstream) &&
+		slices.ContainsFunc(x.s.view.Load().Upstreams[x.svc.ID], func(u fleet.Upstream) bool { return u.ID == t.ID && u.SameRun(t.Upstream) })
+}
+
 // hedge makes another attempt while the upstream of w is silent. If that goes on before the
 // other attempt is sent, or before it is answered if it is no stream, the other attempt is
 // cancelled.
 func (x *exchange) hedge(w *silenceWatch) hedgeOutcome {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
-	h := &hedge{s: x.s, request: x.spec.ID, silent: w.conn, cancel: cancel}
-	outer := x.onSend
+	h := &hedge{x: x, silent: w, cancel: cancel}
+	outer, sends := x.onSend, x.sends
 	x.hedges = append(x.hedges, h)
 	defer func() { x.onSend, x.hedges = outer, x.hedges[:len(x.hedges)-1] }()
 	x.onSend = nil
 	if x.route.Kind == fleet.Stream {
-		h.overlap = time.AfterFunc(time.Hour, h.leave)
+		h.overlap = time.AfterFunc(time.Hour, h.endOverlap)
 		defer h.overlap.Stop()
-		x.onSend = func(t *target) {
-			x.logHedge(w, t)
-			h.recordSend()
-		}
+		x.onSend = h.recordSend
 	}
 	w.expect(x.remaining())
 	heard := make(chan struct{})
@@ -264,21 +290,23 @@
 	x.hedging = true
 	answered := x.attemptElsewhere(ctx)
 	x.hedging = false
-	h.settled.Store(true)
-	left := !h.ended.CompareAndSwap(false, true)
+	h.move(hedgeOver, hedgeOpen, hedgeSent)
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
+	state := h.state()
 	switch {
-	case answered && !h.dropped.Load():
+	case answered && state != hedgeCancelled:
 		return hedgeReplaced
 	case answered:
 		x.dropReplacement()
 	}
 	cancel()
 	switch {
-	case left:
+	case state == hedgeAway:
 		return hedgeLeft
-	case h.dropped.Load():
+	case state == hedgeCancelled && x.sends > sends:
+		return hedgeWithdrawn
+	case state == hedgeCancelled:
 		return hedgeDropped
 	}
 	return hedgeFailed
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -152,6 +152,33 @@
 	}
 }
 
+// TestSilentUpstreamWithoutReturn guards against a stream that leaves a silent upstream to which it can't come
+// back, since that drains, for one that then rejects it; and against one that is broken off when the silent
+// upstream ends, because the other one has had it.
+func TestSilentUpstreamWithoutReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		other site.Action
+		ends  bool // whether the silent upstream ends before it goes on
+	}{{"other upstream full and slow", site.RejectLate, false}, {"silent upstream ends", site.NoAnswer, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			p := r.addReplica("e-1", "engine", site.Stall)
+			n := r.startRouter(1)
+			c := post(streamHost, "/resume/1", "prompt")
+			done := n.startAssertStatus(t, c, http.StatusOK, streamBody(c.target, 6))
+			r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
+			r.site.Store.PutJSON("servers/e-1", p.Entry("draining"))
+			r.addReplica("e-2", "engine", tc.other)
+			r.waitFor("the other attempt is cancelled", func() bool { return strings.Contains(r.log.String(), "silent upstream kept") })
+			if tc.ends {
+				p.Kill()
+			}
+			<-done
+		})
+	}
+}
+
 // hearFrom lets a router hear from an upstream again and again, as if that answered other requests, until
 // done is closed.
 func (r *rig) hearFrom(n *node, id wire.UpstreamID, done <-chan struct{}) {
