entry, core/budget: let streams go back before others are asked

A stream that had left its silent upstream was still cut if several others rejected it one after the other: each took one of its sends and a retry, and the upstream that it had left came last, when none was left.

The way back goes first. The upstream had room for the stream, which isn't known of the others; if it stays silent, they are asked again after the usual wait. The silent upstream is left only if a retry for the way back can be reserved, and a return counts neither as a resend nor as an attempt.

TestSilentStream/other_upstreams_full_and_slow failed before the fix (unexpected EOF) and passes; TestReserve is new.

--- a/core/budget/hedge.go
+++ b/core/budget/hedge.go
@@ -53,3 +53,24 @@
 	}
 	return r.Allow(1, remaining, estimate)
 }
+
+// Reserve takes a retry without a request that needs it now, and reports whether there was one. GiveBack
+// returns it if it is not used.
+func (r *Retry) Reserve() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tokens < tokensPerRetry {
+		return false
+	}
+	r.tokens -= tokensPerRetry
+	r.allowed++
+	return true
+}
+
+// GiveBack returns a retry that was reserved and not used.
+func (r *Retry) GiveBack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens = min(r.tokens+tokensPerRetry, r.capacity)
+	r.allowed--
+}
--- a/core/budget/hedge_test.go
+++ b/core/budget/hedge_test.go
@@ -47,3 +47,16 @@
 		assert.Equal(t, ok, allowed, "retry %d", i)
 	}
 }
+
+// TestReserve guards against a reserved retry that is lost, or that another request uses.
+func TestReserve(t *testing.T) {
+	r := NewRetry(0, 1)
+	assert.Assert(t, r.Reserve())
+	assert.Assert(t, !r.Reserve())
+	_, ok := r.Allow(1, 10*ms, ms)
+	assert.Assert(t, !ok)
+	r.GiveBack()
+	assert.DeepEqual(t, r.View(), View{Tokens: 1, Refused: 1})
+	_, ok = r.Allow(1, 10*ms, ms)
+	assert.Assert(t, ok)
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -65,9 +65,14 @@
 	// upstreamsUsed is runs without those at an upstream that the request had left before.
 	upstreamsUsed int
 	sends         int               // attempts that reached an upstream, including those that it rejected
+	returns       int               // sends to an upstream that the request had left
 	tried         []wire.UpstreamID // upstreams that failed or rejected it
 	left          []wire.UpstreamID // silent upstreams that were left for another one; they may be sound
 	retriedStale  []wire.UpstreamID // upstreams that had closed their idle connection; each is tried once more
+	// wayBack is the upstream that was left last for another one which then had no answer, until the next
+	// send, and reserved the number of retries that are reserved for that.
+	wayBack  wire.UpstreamID
+	reserved int
 	// pinned is the software version at which the stream must go on, empty if it is free.
 	pinned fleet.SoftwareVersion
 	// limitWait is the shortest time until an upstream takes a request within the limit
@@ -210,6 +215,9 @@
 		team = string(x.team.ID)
 	}
 	x.recordDuration(status, reason, took)
+	for ; x.reserved > 0; x.reserved-- {
+		x.retryBudget.GiveBack()
+	}
 	logger := s.log
 	if x.spec.Resumed {
 		logger = logger.With("resumes", x.spec.Resumes, "after_event", x.spec.LastEventID, "origin_ms", x.originTook.Milliseconds())
--- a/entry/place.go
+++ b/entry/place.go
@@ -48,11 +48,15 @@
 	x.view = &merged
 }
 
-// choiceExcluded is the reason for the choice of an upstream when all are ejected.
-const choiceExcluded = "all excluded"
+// Reasons for the choice of an upstream.
+const (
+	choiceExcluded = "all excluded" // all are ejected
+	choiceWayBack  = "way back"     // the request has left it for another one, which had no answer
+)
 
 // choose returns the target for the request; if all are ejected, it picks one at random. Silent
-// upstreams, and those that the request has left, are chosen only if all others are ejected.
+// upstreams, and those that the request has left, are chosen only if all others are ejected, but
+// the wayBack goes first: it had room for the request, which isn't known of the others.
 // If there is none, it returns nil and whether a cold upstream was left out because its
 // rate limit was reached. It sets limitWait.
 func (x *exchange) choose(now time.Time) (t *target, coldLimited bool) {
@@ -74,6 +78,9 @@
 		t := x.s.targets.get(u)
 		st := t.status(now, x.svc, routers)
 		switch {
+		case u.ID == x.wayBack && !x.hedging && !st.coldLimited:
+			x.choiceReason, x.choiceLoad, x.choiceKnown = choiceWayBack, pace.Load{}, 0
+			return t, false
 		case x.hedging && (st.silent || st.quiet > maxQuiet):
 			continue
 		case st.coldLimited:
@@ -199,7 +206,7 @@
 // minAttemptTime is the remaining time below which no further attempt is made.
 const minAttemptTime = 15 * time.Millisecond
 
-// maxResends limits how often a request that reached an upstream is sent again.
+// maxResends limits how often a request that reached an upstream is sent again, not counting its returns.
 const maxResends = 3
 
 // allowResend reports whether the request may be sent again, and takes a retry from the
@@ -211,7 +218,10 @@
 		return false
 	case x.sends == 0:
 		return true
-	case x.sends > maxResends:
+	case x.reserved > 0:
+		x.reserved--
+		return true
+	case x.sends-x.returns > maxResends:
 		x.notRepeated = "sends"
 		return false
 	}
--- a/entry/send.go
+++ b/entry/send.go
@@ -62,7 +62,10 @@
 	x.survived, x.progressed, x.trial = false, false, false
 	x.sends++
 	isBack := slices.Contains(x.left, t.ID)
-	x.left = without(x.left, t.ID)
+	x.left, x.wayBack = without(x.left, t.ID), ""
+	if isBack {
+		x.returns++
+	}
 	if _, limited := x.s.limits.Rate(t.ID); limited {
 		x.s.incCounter("limited_sends", "service", string(x.svc.ID))
 	}
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -107,6 +107,8 @@
 		return errReplaced
 	case hedgeLeft:
 		x.recordLeft(w.target.ID)
+		x.wayBack = w.target.ID
+		x.reserved++
 		return errLeft
 	case hedgeWithdrawn: // nothing is known against the other upstream, which has had the request
 		x.tried = tried
@@ -174,15 +176,11 @@
 // sent to another one, for which a retry was taken from the budget.
 func (x *exchange) hedgeBlocked() string {
 	expected := max(x.s.expectedFirstEvent(x.route), minAttemptTime)
-	maxSends := maxResends + 1
-	if x.route.Kind == fleet.Stream {
-		maxSends-- // if the other upstream rejects the stream, it is sent to the one that was left again
-	}
 	x.hedging = true
 	defer func() { x.hedging = false }()
 	other, _ := x.choose(time.Now())
 	reason := budget.Hedge{
-		Repeatable: x.route.Repeatable(), Runs: x.upstreamsUsed, MaxAttempts: x.route.MaxAttempts, MayReturn: len(x.left) > 0, Sends: x.sends, MaxSends: maxSends,
+		Repeatable: x.route.Repeatable(), Runs: x.upstreamsUsed, MaxAttempts: x.route.MaxAttempts, MayReturn: len(x.left) > 0, Sends: x.sends - x.returns, MaxSends: maxResends + 1,
 		Remaining: x.remaining(), Expected: expected, HasOther: other != nil && x.choiceReason != choiceExcluded,
 	}.Blocked()
 	if reason != "" {
@@ -239,18 +237,22 @@
 }
 
 // endOverlap gives one of two upstreams up that must not work on one stream: the silent one if the stream
-// could come back to it, and otherwise the other one, since it may still reject the stream.
+// could come back to it, for which a retry is reserved, and otherwise the other one, since it may still reject
+// the stream.
 func (h *hedge) endOverlap() {
-	switch {
-	case !h.x.mayReturn(h.silent.target):
+	if !h.x.mayReturn(h.silent.target) || !h.x.retryBudget.Reserve() {
 		if h.move(hedgeCancelled, hedgeSent) {
 			h.log("silent upstream kept")
 			h.cancel()
 		}
-	case h.move(hedgeAway, hedgeSent):
-		h.log("silent upstream left")
-		h.silent.conn.abort()
+		return
 	}
+	if !h.move(hedgeAway, hedgeSent) {
+		h.x.retryBudget.GiveBack()
+		return
+	}
+	h.log("silent upstream left")
+	h.silent.conn.abort()
 }
 
 func (h *hedge) log(msg string) {
@@ -294,6 +296,9 @@
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0))
 	<-heard
 	state := h.state()
+	if answered && state == hedgeAway {
+		x.retryBudget.GiveBack()
+	}
 	switch {
 	case answered && state != hedgeCancelled:
 		return hedgeReplaced
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -32,6 +32,7 @@
 		{"retry budget used up", []site.Action{site.Serve}, 0},
 		{"other upstream full", []site.Action{site.Reject}, 50},
 		{"other upstream full and slow", []site.Action{site.RejectLate}, 50},
+		{"other upstreams full and slow", slices.Repeat([]site.Action{site.RejectLate}, 4), 50},
 		{"other upstream breaks off at once", []site.Action{site.InternalError}, 50},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -51,8 +52,8 @@
 				resp, body, err = n.do(t, c)
 			}()
 			r.waitFor("the stream has begun", func() bool { return len(r.site.Runs()) == 1 })
-			for _, act := range tc.others {
-				p := &site.Replica{ID: "e-2", Service: "engine", Centre: "a", ServiceTime: 5 * time.Millisecond, Events: 6, Act: func(*http.Request) site.Action { return act }}
+			for i, act := range tc.others {
+				p := &site.Replica{ID: fmt.Sprint("e-", i+2), Service: "engine", Centre: "a", ServiceTime: 5 * time.Millisecond, Events: 6, Act: func(*http.Request) site.Action { return act }}
 				assert.NilError(t, r.site.Add(p))
 			}
 			<-done
