--- a/entry/silence.go
+++ b/entry/silence.go
@@ -43,7 +43,7 @@
 
 // silenceWatch is the wait of one attempt for its upstream. A sound upstream may be silent for
 // a while, so the attempt is given up only once another upstream has begun to answer, or has
-// had the request of a stream for maxOverlap.
+// had the request of a stream for maxOverlap. In the second case the stream may come back.
 type silenceWatch struct {
 	ctx    context.Context
 	x      *exchange
@@ -268,7 +268,7 @@
 
 // hedge makes another attempt while the upstream of w is silent. If that goes on before the
 // other attempt is sent, or before it is answered if it is no stream, the other attempt is
-// cancelled.
+// cancelled. A stream that was sent has both upstreams for maxOverlap, see endOverlap.
 func (x *exchange) hedge(w *silenceWatch) hedgeOutcome {
 	ctx, cancel := context.WithCancel(w.ctx) // ends with w.ctx if the attempt is answered
 	h := &hedge{x: x, silent: w, cancel: cancel}
