--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,68 +36,43 @@
 	}
 }
 
-// TestSoakSilences guards against answers that are lost when sound replicas fall silent beside
-// planned stops under load, and against streams that run at two replicas then.
-func TestSoakSilences(t *testing.T) {
+// assertNoViolation runs the soak with three routers once for each seed.
+func assertNoViolation(t *testing.T, o Options, seeds ...uint64) {
+	t.Helper()
 	program, err := Build(t.TempDir())
 	assert.NilError(t, err)
-	for _, seed := range []uint64{80001, 80002} {
-		violations, served, err := Execute(Options{
-			Seed: seed, Routers: 3, Callers: 6, FaultDuration: 6 * time.Second, Dir: t.TempDir(), Program: program,
-			Silences: true, PlannedOnly: true,
-		})
+	o.Routers, o.Program = 3, program
+	for _, seed := range seeds {
+		o.Seed, o.Dir = seed, t.TempDir()
+		violations, served, err := Execute(o)
 		assert.NilError(t, err)
 		assert.Assert(t, len(violations) == 0, "seed %d: %v", seed, violations)
 		assert.Assert(t, served > 0)
 	}
 }
 
+// TestSoakSilences guards against answers that are lost when sound replicas fall silent beside
+// planned stops under load, and against streams that run at two replicas then.
+func TestSoakSilences(t *testing.T) {
+	assertNoViolation(t, Options{Callers: 6, FaultDuration: 6 * time.Second, Silences: true, PlannedOnly: true}, 80001, 80002)
+}
+
 // TestSoakChanges guards against requests that end without an answer beside configurations in quick
 // succession, routers with a processor quota, silent replicas and stops under load.
 func TestSoakChanges(t *testing.T) {
-	program, err := Build(t.TempDir())
-	assert.NilError(t, err)
-	for _, seed := range []uint64{10501, 10702} {
-		violations, served, err := Execute(Options{
-			Seed: seed, Routers: 3, Callers: 6, FaultDuration: 6 * time.Second, Dir: t.TempDir(), Program: program,
-			Changes: true, PlannedOnly: true,
-		})
-		assert.NilError(t, err)
-		assert.Assert(t, len(violations) == 0, "seed %d: %v", seed, violations)
-		assert.Assert(t, served > 0)
-	}
+	assertNoViolation(t, Options{Callers: 6, FaultDuration: 6 * time.Second, Changes: true, PlannedOnly: true}, 10501, 10702)
 }
 
 // TestSoakMoves guards against stage calls to replicas that leave, or whose data centre is taken out,
 // after their service was dropped while requests wait for it.
 func TestSoakMoves(t *testing.T) {
-	program, err := Build(t.TempDir())
-	assert.NilError(t, err)
-	for _, seed := range []uint64{110001, 110003} {
-		violations, served, err := Execute(Options{
-			Seed: seed, Routers: 3, Callers: 12, FaultDuration: 10 * time.Second, Dir: t.TempDir(), Program: program,
-			Moves: true, PlannedOnly: true,
-		})
-		assert.NilError(t, err)
-		assert.Assert(t, len(violations) == 0, "seed %d: %v", seed, violations)
-		assert.Assert(t, served > 0)
-	}
+	assertNoViolation(t, Options{Callers: 12, FaultDuration: 10 * time.Second, Moves: true, PlannedOnly: true}, 110001, 110003)
 }
 
 // TestSoakEdges guards against streams that are cut when all replicas but a silent one are full, and
 // against configurations that are not followed because they have no team or an unusual order of stages.
 func TestSoakEdges(t *testing.T) {
-	program, err := Build(t.TempDir())
-	assert.NilError(t, err)
-	for _, seed := range []uint64{120003, 120004} {
-		violations, served, err := Execute(Options{
-			Seed: seed, Routers: 3, Callers: 12, FaultDuration: 6 * time.Second, Dir: t.TempDir(), Program: program,
-			Edges: true, PlannedOnly: true,
-		})
-		assert.NilError(t, err)
-		assert.Assert(t, len(violations) == 0, "seed %d: %v", seed, violations)
-		assert.Assert(t, served > 0)
-	}
+	assertNoViolation(t, Options{Callers: 12, FaultDuration: 6 * time.Second, Edges: true, PlannedOnly: true}, 120003, 120004)
 }
 
 // TestSoakAnswers guards against false promises, changed answers and memory without bound while
